--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,39 @@
+// Standard style, namespace imports for our own modules, and the layers of docs/architecture.md.
+import neostandard from 'neostandard'
+import * as layers from './scripts/layers.mjs'
+
+const scope = '@eelgrasswind/'
+const fromOwn = 'ImportDeclaration[source.value=/^(@eelgrasswind\\u002F|\\.)/]'
+
+const layerRules = layers.all.map(({ name, allowed }) => ({
+  files: [`packages/${name}/src/**/*.ts`],
+  ignores: ['**/*.test.ts'],
+  rules: {
+    'no-restricted-imports': ['error', {
+      patterns: [{ regex: `^${scope}(?!(${allowed.join('|') || '-'})$)`, message: 'docs/architecture.md does not allow this import.' }]
+    }]
+  }
+}))
+
+export default [
+  { ignores: ['**/dist/**', '**/gen/**', '**/node_modules/**', 'out/**', '.tap/**'] },
+  ...neostandard({ ts: true }),
+  {
+    files: ['packages/**/*.ts'],
+    rules: {
+      'no-redeclare': 'off',
+      'no-use-before-define': 'off',
+      '@typescript-eslint/no-use-before-define': 'off',
+      '@typescript-eslint/consistent-type-imports': ['error', { disallowTypeAnnotations: false }],
+      '@typescript-eslint/no-explicit-any': 'error',
+      'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
+      'max-lines-per-function': ['error', { max: 120, skipBlankLines: true, skipComments: true }],
+      'no-restricted-syntax': ['error',
+        { selector: `${fromOwn} > ImportSpecifier`, message: 'Import our own modules as a namespace.' },
+        { selector: `${fromOwn} > ImportDefaultSpecifier`, message: 'Import our own modules as a namespace.' }
+      ]
+    }
+  },
+  { files: ['**/*.test.ts'], rules: { 'max-lines-per-function': 'off' } },
+  ...layerRules
+]
--- /dev/null
+++ b/packages/admit-program/src/index.ts
@@ -0,0 +1,2 @@
+/** Decides whether a new program is admitted. */
+export {}
--- /dev/null
+++ b/packages/append-journal/src/index.ts
@@ -0,0 +1,2 @@
+/** Appends journal records in batches and says whether each took effect. */
+export {}
--- /dev/null
+++ b/packages/caller-server/src/index.ts
@@ -0,0 +1,2 @@
+/** The HTTP interface that callers use. */
+export {}
--- /dev/null
+++ b/packages/choose-home/src/index.ts
@@ -0,0 +1,2 @@
+/** Picks the home of a program by rendezvous hashing. */
+export {}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The operator's command line. */
+export {}
--- /dev/null
+++ b/packages/config-state/src/index.ts
@@ -0,0 +1,2 @@
+/** The published configuration: its schema and the pure fold over its change records. */
+export {}
--- /dev/null
+++ b/packages/demo/src/index.ts
@@ -0,0 +1,2 @@
+/** Starts the whole system on embedded stand-ins and runs one kit order program. */
+export {}
--- /dev/null
+++ b/packages/engine-client/src/index.ts
@@ -0,0 +1,2 @@
+/** Client of a model engine. */
+export * from './engine-client.js'
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,2 @@
+/** The entry process: HTTP to callers, forwarding to each program's home. */
+export {}
--- /dev/null
+++ b/packages/errors/src/index.ts
@@ -0,0 +1,3 @@
+/** The failures a request can end with, as one tagged union that always carries a verdict. */
+export * from './failure.js'
+export * from './result.js'
--- /dev/null
+++ b/packages/errors/src/result.ts
@@ -0,0 +1,14 @@
+/** A value or a failure, for code where failing is an ordinary outcome. */
+import type * as failures from './failure.js'
+
+export type Result<T, F = failures.Failure> =
+  | { readonly ok: true, readonly value: T }
+  | { readonly ok: false, readonly failure: F }
+
+export function ok<T> (value: T): { readonly ok: true, readonly value: T } {
+  return { ok: true, value }
+}
+
+export function fail<F> (failure: F): { readonly ok: false, readonly failure: F } {
+  return { ok: false, failure }
+}
--- /dev/null
+++ b/packages/follow-config/src/index.ts
@@ -0,0 +1,2 @@
+/** Follows the configuration stream and keeps the version in force. */
+export {}
--- /dev/null
+++ b/packages/host-list-client/src/index.ts
@@ -0,0 +1,2 @@
+/** Client of the platform's host list. */
+export * from './host-list-client.js'
--- /dev/null
+++ b/packages/limit-client/src/index.ts
@@ -0,0 +1,2 @@
+/** Client limits handed out in shares, and retry budgets. */
+export {}
--- /dev/null
+++ b/packages/load/src/index.ts
@@ -0,0 +1,2 @@
+/** Seeded workloads against a running system, with reports. */
+export {}
--- /dev/null
+++ b/packages/log-client/src/index.ts
@@ -0,0 +1,2 @@
+/** Client of the platform's append-only log service. */
+export * from './log-client.js'
--- /dev/null
+++ b/packages/metrics/src/index.ts
@@ -0,0 +1,2 @@
+/** Metrics by hot-shots over UDP. */
+export {}
--- /dev/null
+++ b/packages/order-queue/src/index.ts
@@ -0,0 +1,2 @@
+/** Decides the order in which waiting calls run. */
+export {}
--- /dev/null
+++ b/packages/place-call/src/index.ts
@@ -0,0 +1,2 @@
+/** Decides which engine or service host takes the next call. */
+export {}
--- /dev/null
+++ b/packages/program-home/src/index.ts
@@ -0,0 +1,2 @@
+/** The home of a program: order, budget, dispatch, takeover and release. */
+export {}
--- /dev/null
+++ b/packages/retain-prefix/src/index.ts
@@ -0,0 +1,2 @@
+/** Decides how long a program's cached prefix is held over a tool pause. */
+export {}
--- /dev/null
+++ b/packages/service-client/src/index.ts
@@ -0,0 +1,2 @@
+/** Client of a plain service. */
+export * from './service-client.js'
--- /dev/null
+++ b/packages/sidecar-client/src/index.ts
@@ -0,0 +1,2 @@
+/** The protocol between the system's own processes, by connect-es. */
+export {}
--- /dev/null
+++ b/packages/sidecar/src/index.ts
@@ -0,0 +1,2 @@
+/** The process beside each upstream host. */
+export {}
--- /dev/null
+++ b/packages/slopes/src/index.ts
@@ -0,0 +1,2 @@
+/** Measures what each role costs per entry of its state. */
+export {}
--- /dev/null
+++ b/packages/test-utils/src/index.ts
@@ -0,0 +1,2 @@
+/** Fixtures that tests share. */
+export {}
--- /dev/null
+++ b/packages/timer-service/src/timer-service.ts
@@ -0,0 +1,22 @@
+/** What parts of the system may ask of time. All times are in milliseconds. */
+
+export interface Subscription {
+  /** Stops the timer; safe to call twice. */
+  cancel: () => void
+}
+
+export interface TimerService {
+  /** Wall time, milliseconds since the epoch. May jump; only for what is compared between processes. */
+  now: () => number
+  /** Time that never goes back, in milliseconds from an arbitrary start. */
+  monotonic: () => number
+  /** Calls once after a delay. */
+  after: (delayMs: number, run: () => void) => Subscription
+  /** Calls again and again, the first time after one period. */
+  every: (periodMs: number, run: () => void) => Subscription
+}
+
+/** A promise that resolves after a delay. */
+export function sleep (timers: TimerService, delayMs: number): Promise<void> {
+  return new Promise((resolve) => { timers.after(delayMs, resolve) })
+}
--- /dev/null
+++ b/packages/tracing/src/index.ts
@@ -0,0 +1,2 @@
+/** One span for each hop, with W3C trace context. */
+export {}
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,7 @@
+/** Branded ids, verdicts and the plain data types that every other package shares. */
+export * from './ids.js'
+export * from './verdict.js'
+export * from './program.js'
+export * from './journal.js'
+export * from './host.js'
+export * from './wire.js'
--- /dev/null
+++ b/packages/types/src/program.ts
@@ -0,0 +1,85 @@
+/** What a program is made of: its start, its calls and their answers. */
+import type * as ids from './ids.js'
+
+/** Upper bounds on what one program may use. */
+export interface Budget {
+  /** Tokens, prompt and generated together. */
+  readonly tokens: number
+  /** Calls to models and services. */
+  readonly calls: number
+  /** Price in millionths of the currency of the configuration. */
+  readonly microCost: number
+  /** Wall time from start, in milliseconds. */
+  readonly wallMs: number
+}
+
+/** What has been used, or is reserved, of a budget. */
+export interface Usage {
+  readonly tokens: number
+  readonly calls: number
+  readonly microCost: number
+}
+
+/** What a caller says when starting a program. */
+export interface ProgramStart {
+  readonly program: ids.ProgramId
+  readonly client: ids.ClientId
+  readonly kind: ids.KindId
+  readonly deadline: ids.EpochMs
+  readonly budget: Budget
+}
+
+/** One message of a conversation, in the chat-completions form. Unknown members are kept as they came. */
+export interface ChatMessage {
+  readonly role: string
+  readonly content: unknown
+  readonly [member: string]: unknown
+}
+
+/** What a call is addressed to. */
+export type CallTarget =
+  | { readonly type: 'model', readonly model: ids.ModelId, readonly messages: readonly ChatMessage[], readonly maxTokens: number, readonly options: Readonly<Record<string, unknown>> }
+  | { readonly type: 'service', readonly service: ids.ServiceId, readonly path: string, readonly body: unknown }
+
+/** One call of a program. */
+export interface Call {
+  readonly program: ids.ProgramId
+  readonly client: ids.ClientId
+  readonly key: ids.RequestKey
+  readonly branch: ids.BranchId
+  /** Position in its branch, from 1. */
+  readonly seq: number
+  readonly idempotent: boolean
+  readonly timeoutMs: number
+  readonly target: CallTarget
+}
+
+/** What a call came to, as the journal and the history keep it. */
+export type CallOutcome =
+  | { readonly type: 'message', readonly message: ChatMessage, readonly finishReason: string }
+  | { readonly type: 'service', readonly status: number, readonly body: unknown }
+  /** Given up; the verdict says whether it may have run. */
+  | { readonly type: 'failed', readonly verdict: 'mayHaveRun' | 'ran', readonly tag: string, readonly message: string }
+
+/** Tokens that an engine reports for a call. */
+export interface TokenCount {
+  readonly prompt: number
+  readonly cached: number
+  readonly generated: number
+}
+
+/** One finished call in a program's history. */
+export interface Turn {
+  readonly key: ids.RequestKey
+  readonly branch: ids.BranchId
+  readonly seq: number
+  /** Digest of the request, to tell a repeat from another request under the same key. */
+  readonly digest: string
+  readonly target: CallTarget
+  readonly outcome: CallOutcome
+  readonly usage: Usage
+  readonly tokens: TokenCount
+  readonly upstream: ids.UpstreamId
+  readonly startedAt: ids.EpochMs
+  readonly endedAt: ids.EpochMs
+}
--- /dev/null
+++ b/packages/weight-store-client/src/index.ts
@@ -0,0 +1,2 @@
+/** Client of the platform's rate-limited weight store. */
+export {}
--- /dev/null
+++ b/scripts/layers.mjs
@@ -0,0 +1,28 @@
+// Which package may import which: the table of docs/architecture.md, as the linter checks it.
+
+// Each layer may import the layers before it; `pure` and `peers` packages also import their own layer where listed.
+const base = ['types', 'errors', 'logger', 'timer-service']
+const pure = ['parse-settings', 'program-state', 'config-state', 'choose-home', 'place-call', 'order-queue',
+  'admit-program', 'retain-prefix', 'limit-client', 'decide-retry', 'membership']
+const peers = ['log-client', 'host-list-client', 'engine-client', 'service-client', 'weight-store-client',
+  'sidecar-client', 'caller-server', 'metrics', 'tracing']
+const parts = ['append-journal', 'follow-config', 'guard-upstream', 'program-home']
+const binaries = ['entry', 'sidecar', 'cli', 'load']
+const bench = ['stand-ins', 'test-utils', 'model-engines', 'slopes', 'demo']
+
+function layer (names, allowed) {
+  return names.map((name) => ({ name, allowed: allowed.filter((other) => other !== name) }))
+}
+
+export const all = [
+  ...layer(['types', 'timer-service'], []),
+  ...layer(['errors', 'logger'], ['types']),
+  // Pure packages touch no network, file or clock; they may build on one another.
+  ...layer(pure, ['types', 'errors', 'timer-service', ...pure]),
+  // A package for each peer; they know nothing of one another.
+  ...layer(peers, [...base]),
+  ...layer(parts, [...base, ...pure, ...peers, 'append-journal']),
+  ...layer(binaries, [...base, ...pure, ...peers, ...parts]),
+  ...layer(['stand-ins'], base),
+  ...layer(bench.filter((name) => name !== 'stand-ins'), [...base, ...pure, ...peers, ...parts, ...binaries, ...bench])
+]
--- /dev/null
+++ b/scripts/run-tests.mjs
@@ -0,0 +1,70 @@
+// Runs the compiled test files under tap and closes with the line "N passed, N failed" from the real totals.
+// Usage: node scripts/run-tests.mjs [FILTER ...]; a filter is part of a test file's path.
+import * as childProcess from 'node:child_process'
+import * as fs from 'node:fs'
+import * as path from 'node:path'
+import { Parser } from 'tap-parser'
+
+const filters = process.argv.slice(2)
+const knownRedFile = 'KNOWN-RED.txt'
+const mostKnownRed = 3
+const outFile = path.join('out', `tests-${process.pid}.tap`)
+
+function testFiles () {
+  const files = []
+  for (const name of fs.readdirSync('packages').sort()) {
+    const src = path.join('packages', name, 'src')
+    if (!fs.existsSync(src)) continue
+    for (const file of fs.readdirSync(src, { recursive: true })) {
+      if (file.endsWith('.test.ts')) files.push(path.join('packages', name, 'dist', 'src', file.replace(/\.ts$/, '.js')))
+    }
+  }
+  return files.filter((file) => filters.length === 0 || filters.some((filter) => file.includes(filter)))
+}
+
+// Each line of the file: TEST | CAUSE | ISSUE, where TEST is the full name that a failure prints.
+function knownRed () {
+  if (!fs.existsSync(knownRedFile)) return []
+  const lines = fs.readFileSync(knownRedFile, 'utf8').split('\n').filter((line) => line.trim() !== '')
+  if (lines.length > mostKnownRed) throw new Error(`${knownRedFile} lists more than ${mostKnownRed} tests`)
+  return lines.map((line) => line.split('|')[0].trim())
+}
+
+function count (tap) {
+  const totals = { passed: 0, failed: [] }
+  // A test is a leaf: a test point that no subtest stands behind.
+  const visit = (parser, names) => {
+    let open = null
+    parser.on('child', (child) => { open = child; visit(child, [...names, child.name]) })
+    parser.on('assert', (result) => {
+      const child = open
+      open = null
+      if (child !== null) {
+        if (!result.ok && child.fail === 0) totals.failed.push([...names, result.name].join(' > '))
+        return
+      }
+      if (result.skip || result.todo) throw new Error(`skipped or todo: ${result.name}`)
+      if (result.ok) totals.passed += 1
+      else totals.failed.push([...names, result.name].join(' > '))
+    })
+  }
+  const parser = new Parser()
+  visit(parser, [])
+  parser.end(tap)
+  return totals
+}
+
+const files = testFiles()
+if (files.length === 0) throw new Error('no test files')
+fs.mkdirSync('out', { recursive: true })
+const args = ['tap', 'run', '--disable-coverage', '--allow-empty-coverage', '--reporter=terse', `--output-file=${outFile}`, '--jobs=6', '--timeout=240', ...files]
+const run = childProcess.spawnSync('npx', ['--no-install', ...args], { stdio: 'inherit' })
+const totals = count(fs.readFileSync(outFile, 'utf8'))
+const known = knownRed()
+const isKnown = (name) => known.some((entry) => name.includes(entry))
+const red = totals.failed.filter((name) => !isKnown(name))
+for (const name of totals.failed) console.log(`${isKnown(name) ? 'known red' : 'FAILED'}: ${name}`)
+const broken = run.status !== 0 && totals.failed.length === 0
+if (broken) console.log(`tap ended with ${run.status ?? run.signal} though no assertion failed`)
+console.log(`${totals.passed} passed, ${totals.failed.length} failed`)
+process.exitCode = red.length > 0 || broken || totals.passed === 0 ? 1 : 0
--- /dev/null
+++ b/scripts/sync-references.mjs
@@ -0,0 +1,31 @@
+// Writes each package's tsconfig.json from its dependencies; with --check, fails where one is out of date.
+import * as fs from 'node:fs'
+import * as path from 'node:path'
+
+const check = process.argv.includes('--check')
+const scope = '@eelgrasswind/'
+const dirs = fs.readdirSync('packages').filter((dir) => fs.existsSync(path.join('packages', dir, 'package.json')))
+let stale = 0
+
+function write (file, value) {
+  const text = JSON.stringify(value, null, 2) + '\n'
+  if (fs.existsSync(file) && fs.readFileSync(file, 'utf8') === text) return
+  stale += 1
+  if (check) console.error(`${file} is out of date; run npm run format`)
+  else fs.writeFileSync(file, text)
+}
+
+for (const dir of dirs) {
+  const manifest = JSON.parse(fs.readFileSync(path.join('packages', dir, 'package.json'), 'utf8'))
+  const deps = Object.keys({ ...manifest.dependencies, ...manifest.devDependencies })
+    .filter((dep) => dep.startsWith(scope))
+    .map((dep) => ({ path: `../${dep.slice(scope.length)}` }))
+  write(path.join('packages', dir, 'tsconfig.json'), {
+    extends: '../../tsconfig.base.json',
+    compilerOptions: { rootDir: '.', outDir: 'dist', tsBuildInfoFile: 'dist/tsconfig.tsbuildinfo' },
+    include: ['src'],
+    references: deps
+  })
+}
+write('tsconfig.json', { files: [], references: dirs.map((dir) => ({ path: `packages/${dir}` })) })
+process.exit(check && stale > 0 ? 1 : 0)
