--- /dev/null
+++ b/packages/program-state/src/request-digest.ts
@@ -0,0 +1,19 @@
+/** Digest of a request, to tell a repeat from another request under the same key. */
+import * as crypto from 'node:crypto'
+import type * as types from '@eelgrasswind/types'
+
+/** SHA-256 in hex of the parts of a call that a repeat must share; its timeout may differ. */
+export function requestDigest (call: Pick<types.Call, 'branch' | 'seq' | 'idempotent' | 'target'>): string {
+  const { branch, seq, idempotent, target } = call
+  return crypto.createHash('sha256').update(canonicalJson({ branch, seq, idempotent, target })).digest('hex')
+}
+
+/** JSON with the members of every object sorted by name. */
+export function canonicalJson (value: unknown): string {
+  return JSON.stringify(value, (_name, member: unknown) => sortMembers(member))
+}
+
+function sortMembers (value: unknown): unknown {
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) return value
+  return Object.fromEntries(Object.entries(value).sort(([a], [b]) => a < b ? -1 : 1))
+}
