--- a/packages/program-state/src/chain.ts
+++ b/packages/program-state/src/chain.ts
@@ -57,6 +57,7 @@
 
 /** What a reader knows of one program. Owned by the fold, which changes it in place. */
 export interface Chain<P extends ChainPoint> {
+  readonly program: types.ProgramId
   /** The current place; undefined while the reader can't know it. */
   current: P | undefined
   /** Begins and snapshots that no later record has confirmed, oldest first; empty once there is a current place. */
@@ -97,7 +98,8 @@
   if (chain === undefined && record.type !== 'begin' && reading.since === undefined) {
     return { chain, effect: effects.voided('unknownProgram') }
   }
-  const seen = chain ?? { current: undefined, candidates: [], seenAt: undefined }
+  const seen = chain ?? { program: record.program, current: undefined, candidates: [], seenAt: undefined }
+  if (seen.program !== record.program) throw new Error(`a record of ${record.program} came to ${seen.program}`)
   const effect = record.type === 'begin'
     ? begin(seen, record, position, reading, rules)
     : follow(seen, record, position, reading, rules)
@@ -113,6 +115,8 @@
   const { current } = chain
   if (current !== undefined && !mayBeginAgain(current, reading)) return effects.voided(whyNoBegin(current, record))
   const point = rules.begin(record, position, reading.at)
+  // If one of these was the current place, this begin has replaced it.
+  chain.candidates = chain.candidates.filter((candidate) => !mayBeginAgain(candidate, reading))
   if (current === undefined && !nothingBefore(chain, reading)) {
     addCandidate(chain, point)
     return effects.incomplete
--- a/packages/program-state/src/test-records.ts
+++ b/packages/program-state/src/test-records.ts
@@ -87,3 +87,7 @@
 export function snapshot (n: number, state: types.SnapshotState): types.SnapshotRecord {
   return { type: 'snapshot', program, n, term: state.term, state }
 }
+
+export function at (ms: number): types.EpochMs {
+  return ms as types.EpochMs
+}
