--- a/packages/program-state/src/chain.ts
+++ b/packages/program-state/src/chain.ts
@@ -14,7 +14,7 @@
 
 /** Times after which an id may be begun again; the same in every process. */
 export interface FoldRules {
-  /** A program without any record for so long is gone, in milliseconds of log time. Homes write a snapshot well before. */
+  /** A program without any record for so long is gone, in milliseconds of log time. Homes write a snapshot well before that. */
   readonly idleMs: number
   /** A finished program's id may be begun again after so long, in milliseconds of log time; at most idleMs. */
   readonly reuseMs: number
@@ -129,12 +129,18 @@
   return Math.abs(reading.at - record.at) > reading.rules.reuseMs * beginDelayShare
 }
 
-function mayBeginAgain (point: ChainPoint, reading: Reading): boolean {
+/** Whether a program has been silent for so long that its id is free again; readers may forget it then. */
+export function mayBeginAgain (point: ChainPoint, reading: Pick<Reading, 'at' | 'rules'>): boolean {
   const { idleMs, reuseMs } = reading.rules
   const silentMs = reading.at - point.lastAt
   return silentMs >= (point.finished === null ? idleMs : reuseMs)
 }
 
+/** Whether a program has been silent for longer than any program may be. */
+function isGone (point: ChainPoint, reading: Reading): boolean {
+  return reading.at - point.lastAt >= reading.rules.idleMs
+}
+
 function whyNoBegin (point: ChainPoint, record: types.BeginRecord): effects.VoidReason {
   if (point.finished !== null) return 'finished'
   return sameProcess(point.home, record.home) ? 'duplicate' : 'lostRace'
@@ -149,9 +155,9 @@
 function follow<P extends ChainPoint> (
   chain: Chain<P>, record: LaterRecord, position: types.Term, reading: Reading, rules: PointRules<P>
 ): effects.Effect {
-  const confirmed = chain.candidates.find((point) => point.term === record.term)
+  const confirmed = chain.candidates.find((point) => point.term === record.term && !isGone(point, reading))
   if (confirmed !== undefined) settleOn(chain, confirmed)
-  if (chain.current !== undefined) return advance(chain.current, record, position, reading.at, rules)
+  if (chain.current !== undefined) return advance(chain.current, record, position, reading, rules)
   if (record.type === 'snapshot') addCandidate(chain, rules.restore(record, position, reading.at))
   return effects.incomplete
 }
@@ -168,19 +174,20 @@
 }
 
 function advance<P extends ChainPoint> (
-  point: P, record: LaterRecord, position: types.Term, at: types.EpochMs, rules: PointRules<P>
+  point: P, record: LaterRecord, position: types.Term, reading: Reading, rules: PointRules<P>
 ): effects.Effect {
-  const reason = whyVoid(point, record)
+  const reason = isGone(point, reading) ? 'expired' : whyVoid(point, record)
   if (reason !== undefined) return effects.voided(reason)
   point.n = record.n
-  point.lastAt = at
+  point.lastAt = reading.at
   if (record.type === 'claim') point.home = record.home
   if (record.type === 'claim' || record.type === 'snapshot') point.term = position
   if (record.type === 'finish') point.finished = record.result
   return rules.apply(point, record, position)
 }
 
-function whyVoid (point: ChainPoint, record: LaterRecord): effects.VoidReason | undefined {
+/** Why the chain has no place for a record; undefined if it is the next one. */
+export function whyVoid (point: ChainPoint, record: LaterRecord): effects.VoidReason | undefined {
   if (record.term > point.term) return 'unknownTerm'
   if (record.term < point.term || record.n <= point.n) return whyTaken(point, record)
   if (record.n > point.n + 1) return 'outOfOrder'
--- a/packages/program-state/src/effect.ts
+++ b/packages/program-state/src/effect.ts
@@ -15,6 +15,8 @@
   /** Belongs to a program that never began. */
   | 'unknownProgram'
   | 'finished'
+  /** The program had no record for so long that readers may have forgotten it. */
+  | 'expired'
   /** A begin that the log took too long after it was written. */
   | 'staleBegin'
   /** The sequence number is not the next one of its branch. */
