--- a/packages/guard-upstream/src/index.ts
+++ b/packages/guard-upstream/src/index.ts
@@ -1,2 +1,4 @@
 /** The only door to a host's upstreams: dispatch, request keys, seals, prefix holds and orders. */
-export {}
+export * from './dispatch-records.js'
+export * from './prefix-holds.js'
+export * from './upstream-guard.js'
--- a/packages/sidecar-client/src/convert.ts
+++ b/packages/sidecar-client/src/convert.ts
@@ -56,7 +56,8 @@
     deadlineMs: dispatch.queue.deadline,
     weight: dispatch.queue.weight,
     attainedTokens: dispatch.queue.attainedTokens,
-    expectedRemainingTokens: dispatch.queue.expectedRemainingTokens,
+    expectedRemainingMs: dispatch.queue.expectedRemainingMs,
+    kind: dispatch.queue.kind,
     payloadJson: toJson(dispatch.payload),
     traceparent
   })
@@ -74,7 +75,8 @@
       deadline: req.deadlineMs as types.EpochMs,
       weight: req.weight,
       attainedTokens: req.attainedTokens,
-      expectedRemainingTokens: req.expectedRemainingTokens
+      expectedRemainingMs: req.expectedRemainingMs,
+      kind: req.kind as types.KindId
     },
     payload: fromJson<types.DispatchPayload>(req.payloadJson)
   }
--- a/packages/types/src/wire.ts
+++ b/packages/types/src/wire.ts
@@ -52,11 +52,13 @@
 
 /** What the order of an upstream's queue is decided from. */
 export interface QueueInput {
+  readonly kind: ids.KindId
   readonly deadline: ids.EpochMs
   readonly weight: number
   /** Tokens that the program has used so far. */
   readonly attainedTokens: number
-  readonly expectedRemainingTokens: number
+  /** Expected time to the end of the program if nothing waits, this call included, in milliseconds. */
+  readonly expectedRemainingMs: number
 }
 
 /** One call on its way to an upstream. */
