Decision packages: order, placement, admission, holds, limits, retries

Cause: the processes need one pure place for each decision, with a reason that can be shown. Change: first rules as discriminated unions with exhaustive switches; no clock and no I/O in them. Not measured yet; the defaults are first guesses until the comparisons under a manual clock.

--- a/packages/admit-program/src/index.ts
+++ b/packages/admit-program/src/index.ts
@@ -1,2 +1,2 @@
 /** Decides whether a new program is admitted. */
-export {}
+export * from './decide-admission.js'
--- a/packages/limit-client/src/index.ts
+++ b/packages/limit-client/src/index.ts
@@ -1,2 +1,4 @@
 /** Client limits handed out in shares, and retry budgets. */
-export {}
+export * from './share-owner.js'
+export * from './share-holder.js'
+export * from './retry-budget.js'
--- /dev/null
+++ b/packages/order-queue/src/heap.ts
@@ -0,0 +1,75 @@
+/** A binary heap whose entries may be dropped without a search. */
+
+/** One entry; `dropped` entries are skipped when they reach the top. */
+export interface HeapEntry<T> {
+  readonly key: number
+  /** Order of arrival, which breaks ties. */
+  readonly order: number
+  readonly item: T
+  dropped: boolean
+}
+
+/** Smallest key first. */
+export class Heap<T> {
+  readonly #entries: HeapEntry<T>[] = []
+
+  push (entry: HeapEntry<T>): void {
+    let at = this.#entries.push(entry) - 1
+    while (at > 0) {
+      const parent = (at - 1) >> 1
+      if (!this.#before(at, parent)) return
+      this.#swap(at, parent)
+      at = parent
+    }
+  }
+
+  /** The first entry that has not been dropped. */
+  peek (): HeapEntry<T> | undefined {
+    while (this.#entries[0]?.dropped === true) this.#removeTop()
+    return this.#entries[0]
+  }
+
+  /** Forgets dropped entries, so that they do not pile up behind one that never reaches the top. */
+  compact (): void {
+    const kept = this.#entries.filter((entry) => !entry.dropped)
+    this.#entries.length = 0
+    for (const entry of kept) this.push(entry)
+  }
+
+  /** Entries kept, dropped ones included. */
+  get length (): number {
+    return this.#entries.length
+  }
+
+  #removeTop (): void {
+    const last = this.#entries.pop()
+    if (last === undefined || this.#entries.length === 0) return
+    this.#entries[0] = last
+    this.#sink()
+  }
+
+  #sink (): void {
+    let at = 0
+    for (;;) {
+      const left = 2 * at + 1
+      if (left >= this.#entries.length) return
+      const right = left + 1
+      const child = right < this.#entries.length && this.#before(right, left) ? right : left
+      if (!this.#before(child, at)) return
+      this.#swap(at, child)
+      at = child
+    }
+  }
+
+  #before (a: number, b: number): boolean {
+    const first = this.#entries[a]!
+    const second = this.#entries[b]!
+    return first.key < second.key || (first.key === second.key && first.order < second.order)
+  }
+
+  #swap (a: number, b: number): void {
+    const held = this.#entries[a]!
+    this.#entries[a] = this.#entries[b]!
+    this.#entries[b] = held
+  }
+}
--- a/packages/order-queue/src/index.ts
+++ b/packages/order-queue/src/index.ts
@@ -1,2 +1,4 @@
 /** Decides the order in which waiting calls run. */
-export {}
+export * from './order-rule.js'
+export * from './order-queue.js'
+export * from './learn-remaining.js'
--- /dev/null
+++ b/packages/order-queue/src/order-queue.ts
@@ -0,0 +1,142 @@
+/** A queue of waiting calls, ordered by a rule. Every operation takes logarithmic time. */
+import * as errors from '@eelgrasswind/errors'
+import * as heaps from './heap.js'
+import * as orderRule from './order-rule.js'
+
+/** A waiting call and what the owner of the queue keeps with it. */
+export interface WaitingItem<T> extends orderRule.WaitingCall {
+  readonly value: T
+}
+
+/** A call taken from the queue, and why it was its turn. */
+export interface TakenItem<T> {
+  readonly item: WaitingItem<T>
+  readonly reason: orderRule.OrderReason
+}
+
+export interface OrderQueue<T> {
+  readonly rule: orderRule.OrderRule
+  readonly size: number
+  /** Adds a call; the same object must not be in the queue already. */
+  push: (item: WaitingItem<T>) => void
+  /** Takes the next call, or undefined when none waits. */
+  pop: (now: number) => TakenItem<T> | undefined
+  /** Removes a call that was pushed; false when it is no longer there. */
+  remove: (item: WaitingItem<T>) => boolean
+  /** The waiting calls, in no particular order. */
+  items: () => Iterable<WaitingItem<T>>
+}
+
+/** Where one item stands: by rule, and by age. */
+interface Place<T> {
+  byRule: heaps.HeapEntry<WaitingItem<T>>
+  readonly byAge: heaps.HeapEntry<WaitingItem<T>>
+}
+
+/** Dropped entries that a heap may keep beside the living ones. */
+const droppedAllowance = 64
+
+export function createOrderQueue<T> (rule: orderRule.OrderRule): OrderQueue<T> {
+  const places = new Map<WaitingItem<T>, Place<T>>()
+  const inTime = new heaps.Heap<WaitingItem<T>>()
+  const late = new heaps.Heap<WaitingItem<T>>()
+  const byAge = new heaps.Heap<WaitingItem<T>>()
+  let order = 0
+
+  function entryOf (key: number, item: WaitingItem<T>): heaps.HeapEntry<WaitingItem<T>> {
+    order += 1
+    return { key, order, item, dropped: false }
+  }
+
+  function push (item: WaitingItem<T>): void {
+    if (places.has(item)) throw new Error('the item is in the queue already')
+    const place = { byRule: entryOf(keyOf(rule, item), item), byAge: entryOf(item.enqueuedAt, item) }
+    places.set(item, place)
+    inTime.push(place.byRule)
+    byAge.push(place.byAge)
+  }
+
+  function remove (item: WaitingItem<T>): boolean {
+    const place = places.get(item)
+    if (place === undefined) return false
+    places.delete(item)
+    place.byRule.dropped = true
+    place.byAge.dropped = true
+    for (const heap of [inTime, late, byAge]) {
+      if (heap.length > 2 * places.size + droppedAllowance) heap.compact()
+    }
+    return true
+  }
+
+  function pop (now: number): TakenItem<T> | undefined {
+    const taken = starving(now) ?? next(now)
+    if (taken !== undefined) remove(taken.item)
+    return taken
+  }
+
+  function starving (now: number): TakenItem<T> | undefined {
+    if (rule.type === 'fifo') return undefined
+    const item = byAge.peek()?.item
+    if (item === undefined) return undefined
+    const waitedMs = now - item.enqueuedAt
+    if (waitedMs < rule.starvationMs) return undefined
+    return { item, reason: { type: 'starving', waitedMs, boundMs: rule.starvationMs } }
+  }
+
+  function next (now: number): TakenItem<T> | undefined {
+    if (rule.type === 'weightedSlack') setLateAside(now)
+    const item = inTime.peek()?.item ?? late.peek()?.item
+    if (item === undefined) return undefined
+    return { item, reason: reasonOf(rule, item, now) }
+  }
+
+  /** Moves calls of programs that can no longer finish in time behind all others. */
+  function setLateAside (now: number): void {
+    for (let entry = inTime.peek(); entry !== undefined; entry = inTime.peek()) {
+      if (orderRule.slackMs(entry.item, now) >= 0) return
+      const item = entry.item
+      entry.dropped = true
+      const moved = entryOf(lateKeyOf(item), item)
+      places.get(item)!.byRule = moved
+      late.push(moved)
+    }
+  }
+
+  return {
+    rule,
+    get size () { return places.size },
+    push,
+    pop,
+    remove,
+    items: () => places.keys()
+  }
+}
+
+/** Order among calls in time: the smallest goes first. */
+function keyOf (rule: orderRule.OrderRule, call: orderRule.WaitingCall): number {
+  switch (rule.type) {
+    case 'fifo': return call.enqueuedAt
+    case 'earliestDeadline': return call.deadline
+    case 'leastAttained': return call.attainedTokens
+    case 'weightedSlack': return call.deadline - call.expectedRemainingMs - rule.weightMs * Math.log2(call.weight)
+    default: return errors.unreachable(rule)
+  }
+}
+
+/** Order among calls of late programs: least remaining time for its weight first. */
+function lateKeyOf (call: orderRule.WaitingCall): number {
+  return call.expectedRemainingMs / call.weight
+}
+
+function reasonOf (rule: orderRule.OrderRule, call: orderRule.WaitingCall, now: number): orderRule.OrderReason {
+  switch (rule.type) {
+    case 'fifo': return { type: 'oldest', waitedMs: now - call.enqueuedAt }
+    case 'earliestDeadline': return { type: 'earliestDeadline', leftMs: call.deadline - now }
+    case 'leastAttained': return { type: 'leastAttained', attainedTokens: call.attainedTokens }
+    case 'weightedSlack': {
+      const slackMs = orderRule.slackMs(call, now)
+      return { type: slackMs < 0 ? 'late' : 'leastSlack', slackMs, weight: call.weight }
+    }
+    default: return errors.unreachable(rule)
+  }
+}
--- a/packages/place-call/src/index.ts
+++ b/packages/place-call/src/index.ts
@@ -1,2 +1,4 @@
 /** Decides which engine or service host takes the next call. */
-export {}
+export * from './candidate.js'
+export * from './place-call.js'
+export * from './slow-upstreams.js'
--- /dev/null
+++ b/packages/place-call/src/slow-upstreams.ts
@@ -0,0 +1,64 @@
+/**
+ * Notices upstreams that are slow while they report themselves healthy, from the times between the tokens of
+ * one's own calls, compared with what is usual on the others.
+ */
+import type * as types from '@eelgrasswind/types'
+
+export interface SlowSettings {
+  /** Weight of the newest observation, 0 to 1. */
+  readonly newestShare: number
+  /** Factors below this count as 1: batches differ in size. */
+  readonly toleratedFactor: number
+  /** Time after which an upstream without new observations is believed half as slow. */
+  readonly halfLifeMs: number
+}
+
+export const defaultSlowSettings: SlowSettings = { newestShare: 0.3, toleratedFactor: 2.5, halfLifeMs: 10_000 }
+
+export interface SlowUpstreams {
+  /** Tokens that came on one stream in a time, both since the last observation of it; no token counts as a part of one. */
+  observe: (upstream: types.UpstreamId, tokens: number, elapsedMs: number, now: number) => void
+  /** Time for each token as a multiple of what is usual among the others; 1 when it is not out of the ordinary. */
+  factor: (upstream: types.UpstreamId, now: number) => number
+  forget: (upstream: types.UpstreamId) => void
+}
+
+interface Seen {
+  msPerToken: number
+  at: number
+}
+
+export function createSlowUpstreams (settings: SlowSettings = defaultSlowSettings): SlowUpstreams {
+  const seen = new Map<types.UpstreamId, Seen>()
+
+  function observe (upstream: types.UpstreamId, tokens: number, elapsedMs: number, now: number): void {
+    const msPerToken = elapsedMs / Math.max(1, tokens)
+    const known = seen.get(upstream)
+    if (known === undefined) {
+      seen.set(upstream, { msPerToken, at: now })
+      return
+    }
+    known.msPerToken += settings.newestShare * (msPerToken - known.msPerToken)
+    known.at = now
+  }
+
+  function factor (upstream: types.UpstreamId, now: number): number {
+    const own = seen.get(upstream)
+    const usual = usualOf(upstream)
+    if (own === undefined || usual === undefined) return 1
+    const raw = own.msPerToken / usual
+    if (raw < settings.toleratedFactor) return 1
+    // Without new observations it fades, so that an upstream that has recovered is tried again.
+    const fading = 0.5 ** (Math.max(0, now - own.at) / settings.halfLifeMs)
+    return 1 + (raw - 1) * fading
+  }
+
+  /** Median of the others. */
+  function usualOf (upstream: types.UpstreamId): number | undefined {
+    const others = [...seen].filter(([other]) => other !== upstream).map(([, { msPerToken }]) => msPerToken)
+    others.sort((a, b) => a - b)
+    return others[Math.floor(others.length / 2)]
+  }
+
+  return { observe, factor, forget: (upstream) => { seen.delete(upstream) } }
+}
--- /dev/null
+++ b/packages/retain-prefix/src/decide-hold.ts
@@ -0,0 +1,86 @@
+/** Decides how long a prefix stays held when a program's call has ended. */
+import * as errors from '@eelgrasswind/errors'
+import type * as learnPauses from './learn-pauses.js'
+
+export type HoldRule =
+  /** Hold until the program finishes or its deadline passes. */
+  | { readonly type: 'always' }
+  | { readonly type: 'never' }
+  | { readonly type: 'fixed', readonly holdMs: number }
+  /** The hold with the least expected waste, from the pauses seen by kind; `fallbackMs` until `minSamples` were seen. */
+  | { readonly type: 'learnt', readonly fallbackMs: number, readonly minSamples: number, readonly maxMs: number }
+
+/** What a hold is decided from. */
+export interface HoldInput {
+  /** Tokens of the prefix. */
+  readonly prefixTokens: number
+  readonly pauses: learnPauses.PauseStats
+  /** Time to the program's deadline, in milliseconds; no hold is longer. */
+  readonly leftMs: number
+  /** Share of the engine's cache that is held or in use, 0 to 1. */
+  readonly cacheUsed: number
+}
+
+export type HoldReason =
+  | { readonly type: 'rule' }
+  /** Too few pauses of the kind were seen. */
+  | { readonly type: 'fewSamples', readonly samples: number }
+  /** Least expected waste, in tokens for each token of the prefix. */
+  | { readonly type: 'leastWaste', readonly expectedWaste: number, readonly returnShare: number }
+  | { readonly type: 'deadlinePassed' }
+
+export interface Hold {
+  /** How long to hold, in milliseconds; 0 releases at once. */
+  readonly holdMs: number
+  readonly reason: HoldReason
+}
+
+export const defaultHoldRule: HoldRule = { type: 'learnt', fallbackMs: 10_000, minSamples: 20, maxMs: 600_000 }
+
+/** Waste of one token held for one second for a program that never returns, in tokens computed again. */
+const tokenSecondWaste = 1
+/** The same for a program that does return, where the cache is full: others are evicted meanwhile. */
+const crowdingWaste = 0.02
+
+export function decideHold (rule: HoldRule, input: HoldInput): Hold {
+  if (input.leftMs <= 0) return { holdMs: 0, reason: { type: 'deadlinePassed' } }
+  switch (rule.type) {
+    case 'always': return { holdMs: input.leftMs, reason: { type: 'rule' } }
+    case 'never': return { holdMs: 0, reason: { type: 'rule' } }
+    case 'fixed': return { holdMs: Math.min(rule.holdMs, input.leftMs), reason: { type: 'rule' } }
+    case 'learnt': return learntHold(rule, input)
+    default: return errors.unreachable(rule)
+  }
+}
+
+function learntHold (rule: Extract<HoldRule, { type: 'learnt' }>, input: HoldInput): Hold {
+  const samples = input.pauses.samples
+  if (samples < rule.minSamples) {
+    return { holdMs: Math.min(rule.fallbackMs, input.leftMs), reason: { type: 'fewSamples', samples } }
+  }
+  const longest = Math.min(rule.maxMs, input.leftMs)
+  let best = { holdMs: 0, waste: expectedWaste(0, input) }
+  for (const edge of input.pauses.edgesMs) {
+    if (edge > longest) break
+    const waste = expectedWaste(edge, input)
+    if (waste < best.waste) best = { holdMs: edge, waste }
+  }
+  return {
+    holdMs: best.holdMs,
+    reason: { type: 'leastWaste', expectedWaste: best.waste, returnShare: 1 - input.pauses.gone }
+  }
+}
+
+/** Expected waste of a hold, for each token of the prefix. */
+function expectedWaste (holdMs: number, input: HoldInput): number {
+  const { edgesMs, returned, gone } = input.pauses
+  const heldSecondsWhenGone = holdMs / 1000
+  let waste = gone * heldSecondsWhenGone * tokenSecondWaste
+  edgesMs.forEach((edge, at) => {
+    const share = returned[at] ?? 0
+    const heldSeconds = Math.min(edge, holdMs) / 1000
+    waste += share * heldSeconds * crowdingWaste * input.cacheUsed
+    if (edge > holdMs) waste += share
+  })
+  return waste
+}
--- a/packages/retain-prefix/src/index.ts
+++ b/packages/retain-prefix/src/index.ts
@@ -1,2 +1,3 @@
 /** Decides how long a program's cached prefix is held over a tool pause. */
-export {}
+export * from './decide-hold.js'
+export * from './learn-pauses.js'
