Schema of the published configuration

Cause: the parts that read the configuration need its types before the fold over its records exists. Conclusion: other packages can code against the types.

--- a/packages/config-state/src/index.ts
+++ b/packages/config-state/src/index.ts
@@ -1,2 +1,3 @@
 /** The published configuration: its schema and the pure fold over its change records. */
-export {}
+export * from './schema.js'
+export * from './config.js'
