--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,2 +1,5 @@
 /** Small stand-ins of the platform and the upstreams, with faults to switch on. */
-export {}
+export * from './faults.js'
+export * from './log-stand-in.js'
+export * from './host-list-stand-in.js'
+export * from './service-stand-in.js'
