choose-home: rendezvous hashing of programs and owned tasks

Entries and sidecars must find a program's home with no directory.

Seen red: unmixed scores (spread), hosts left unsorted (order of the list, repeated host), one word of the hash left out (known homes).

--- /dev/null
+++ b/packages/choose-home/src/home-chooser.test.ts
@@ -0,0 +1,95 @@
+import * as assert from 'node:assert/strict'
+import tap from 'tap'
+import * as fc from 'fast-check'
+import type * as types from '@eelgrasswind/types'
+import * as chooser from './home-chooser.js'
+
+const homes = await chooser.createHomeChooser()
+
+function hostList (count: number): types.HostId[] {
+  return Array.from({ length: count }, (_, index) => `host-${index}` as types.HostId)
+}
+
+function programList (count: number): types.ProgramId[] {
+  return Array.from({ length: count }, (_, index) => `order-${index}` as types.ProgramId)
+}
+
+const idArb = fc.stringMatching(/^[A-Za-z0-9][A-Za-z0-9._~-]{0,20}$/)
+const programArb = idArb.map((id) => id as types.ProgramId)
+const hostsArb = fc.uniqueArray(idArb.map((id) => id as types.HostId), { minLength: 1, maxLength: 40 })
+
+tap.test('the order of the list does not matter', async (t) => {
+  const other = await chooser.createHomeChooser()
+  const shuffled = hostsArb.chain((hosts) => fc.tuple(
+    fc.constant(hosts),
+    fc.shuffledSubarray(hosts, { minLength: hosts.length })
+  ))
+  fc.assert(fc.property(programArb, shuffled, (program, [hosts, reordered]) => {
+    assert.equal(homes.homeOf(program, hosts), other.homeOf(program, reordered))
+    assert.deepEqual(homes.rankHomes(program, hosts), other.rankHomes(program, reordered))
+  }), { seed: 1, numRuns: 200 })
+  t.pass('200 lists')
+})
+
+// Pins the function itself: processes of two versions must agree while a fleet is being replaced.
+tap.test('known homes stay as they are', async (t) => {
+  const hosts = hostList(30)
+  const found = ['order-1', 'roster.7', 'intake-12'].map((id) => homes.homeOf(id as types.ProgramId, hosts))
+  t.same(found, ['host-10', 'host-27', 'host-14'])
+})
+
+tap.test('a lost host moves only its own programs, each to the next in rank', async (t) => {
+  fc.assert(fc.property(programArb, hostsArb, fc.nat(), (program, hosts, pick) => {
+    const lost = hosts[pick % hosts.length]!
+    const left = hosts.filter((host) => host !== lost)
+    const [first, second] = homes.rankHomes(program, hosts, 2)
+    const expected = first === lost ? second : first
+    assert.equal(homes.homeOf(program, left), expected)
+  }), { seed: 2, numRuns: 500 })
+  t.pass('500 losses')
+})
+
+tap.test('a ranking names each host once, the home first', async (t) => {
+  fc.assert(fc.property(programArb, hostsArb, (program, hosts) => {
+    const ranked = homes.rankHomes(program, hosts, hosts.length)
+    assert.deepEqual([...ranked].sort(), [...hosts].sort())
+    assert.equal(ranked[0], homes.homeOf(program, hosts))
+    assert.deepEqual(homes.rankHomes(program, hosts, 3), ranked.slice(0, 3))
+  }), { seed: 3, numRuns: 200 })
+  t.pass('200 rankings')
+})
+
+// With m programs a host on average, a fair draw stays within 6 standard deviations (6 * sqrt(m)) of it.
+tap.test('programs spread evenly over 30, 370 and 2,000 hosts', async (t) => {
+  const meanPrograms = 49
+  for (const count of [30, 370, 2000]) {
+    const hosts = hostList(count)
+    const loads = new Map<types.HostId, number>(hosts.map((host) => [host, 0]))
+    for (const program of programList(count * meanPrograms)) {
+      const home = homes.homeOf(program, hosts)!
+      loads.set(home, loads.get(home)! + 1)
+    }
+    const bound = 6 * Math.sqrt(meanPrograms)
+    const worst = Math.max(...[...loads.values()].map((load) => Math.abs(load - meanPrograms)))
+    t.ok(worst <= bound, `${count} hosts: furthest from the mean ${worst}, bound ${bound}`)
+  }
+})
+
+tap.test('no hosts, no home; a repeated host counts once', async (t) => {
+  const program = 'order-1' as types.ProgramId
+  t.equal(homes.homeOf(program, []), undefined)
+  t.same(homes.rankHomes(program, []), [])
+  const twice = [...hostList(2), ...hostList(2)]
+  t.equal(homes.rankHomes(program, twice, 4).length, 2)
+})
+
+tap.test('kinds of task are hashed apart', async (t) => {
+  const hosts = hostList(500)
+  const owners = new Set([
+    homes.homeOf('7' as types.ProgramId, hosts),
+    homes.ownerOf({ type: 'clientLimit', client: '7' as types.ClientId }, hosts),
+    homes.ownerOf({ type: 'journalShard', shard: 7 }, hosts),
+    homes.ownerOf({ type: 'loadReporter', availabilityZone: '7' as types.AvailabilityZoneId }, hosts)
+  ])
+  t.equal(owners.size, 4)
+})
--- a/packages/choose-home/src/index.ts
+++ b/packages/choose-home/src/index.ts
@@ -1,2 +1,3 @@
 /** Picks the home of a program by rendezvous hashing. */
-export {}
+export * from './rendezvous.js'
+export * from './home-chooser.js'
--- /dev/null
+++ b/packages/choose-home/src/rendezvous.ts
@@ -0,0 +1,104 @@
+/** Rendezvous hashing: every process with the same set of hosts ranks them alike for a key, with no directory. */
+import xxhash from 'xxhash-wasm'
+import type * as types from '@eelgrasswind/types'
+
+/** Seeds of the two 32-bit hashes that stand for a host or a key; every process must use the same ones. */
+const firstSeed = 0x5eed_0001
+const secondSeed = 0x5eed_0002
+
+/** Least value of a score, which is a signed 32-bit integer. */
+const lowestScore = -(2 ** 31)
+
+/** A set of hosts with its hashes, computed once a list. */
+interface HashedHosts {
+  readonly hosts: readonly types.HostId[]
+  readonly first: Int32Array
+  readonly second: Int32Array
+}
+
+/** Ranks hosts for a key. A list is hashed once, by identity: pass the same array until the membership changes. */
+export interface Rendezvous {
+  /** The host with the highest score, or undefined for an empty list. */
+  best: (key: string, hosts: readonly types.HostId[]) => types.HostId | undefined
+  /** The `count` hosts with the highest scores, highest first. */
+  rank: (key: string, hosts: readonly types.HostId[], count: number) => types.HostId[]
+}
+
+/** Finalizer of a 32-bit hash (murmur3), signed: every input bit changes about half of the output bits. */
+function mix (value: number): number {
+  let h = value
+  h = Math.imul(h ^ (h >>> 16), 0x85ebca6b)
+  h = Math.imul(h ^ (h >>> 13), 0xc2b2ae35)
+  return h ^ (h >>> 16)
+}
+
+/** Score of a host for a key. Two words each, so that two hosts share all scores only if 64 bits collide. */
+function scoreOf (keyFirst: number, keySecond: number, hostFirst: number, hostSecond: number): number {
+  return mix(mix(keyFirst ^ hostFirst) ^ keySecond ^ hostSecond)
+}
+
+/** Indexes with the highest scores, highest first; of equal scores the lower index, which is the lesser host id. */
+function highest (scores: Int32Array, count: number): number[] {
+  const top: number[] = []
+  for (let index = 0; index < scores.length; index += 1) {
+    const score = scores[index]!
+    if (top.length === count && score <= scores[top[count - 1]!]!) continue
+    let at = top.length
+    while (at > 0 && scores[top[at - 1]!]! < score) at -= 1
+    top.splice(at, 0, index)
+    if (top.length > count) top.pop()
+  }
+  return top
+}
+
+/** Loads the hash function. */
+export async function createRendezvous (): Promise<Rendezvous> {
+  const { h32 } = await xxhash()
+  const hashed = new WeakMap<readonly types.HostId[], HashedHosts>()
+
+  function hashHosts (list: readonly types.HostId[]): HashedHosts {
+    const hosts = [...new Set(list)].sort()
+    return {
+      hosts,
+      first: Int32Array.from(hosts, (host) => h32(host, firstSeed)),
+      second: Int32Array.from(hosts, (host) => h32(host, secondSeed))
+    }
+  }
+
+  function hashedOf (list: readonly types.HostId[]): HashedHosts {
+    let found = hashed.get(list)
+    if (found === undefined) {
+      found = hashHosts(list)
+      hashed.set(list, found)
+    }
+    return found
+  }
+
+  function best (key: string, list: readonly types.HostId[]): types.HostId | undefined {
+    const { hosts, first, second } = hashedOf(list)
+    const keyFirst = h32(key, firstSeed) | 0
+    const keySecond = h32(key, secondSeed) | 0
+    let bestIndex = 0
+    let bestScore = lowestScore
+    for (let index = 0; index < hosts.length; index += 1) {
+      const score = scoreOf(keyFirst, keySecond, first[index]!, second[index]!)
+      if (score <= bestScore) continue
+      bestScore = score
+      bestIndex = index
+    }
+    return hosts[bestIndex]
+  }
+
+  function rank (key: string, list: readonly types.HostId[], count: number): types.HostId[] {
+    const { hosts, first, second } = hashedOf(list)
+    const keyFirst = h32(key, firstSeed) | 0
+    const keySecond = h32(key, secondSeed) | 0
+    const scores = new Int32Array(hosts.length)
+    for (let index = 0; index < hosts.length; index += 1) {
+      scores[index] = scoreOf(keyFirst, keySecond, first[index]!, second[index]!)
+    }
+    return highest(scores, count).map((index) => hosts[index]!)
+  }
+
+  return { best, rank }
+}
