Tests of the decision packages

The generator of retry budgets drew doubles so small that hardly any retry was seen; it now draws around the threshold.

--- /dev/null
+++ b/packages/admit-program/src/admit-program.test.ts
@@ -0,0 +1,58 @@
+import tap from 'tap'
+import * as fc from 'fast-check'
+import * as decideAdmission from './decide-admission.js'
+
+const inTime: decideAdmission.AdmissionRule = { type: 'inTime', minLikelihood: 0.6, maxUse: 1 }
+
+function input (over: Partial<decideAdmission.AdmissionInput> = {}): decideAdmission.AdmissionInput {
+  return {
+    now: 0,
+    deadline: 60_000,
+    weight: 1,
+    slots: 8,
+    waiting: 0,
+    admittedWorkMs: 0,
+    workMs: 8_000,
+    expectedMs: 20_000,
+    expectedMsDeviation: 6_000,
+    stretch: 1,
+    ...over
+  }
+}
+
+tap.test('no rule admits all', async (t) => {
+  t.match(decideAdmission.decideAdmission({ type: 'none' }, input({ waiting: 9_999, deadline: -1 })), { type: 'admit' })
+})
+
+tap.test('the queue bound refuses past its length', async (t) => {
+  const rule: decideAdmission.AdmissionRule = { type: 'queueBound', waitingPerSlot: 2 }
+  t.match(decideAdmission.decideAdmission(rule, input({ waiting: 16 })), { type: 'admit' })
+  t.match(decideAdmission.decideAdmission(rule, input({ waiting: 17 })), { type: 'refuse', reason: { type: 'queue', most: 16 } })
+})
+
+tap.test('an idle system admits what fits, and says when nothing helps', async (t) => {
+  t.match(decideAdmission.decideAdmission(inTime, input()), { type: 'admit' })
+  t.match(decideAdmission.decideAdmission(inTime, input({ deadline: 10_000 })), { type: 'refuse', reason: { type: 'deadlineTooClose' } })
+})
+
+tap.test('work admitted before counts, and the time to come back frees enough', async (t) => {
+  const busy = input({ admittedWorkMs: 8 * 60_000 })
+  const refused = decideAdmission.decideAdmission(inTime, busy)
+  t.match(refused, { type: 'refuse', retryAfterMs: 1_000, reason: { type: 'likelihood' } })
+  const slow = decideAdmission.decideAdmission(inTime, input({ stretch: 8 }))
+  t.match(slow, { type: 'refuse', reason: { type: 'likelihood' } })
+})
+
+tap.test('more load or less time never turns a refusal into an admission', async (t) => {
+  const inputs = fc.record({
+    admittedWorkMs: fc.integer({ min: 0, max: 900_000 }),
+    stretch: fc.double({ min: 1, max: 10, noNaN: true }),
+    deadline: fc.integer({ min: 1_000, max: 120_000 }),
+    weight: fc.constantFrom(1, 2, 4)
+  }).map(input)
+  fc.assert(fc.property(inputs, fc.double({ min: 1, max: 3, noNaN: true }), (less, factor) => {
+    const more = { ...less, admittedWorkMs: less.admittedWorkMs * factor, stretch: less.stretch * factor, deadline: less.deadline / factor }
+    const refused = decideAdmission.decideAdmission(inTime, less).type === 'refuse'
+    return !refused || decideAdmission.decideAdmission(inTime, more).type === 'refuse'
+  }), { seed: 1, numRuns: 1_000 })
+})
--- /dev/null
+++ b/packages/decide-retry/src/decide-retry.test.ts
@@ -0,0 +1,109 @@
+import tap from 'tap'
+import * as fc from 'fast-check'
+import * as errors from '@eelgrasswind/errors'
+import * as decideRetry from './decide-retry.js'
+
+const tags: Record<errors.FailureTag, object> = {
+  invalidRequest: { field: 'f', expected: 'e' },
+  bodyTooLarge: { limitBytes: 1 },
+  unauthorized: {},
+  unknownProgram: {},
+  unknownTarget: { field: 'f' },
+  startConflict: { field: 'f' },
+  programFinished: { result: 'done' },
+  sequenceGap: { expectedSeq: 1 },
+  sequenceRepeat: { expectedSeq: 1 },
+  keyReused: {},
+  inProgress: { retryAfterMs: 10 },
+  budgetExceeded: { field: 'f', remaining: 0 },
+  notAdmitted: { retryAfterMs: 10 },
+  clientLimited: { retryAfterMs: 10 },
+  overloaded: { retryAfterMs: 10 },
+  logUnavailable: { retryAfterMs: 10 },
+  notHome: { home: null, retryAfterMs: 10 },
+  peerUnavailable: { retryAfterMs: 10 },
+  upstreamUnavailable: { retryAfterMs: 10 },
+  upstreamFailed: { status: 503 },
+  answerBroken: { detail: 'cut' },
+  timeout: { afterMs: 10 },
+  wrongIncarnation: {},
+  sealed: {},
+  historyIncomplete: {},
+  shuttingDown: { retryAfterMs: 10 },
+  cancelled: {},
+  internal: {}
+}
+
+const allTags = Object.keys(tags) as errors.FailureTag[]
+
+function failureOf (tag: errors.FailureTag, verdict: errors.Failure['verdict']): errors.Failure {
+  return { tag, verdict, message: 'm', ...tags[tag] } as errors.Failure
+}
+
+const inputs: fc.Arbitrary<decideRetry.RetryInput> = fc.record({
+  failure: fc.tuple(fc.constantFrom(...allTags), fc.constantFrom('notRun' as const, 'mayHaveRun' as const, 'ran' as const))
+    .map(([tag, verdict]) => failureOf(tag, verdict)),
+  idempotent: fc.boolean(),
+  attempt: fc.integer({ min: 1, max: 6 }),
+  programBudget: fc.record({ retriesLeft: fc.constantFrom(0, 0.9, 1, 5) }),
+  processBudget: fc.record({ retriesLeft: fc.constantFrom(0, 0.9, 1, 5) }),
+  now: fc.constant(1_000),
+  deadline: fc.integer({ min: 900, max: 9_000 }),
+  random: fc.double({ min: 0, max: 0.999, noNaN: true }).map((value) => () => value)
+})
+
+function usual (over: Partial<decideRetry.RetryInput>): decideRetry.RetryInput {
+  return {
+    failure: failureOf('upstreamUnavailable', 'notRun'),
+    idempotent: true,
+    attempt: 1,
+    programBudget: { retriesLeft: 2 },
+    processBudget: { retriesLeft: 2 },
+    now: 1_000,
+    deadline: 60_000,
+    random: () => 0,
+    ...over
+  }
+}
+
+tap.test('never repeats a request that is not idempotent unless it did not run', async (t) => {
+  let retries = 0
+  fc.assert(fc.property(inputs, (input) => {
+    const decision = decideRetry.decideRetry(input)
+    if (decision.type === 'giveUp') return true
+    retries += 1
+    return input.idempotent || input.failure.verdict === 'notRun'
+  }), { seed: 1, numRuns: 5_000 })
+  t.ok(retries > 100, 'the property saw retries')
+})
+
+tap.test('retries stay within budgets, attempts and the deadline', async (t) => {
+  fc.assert(fc.property(inputs, (input) => {
+    const decision = decideRetry.decideRetry(input)
+    if (decision.type === 'giveUp') return true
+    return input.programBudget.retriesLeft >= 1 && input.processBudget.retriesLeft >= 1 &&
+      input.attempt < decideRetry.defaultRetrySettings.maxAttempts && input.now + decision.afterMs < input.deadline &&
+      decision.afterMs >= (errors.retryAfterMs(input.failure) ?? 0)
+  }), { seed: 2, numRuns: 5_000 })
+})
+
+tap.test('only transient failures are retried', async (t) => {
+  const retried = allTags.filter((tag) => decideRetry.decideRetry(usual({ failure: failureOf(tag, 'notRun') })).type === 'retry')
+  t.same(retried.sort(), ['answerBroken', 'inProgress', 'logUnavailable', 'notHome', 'peerUnavailable', 'shuttingDown',
+    'upstreamFailed', 'upstreamUnavailable', 'wrongIncarnation'])
+  const clientError = { ...failureOf('upstreamFailed', 'ran'), status: 404 } as errors.Failure
+  t.match(decideRetry.decideRetry(usual({ failure: clientError })), { type: 'giveUp', reason: 'permanent' })
+})
+
+tap.test('gives the reason and waits longer each time', async (t) => {
+  t.same(decideRetry.decideRetry(usual({})), { type: 'retry', afterMs: 60, reason: 'transient' })
+  t.same(decideRetry.decideRetry(usual({ attempt: 3 })), { type: 'retry', afterMs: 210, reason: 'transient' })
+  const reasons = [
+    usual({ idempotent: false, failure: failureOf('answerBroken', 'ran') }),
+    usual({ attempt: 4 }),
+    usual({ programBudget: { retriesLeft: 0.9 } }),
+    usual({ processBudget: { retriesLeft: 0 } }),
+    usual({ deadline: 1_020 })
+  ].map((input) => decideRetry.decideRetry(input).reason)
+  t.same(reasons, ['mayRepeat', 'attemptsUsed', 'programBudgetUsed', 'processBudgetUsed', 'deadline'])
+})
--- /dev/null
+++ b/packages/retain-prefix/src/retain-prefix.test.ts
@@ -0,0 +1,44 @@
+import tap from 'tap'
+import type * as types from '@eelgrasswind/types'
+import * as decideHold from './decide-hold.js'
+import * as learnPauses from './learn-pauses.js'
+
+const kind = 'roster' as types.KindId
+const learnt: decideHold.HoldRule = { type: 'learnt', fallbackMs: 7_000, minSamples: 20, maxMs: 600_000 }
+
+function input (pauses: learnPauses.PauseStats, over: Partial<decideHold.HoldInput> = {}): decideHold.HoldInput {
+  return { prefixTokens: 1_000, pauses, leftMs: 100_000, cacheUsed: 1, ...over }
+}
+
+function statsOf (ends: readonly learnPauses.PauseEnd[]): learnPauses.PauseStats {
+  const learner = learnPauses.createPauseLearner()
+  for (const end of ends) learner.observe(kind, end)
+  return learner.stats(kind)
+}
+
+function repeat (times: number, end: learnPauses.PauseEnd): learnPauses.PauseEnd[] {
+  return Array.from({ length: times }, () => end)
+}
+
+tap.test('plain rules hold as they say, never past the deadline', async (t) => {
+  const stats = statsOf([])
+  t.equal(decideHold.decideHold({ type: 'always' }, input(stats)).holdMs, 100_000)
+  t.equal(decideHold.decideHold({ type: 'never' }, input(stats)).holdMs, 0)
+  t.equal(decideHold.decideHold({ type: 'fixed', holdMs: 5_000 }, input(stats)).holdMs, 5_000)
+  t.equal(decideHold.decideHold({ type: 'fixed', holdMs: 5_000 }, input(stats, { leftMs: 900 })).holdMs, 900)
+  t.match(decideHold.decideHold({ type: 'always' }, input(stats, { leftMs: -1 })), { holdMs: 0, reason: { type: 'deadlinePassed' } })
+})
+
+tap.test('learnt holds cover short pauses and release programs that go', async (t) => {
+  t.match(decideHold.decideHold(learnt, input(statsOf(repeat(5, { type: 'gone' })))), { holdMs: 7_000, reason: { type: 'fewSamples', samples: 5 } })
+  const short = statsOf([...repeat(50, { type: 'returned', afterMs: 900 }), ...repeat(2, { type: 'gone' })])
+  t.equal(decideHold.decideHold(learnt, input(short)).holdMs, 1_000)
+  const gone = statsOf([...repeat(2, { type: 'returned', afterMs: 60_000 }), ...repeat(50, { type: 'gone' })])
+  t.match(decideHold.decideHold(learnt, input(gone)), { holdMs: 0, reason: { type: 'leastWaste' } })
+})
+
+tap.test('older pauses fade', async (t) => {
+  const stats = statsOf([...repeat(400, { type: 'gone' }), ...repeat(800, { type: 'returned', afterMs: 400 })])
+  t.ok(stats.gone < 0.2, 'most of what was seen first has faded')
+  t.ok(Math.abs(stats.gone + stats.returned.reduce((a, b) => a + b, 0) - 1) < 1e-9, 'the shares add up')
+})
