Estimator tells run time from whole time; pauses that end with the program; counts of own calls

Cause: admission needs slot time without pauses; a hold for a program that soon finishes costs little; a late report can be corrected only by what was in flight when it was made. Not measured yet.

--- a/packages/order-queue/src/learn-remaining.ts
+++ b/packages/order-queue/src/learn-remaining.ts
@@ -5,7 +5,9 @@
 export interface TurnWork {
   /** Prompt tokens that were not cached and generated tokens. */
   readonly tokens: number
-  /** Time that the call ran and the pause after it, without waiting in queues, in milliseconds. */
+  /** Time that the call ran, in milliseconds. */
+  readonly runMs: number
+  /** The same and the pause after it, without waiting in queues, in milliseconds. */
   readonly ms: number
 }
 
@@ -13,6 +15,7 @@
 export interface RemainingWork {
   readonly calls: number
   readonly tokens: number
+  readonly runMs: number
   readonly ms: number
   /** Mean absolute deviation of `ms`. */
   readonly msDeviation: number
@@ -24,6 +27,7 @@
 export interface RemainingPrior {
   readonly calls: number
   readonly tokens: number
+  readonly runMs: number
   readonly ms: number
 }
 
@@ -34,7 +38,7 @@
 }
 
 export const defaultRemainingSettings: RemainingSettings = {
-  prior: { calls: 4, tokens: 2_000, ms: 15_000 },
+  prior: { calls: 4, tokens: 2_000, runMs: 8_000, ms: 20_000 },
   newestShare: 0.02
 }
 
@@ -48,6 +52,7 @@
 interface Mean {
   calls: number
   tokens: number
+  runMs: number
   ms: number
   msDeviation: number
   samples: number
@@ -61,11 +66,12 @@
 
   function observe (kind: types.KindId, turns: readonly TurnWork[]): void {
     const means = meansOf(kind)
-    const rest = { calls: 0, tokens: 0, ms: 0 }
+    const rest = { calls: 0, tokens: 0, runMs: 0, ms: 0 }
     for (let done = turns.length - 1; done >= 0; done -= 1) {
       const turn = turns[done]!
       rest.calls += 1
       rest.tokens += turn.tokens
+      rest.runMs += turn.runMs
       rest.ms += turn.ms
       learn(means, bucketOf(done), rest)
     }
@@ -80,7 +86,7 @@
   }
 
   function learn (means: Mean[], bucket: number, rest: RemainingPrior): void {
-    const mean = means[bucket] ?? { calls: 0, tokens: 0, ms: 0, msDeviation: 0, samples: 0 }
+    const mean = means[bucket] ?? { calls: 0, tokens: 0, runMs: 0, ms: 0, msDeviation: 0, samples: 0 }
     means[bucket] = mean
     mean.samples = Math.min(mean.samples + 1, 1 / settings.newestShare)
     const share = 1 / mean.samples
@@ -88,6 +94,7 @@
     mean.msDeviation += mean.samples === 1 ? rest.ms / 2 : share * (off - mean.msDeviation)
     mean.calls += share * (rest.calls - mean.calls)
     mean.tokens += share * (rest.tokens - mean.tokens)
+    mean.runMs += share * (rest.runMs - mean.runMs)
     mean.ms += share * (rest.ms - mean.ms)
   }
 
--- a/packages/place-call/src/candidate.ts
+++ b/packages/place-call/src/candidate.ts
@@ -17,7 +17,7 @@
   readonly inFlight: number
   /** Undefined while nothing has been reported. */
   readonly reported: ReportedLoad | undefined
-  /** Of this process's calls in flight, how many had begun when the report was made. */
+  /** Calls of this process that were in flight there when the report was made, whether ended since or not. */
   readonly inFlightAtReport: number
   /** Calls that run there at once. */
   readonly slots: number
--- a/packages/place-call/src/index.ts
+++ b/packages/place-call/src/index.ts
@@ -1,4 +1,5 @@
 /** Decides which engine or service host takes the next call. */
 export * from './candidate.js'
 export * from './place-call.js'
+export * from './own-calls.js'
 export * from './slow-upstreams.js'
--- a/packages/place-call/src/place-call.test.ts
+++ b/packages/place-call/src/place-call.test.ts
@@ -2,6 +2,7 @@
 import * as fc from 'fast-check'
 import type * as types from '@eelgrasswind/types'
 import * as candidates from './candidate.js'
+import * as ownCalls from './own-calls.js'
 import * as placeCall from './place-call.js'
 import * as slowUpstreams from './slow-upstreams.js'
 
@@ -91,3 +92,16 @@
   t.match(placeCall.placeCall(homeFirst, input([warm, candidate(1)])), { upstream: 'u1', reason: { type: 'spill' } })
   t.ok(slow.factor(names[0]!, 63_000) < 1.3, 'fades, so that it is tried again')
 })
+
+tap.test('own calls are counted now and at the time of a report', async (t) => {
+  const calls = ownCalls.createOwnCalls(1_000)
+  const upstream = 'u0' as types.UpstreamId
+  for (let now = 0; now < 10_000; now += 10) {
+    calls.begin(upstream, now)
+    if (now >= 50) calls.end(upstream, now + 5)
+  }
+  t.equal(calls.inFlight(upstream), 5)
+  t.equal(calls.inFlightAt(upstream, 9_502), 6)
+  t.equal(calls.inFlightAt(upstream, 9_506), 5)
+  t.equal(calls.inFlight('u1' as types.UpstreamId), 0)
+})
--- a/packages/retain-prefix/src/decide-hold.ts
+++ b/packages/retain-prefix/src/decide-hold.ts
@@ -67,20 +67,25 @@
   }
   return {
     holdMs: best.holdMs,
-    reason: { type: 'leastWaste', expectedWaste: best.waste, returnShare: 1 - input.pauses.gone }
+    reason: { type: 'leastWaste', expectedWaste: best.waste, returnShare: sumOf(input.pauses.returned) }
   }
 }
 
 /** Expected waste of a hold, for each token of the prefix. */
 function expectedWaste (holdMs: number, input: HoldInput): number {
   const { edgesMs, returned, gone } = input.pauses
-  const heldSecondsWhenGone = holdMs / 1000
-  let waste = gone * heldSecondsWhenGone * tokenSecondWaste
+  let waste = 0
   edgesMs.forEach((edge, at) => {
-    const share = returned[at] ?? 0
+    const returnShare = returned[at] ?? 0
+    const goneShare = gone[at] ?? 0
     const heldSeconds = Math.min(edge, holdMs) / 1000
-    waste += share * heldSeconds * crowdingWaste * input.cacheUsed
-    if (edge > holdMs) waste += share
+    waste += goneShare * heldSeconds * tokenSecondWaste
+    waste += returnShare * heldSeconds * crowdingWaste * input.cacheUsed
+    if (edge > holdMs) waste += returnShare
   })
   return waste
 }
+
+function sumOf (shares: readonly number[]): number {
+  return shares.reduce((sum, share) => sum + share, 0)
+}
--- a/packages/retain-prefix/src/learn-pauses.ts
+++ b/packages/retain-prefix/src/learn-pauses.ts
@@ -9,21 +9,28 @@
   readonly edgesMs: readonly number[]
   /** Share of all pauses that ended by a return, by bucket. */
   readonly returned: readonly number[]
-  /** Share of all pauses after which the program never returned. */
-  readonly gone: number
+  /** Share of all pauses after which the program never returned, by the time at which that became known. */
+  readonly gone: readonly number[]
 }
 
 /** How one pause ended. */
 export type PauseEnd =
   | { readonly type: 'returned', readonly afterMs: number }
-  /** The program finished, was cancelled or reached its deadline. */
-  | { readonly type: 'gone' }
+  /** The program finished, was cancelled or expired meanwhile. */
+  | { readonly type: 'gone', readonly afterMs: number }
 
 export interface PauseLearner {
   observe: (kind: types.KindId, end: PauseEnd) => void
   stats: (kind: types.KindId) => PauseStats
 }
 
+/** Counts by bucket. */
+interface Seen {
+  returned: number[]
+  gone: number[]
+  samples: number
+}
+
 /** Bucket edges: a quarter of a second, doubling, up to about 17 minutes. */
 export const pauseEdgesMs: readonly number[] = Array.from({ length: 13 }, (_, at) => 250 * 2 ** at)
 
@@ -31,12 +38,12 @@
 const memorySamples = 400
 
 export function createPauseLearner (): PauseLearner {
-  const kinds = new Map<types.KindId, { counts: number[], gone: number, samples: number }>()
+  const kinds = new Map<types.KindId, Seen>()
 
-  function countsOf (kind: types.KindId): { counts: number[], gone: number, samples: number } {
+  function countsOf (kind: types.KindId): Seen {
     const known = kinds.get(kind)
     if (known !== undefined) return known
-    const created = { counts: pauseEdgesMs.map(() => 0), gone: 0, samples: 0 }
+    const created = { returned: pauseEdgesMs.map(() => 0), gone: pauseEdgesMs.map(() => 0), samples: 0 }
     kinds.set(kind, created)
     return created
   }
@@ -45,13 +52,10 @@
     const seen = countsOf(kind)
     if (seen.samples >= memorySamples) fade(seen)
     seen.samples += 1
-    if (end.type === 'gone') {
-      seen.gone += 1
-      return
-    }
+    const counts = end.type === 'gone' ? seen.gone : seen.returned
     const bucket = pauseEdgesMs.findIndex((edge) => end.afterMs <= edge)
     const at = bucket < 0 ? pauseEdgesMs.length - 1 : bucket
-    seen.counts[at] = seen.counts[at]! + 1
+    counts[at] = counts[at]! + 1
   }
 
   function stats (kind: types.KindId): PauseStats {
@@ -60,16 +64,16 @@
     return {
       samples: seen.samples,
       edgesMs: pauseEdgesMs,
-      returned: seen.counts.map((count) => count * share),
-      gone: seen.gone * share
+      returned: seen.returned.map((count) => count * share),
+      gone: seen.gone.map((count) => count * share)
     }
   }
 
   return { observe, stats }
 }
 
-function fade (seen: { counts: number[], gone: number, samples: number }): void {
-  seen.counts = seen.counts.map((count) => count / 2)
-  seen.gone /= 2
+function fade (seen: Seen): void {
+  seen.returned = seen.returned.map((count) => count / 2)
+  seen.gone = seen.gone.map((count) => count / 2)
   seen.samples /= 2
 }
--- a/packages/retain-prefix/src/retain-prefix.test.ts
+++ b/packages/retain-prefix/src/retain-prefix.test.ts
@@ -30,15 +30,19 @@
 })
 
 tap.test('learnt holds cover short pauses and release programs that go', async (t) => {
-  t.match(decideHold.decideHold(learnt, input(statsOf(repeat(5, { type: 'gone' })))), { holdMs: 7_000, reason: { type: 'fewSamples', samples: 5 } })
-  const short = statsOf([...repeat(50, { type: 'returned', afterMs: 900 }), ...repeat(2, { type: 'gone' })])
+  t.match(decideHold.decideHold(learnt, input(statsOf(repeat(5, { type: 'gone', afterMs: 300_000 })))), { holdMs: 7_000, reason: { type: 'fewSamples', samples: 5 } })
+  const short = statsOf([...repeat(50, { type: 'returned', afterMs: 900 }), ...repeat(2, { type: 'gone', afterMs: 300_000 })])
   t.equal(decideHold.decideHold(learnt, input(short)).holdMs, 1_000)
-  const gone = statsOf([...repeat(2, { type: 'returned', afterMs: 60_000 }), ...repeat(50, { type: 'gone' })])
+  const soonKnown = statsOf([...repeat(50, { type: 'returned', afterMs: 900 }), ...repeat(50, { type: 'gone', afterMs: 200 })])
+  t.equal(decideHold.decideHold(learnt, input(soonKnown)).holdMs, 1_000, 'a hold that ends with its program costs little')
+  const gone = statsOf([...repeat(2, { type: 'returned', afterMs: 60_000 }), ...repeat(50, { type: 'gone', afterMs: 300_000 })])
   t.match(decideHold.decideHold(learnt, input(gone)), { holdMs: 0, reason: { type: 'leastWaste' } })
 })
 
 tap.test('older pauses fade', async (t) => {
-  const stats = statsOf([...repeat(400, { type: 'gone' }), ...repeat(800, { type: 'returned', afterMs: 400 })])
-  t.ok(stats.gone < 0.2, 'most of what was seen first has faded')
-  t.ok(Math.abs(stats.gone + stats.returned.reduce((a, b) => a + b, 0) - 1) < 1e-9, 'the shares add up')
+  const stats = statsOf([...repeat(400, { type: 'gone', afterMs: 300_000 }), ...repeat(800, { type: 'returned', afterMs: 400 })])
+  const gone = stats.gone.reduce((a, b) => a + b, 0)
+  const returned = stats.returned.reduce((a, b) => a + b, 0)
+  t.ok(gone < 0.2, 'most of what was seen first has faded')
+  t.ok(Math.abs(gone + returned - 1) < 1e-9, 'the shares add up')
 })
