--- a/packages/caller-server/src/caller-handlers.ts
+++ b/packages/caller-server/src/caller-handlers.ts
@@ -2,15 +2,6 @@
 import type * as errors from '@eelgrasswind/errors'
 import type * as types from '@eelgrasswind/types'
 
-/** A start as a caller asks for it; what is left out comes from the configuration of its kind. */
-export interface StartRequest {
-  readonly program: types.ProgramId
-  readonly client: types.ClientId
-  readonly kind: types.KindId
-  readonly deadline: types.EpochMs | undefined
-  readonly budget: Partial<types.Budget>
-}
-
 /** A call as a caller asks for it. */
 export interface CallRequest extends Omit<types.Call, 'idempotent' | 'timeoutMs'> {
   /** Undefined: as the configuration says of its target. */
@@ -20,7 +11,7 @@
 
 export interface CallerHandlers {
   authorize: (token: string | undefined) => errors.Result<types.ClientId>
-  start: (req: StartRequest, ctx: types.RequestContext) => Promise<errors.Result<types.ProgramDocument>>
+  start: (req: types.StartRequest, ctx: types.RequestContext) => Promise<errors.Result<types.ProgramDocument>>
   call: (req: CallRequest, ctx: types.RequestContext, sink: types.CallSink) => Promise<errors.Result<types.CallEnd>>
   finish: (program: types.ProgramId, client: types.ClientId, result: types.FinishResult, ctx: types.RequestContext) => Promise<errors.Result<types.ProgramDocument>>
   read: (program: types.ProgramId, client: types.ClientId, history: boolean) => Promise<errors.Result<types.ProgramDocument>>
--- a/packages/caller-server/src/parse-request.ts
+++ b/packages/caller-server/src/parse-request.ts
@@ -48,7 +48,7 @@
   return schema.check(schema.callPlace, placeOf(headers, members), 'eelgrasswind')
 }
 
-export function parseStart (of: ProgramOf, body: unknown): errors.Result<handlers.StartRequest> {
+export function parseStart (of: ProgramOf, body: unknown): errors.Result<types.StartRequest> {
   const parsed = schema.check(schema.startBody, body)
   if (!parsed.ok) return parsed
   const { kind, deadline, budget } = parsed.value
@@ -56,7 +56,7 @@
   return errors.ok({
     ...of,
     kind: kind as types.KindId,
-    deadline: at as types.EpochMs | undefined,
+    deadline: at === undefined ? null : at as types.EpochMs,
     budget: withoutUndefined(budget ?? {})
   })
 }
--- a/packages/guard-upstream/src/dispatch-records.ts
+++ b/packages/guard-upstream/src/dispatch-records.ts
@@ -111,19 +111,10 @@
   function seal (wanted: types.Seal): types.SealState {
     if (wanted.incarnation !== incarnation) return { type: 'otherIncarnation' }
     const record = records.get(nameOf(wanted))
-    if (record === undefined || record.intent < wanted.intent) return sealNow(wanted)
-    return sealKnown(record, wanted)
-  }
-
-  function sealNow (wanted: types.Seal): types.SealState {
-    records.set(nameOf(wanted), { intent: wanted.intent, state: { type: 'sealed' }, changedAt: now() })
-    return { type: 'sealed' }
-  }
-
-  function sealKnown (record: DispatchRecord, wanted: types.Seal): types.SealState {
+    if (record === undefined) return sealNow(wanted)
     const state = record.state
     switch (state.type) {
-      case 'sealed': return { type: 'sealed' }
+      case 'sealed': return sealNow({ ...wanted, intent: Math.max(wanted.intent, record.intent) as types.Term })
       case 'running': return { type: 'running' }
       case 'waiting':
         sealNow(wanted)
@@ -134,6 +125,12 @@
     }
   }
 
+  /** Dispatches of this intent and of all before it are refused from now on. */
+  function sealNow (wanted: types.Seal): types.SealState {
+    records.set(nameOf(wanted), { intent: wanted.intent, state: { type: 'sealed' }, changedAt: now() })
+    return { type: 'sealed' }
+  }
+
   function endedState (result: DispatchResult, wanted: types.Seal): types.SealState {
     if (result.ok) return { type: 'answered', answer: result.value }
     const { verdict, tag, message } = result.failure
--- /dev/null
+++ b/packages/program-home/src/call-runner.ts
@@ -0,0 +1,382 @@
+/** Runs one call of a local program: order, budget, placement, dispatch, and the record that ends it. */
+import type * as appendJournal from '@eelgrasswind/append-journal'
+import type * as configState from '@eelgrasswind/config-state'
+import * as decideRetry from '@eelgrasswind/decide-retry'
+import * as errors from '@eelgrasswind/errors'
+import * as limitClient from '@eelgrasswind/limit-client'
+import type * as logger from '@eelgrasswind/logger'
+import * as placeCall from '@eelgrasswind/place-call'
+import * as programState from '@eelgrasswind/program-state'
+import * as timerService from '@eelgrasswind/timer-service'
+import type * as types from '@eelgrasswind/types'
+import * as checkCall from './check-call.js'
+import * as journalWriter from './journal-writer.js'
+import type * as learning from './learning.js'
+import * as local from './local-program.js'
+import type * as ports from './ports.js'
+import * as reserve from './reserve-budget.js'
+import * as resolving from './resolve-intent.js'
+import * as runningCalls from './running-call.js'
+
+export interface CallRunnerDeps {
+  readonly self: types.ProcessRef
+  readonly journal: appendJournal.Journal
+  readonly timers: timerService.TimerService
+  readonly logger: logger.Logger
+  readonly config: ports.ConfigPort
+  readonly hosts: ports.HostsPort
+  readonly upstreams: ports.UpstreamsPort
+  readonly dispatchPort: ports.DispatchPort
+  readonly learning: learning.Learning
+  readonly placeRule: placeCall.PlaceRule
+  /** From 0 up to, but without, 1. */
+  readonly random: () => number
+}
+
+/** How long a caller waits for the record of an answer that is whole, in milliseconds. */
+const recordPatienceMs = 3_000
+const logRetryMs = 1_000
+/** Answers that may wait for the log at once; past that new calls are refused. */
+const maxUnconfirmed = 512
+
+interface Attempt {
+  readonly program: local.LocalProgram
+  readonly running: runningCalls.RunningCall
+  readonly need: reserve.CallNeed
+  readonly ctx: types.RequestContext
+  /** On the monotonic clock. */
+  readonly deadline: number
+}
+
+/** How an attempt ended: with an answer, with a failure that stands in the history, or with one that does not. */
+type AttemptEnd =
+  | { readonly type: 'answered', readonly answer: types.DispatchAnswer, readonly upstream: types.UpstreamId, readonly host: types.HostId, readonly startedAt: types.EpochMs }
+  | { readonly type: 'recordFailure', readonly outcome: Extract<types.CallOutcome, { type: 'failed' }>, readonly upstream: types.UpstreamId, readonly startedAt: types.EpochMs }
+  | { readonly type: 'failed', readonly failure: errors.Failure, readonly decided: 'mayRetry' | 'final' }
+
+export class CallRunner {
+  private processRetries = limitClient.createRetryBudget(limitClient.processRetrySettings)
+  private unconfirmed = 0
+  private placements = 0
+
+  constructor (private readonly deps: CallRunnerDeps) {}
+
+  async call (program: local.LocalProgram, call: types.Call, ctx: types.RequestContext, sink: types.CallSink): Promise<runningCalls.CallResult> {
+    const digest = programState.requestDigest(call)
+    const check = checkCall.checkCall(program, call, digest)
+    switch (check.type) {
+      case 'refuse': return errors.fail(check.failure)
+      case 'finished': return errors.ok(checkCall.endOfTurn(check.turn, true))
+      case 'join': return await check.running.join(sink)
+      case 'openIntent': return await this.resumeIntent(program, call, digest, sink)
+      case 'run': return await this.begin(program, call, digest, ctx, sink)
+      default: return errors.unreachable(check)
+    }
+  }
+
+  private async begin (program: local.LocalProgram, call: types.Call, digest: string, ctx: types.RequestContext, sink: types.CallSink): Promise<runningCalls.CallResult> {
+    if (this.unconfirmed >= maxUnconfirmed || !this.deps.journal.available()) return errors.fail(logUnavailable('notRun'))
+    const need = reserve.needOf(this.deps.config(), program.state, call.target, call.branch)
+    const fits = reserve.checkBudget(program, need.usage)
+    if (!fits.ok) return fits
+    const { timers, learning } = this.deps
+    const leftMs = Math.min(call.timeoutMs, reserve.wallLeftMs(program.state, timers.now()))
+    if (leftMs <= 0) return errors.fail({ tag: 'budgetExceeded', verdict: 'notRun', message: 'the wall time of the program is used up', field: 'budget.wallMs', remaining: 0 })
+    const running = new runningCalls.RunningCall(call, digest)
+    program.running.set(call.key, running)
+    program.reserved = local.addUsage(program.reserved, need.usage)
+    learning.noteCallStart(program, timers.now())
+    const attempt = { program, running, need, ctx, deadline: timers.monotonic() + leftMs }
+    void this.runToEnd(attempt)
+    return await running.join(sink)
+  }
+
+  private async runToEnd (attempt: Attempt): Promise<void> {
+    const { program, running, need } = attempt
+    let result: runningCalls.CallResult
+    try {
+      result = await this.runAttempts(attempt)
+    } catch (err) {
+      this.deps.logger.error({ err, program: program.id, call: running.call.key }, 'call failed')
+      result = errors.fail(errors.failureFrom(err))
+    }
+    program.reserved = local.lessUsage(program.reserved, need.usage)
+    if (!result.ok && result.failure.verdict !== 'notRun') this.countUnrecorded(program, need)
+    program.lastEndedAt = this.deps.timers.now()
+    program.end(running.call.key)
+    running.end(result)
+  }
+
+  /** What an attempt without a record may have used stays counted. */
+  private countUnrecorded (program: local.LocalProgram, need: reserve.CallNeed): void {
+    program.unrecorded = local.addUsage(program.unrecorded, need.usage)
+  }
+
+  private async runAttempts (attempt: Attempt): Promise<runningCalls.CallResult> {
+    this.processRetries = limitClient.earnRetry(this.processRetries)
+    attempt.program.retryBudget = limitClient.earnRetry(attempt.program.retryBudget)
+    for (let count = 1; ; count += 1) {
+      const end = await this.attemptOnce(attempt)
+      if (end.type === 'answered') return await this.recordAnswer(attempt, end)
+      if (end.type === 'recordFailure') return await this.recordFailure(attempt, end)
+      const wait = this.mayRetry(attempt, end, count)
+      if (wait === undefined) return errors.fail(end.failure)
+      await timerService.sleep(this.deps.timers, wait)
+    }
+  }
+
+  /** Time to wait before the next attempt, or undefined when the failure is final. */
+  private mayRetry (attempt: Attempt, end: Extract<AttemptEnd, { type: 'failed' }>, count: number): number | undefined {
+    if (end.decided === 'final') return undefined
+    const { program, running, deadline } = attempt
+    const decision = decideRetry.decideRetry({
+      failure: end.failure,
+      idempotent: running.call.idempotent,
+      attempt: count,
+      programBudget: program.retryBudget,
+      processBudget: this.processRetries,
+      now: this.deps.timers.monotonic(),
+      deadline,
+      random: this.deps.random
+    })
+    this.note(program, 'retry', decision.type, `${decision.reason} after ${end.failure.tag} (${end.failure.verdict})`, [])
+    if (decision.type === 'giveUp') return undefined
+    if (end.failure.verdict !== 'notRun') this.countUnrecorded(program, attempt.need)
+    this.processRetries = limitClient.spendRetry(this.processRetries)
+    program.retryBudget = limitClient.spendRetry(program.retryBudget)
+    return decision.afterMs
+  }
+
+  private async attemptOnce (attempt: Attempt): Promise<AttemptEnd> {
+    const placed = this.place(attempt)
+    if (placed.type === 'none') {
+      return { type: 'failed', decided: 'mayRetry', failure: { tag: 'upstreamUnavailable', verdict: 'notRun', message: `no upstream may take the call: ${placed.reason}`, retryAfterMs: placed.retryAfterMs } }
+    }
+    const startedAt = this.deps.timers.now() as types.EpochMs
+    if (attempt.running.call.idempotent) return await this.dispatchIdempotent(attempt, placed, startedAt)
+    return await this.dispatchOnce(attempt, placed, startedAt)
+  }
+
+  private place (attempt: Attempt): placeCall.Placement {
+    const { program, running, need } = attempt
+    const { target } = running.call
+    const preferred = program.lastUpstream === undefined ? [] : [program.lastUpstream]
+    const placement = placeCall.placeCall(target.type === 'model' ? this.deps.placeRule : { type: 'twoChoices' }, {
+      home: this.deps.self.host,
+      lastUpstream: program.lastUpstream,
+      candidates: this.candidatesFor(program, target, preferred),
+      promptTokens: need.promptTokens,
+      expectedTokens: need.maxTokens,
+      turn: this.placements,
+      random: this.deps.random
+    })
+    this.placements += 1
+    if (placement.type === 'placed') {
+      this.note(program, 'placement', placement.upstream, placement.reason.type, placement.considered.map((other) => other.upstream))
+    } else {
+      this.note(program, 'placement', 'none', placement.reason, [])
+    }
+    return placement
+  }
+
+  private candidatesFor (program: local.LocalProgram, target: types.CallTarget, preferred: readonly types.UpstreamId[]): readonly placeCall.Candidate[] {
+    const candidates = this.deps.upstreams.candidates(target, preferred)
+    if (target.type !== 'model' || program.cachedTokens === 0) return candidates
+    return candidates.map((candidate) => candidate.upstream === program.lastUpstream ? { ...candidate, cachedTokens: program.cachedTokens } : candidate)
+  }
+
+  private async dispatchIdempotent (attempt: Attempt, placed: Extract<placeCall.Placement, { type: 'placed' }>, startedAt: types.EpochMs): Promise<AttemptEnd> {
+    const result = await this.send(attempt, placed, null)
+    if (result.ok) return { type: 'answered', answer: result.value, upstream: placed.upstream, host: placed.host, startedAt }
+    return { type: 'failed', decided: 'mayRetry', failure: result.failure }
+  }
+
+  /** Intent, confirmed; one dispatch; and where its answer is missing, the seal. */
+  private async dispatchOnce (attempt: Attempt, placed: Extract<placeCall.Placement, { type: 'placed' }>, startedAt: types.EpochMs): Promise<AttemptEnd> {
+    const incarnation = await this.incarnationOf(placed.host)
+    if (!incarnation.ok) return { type: 'failed', decided: 'mayRetry', failure: { ...incarnation.failure, verdict: 'notRun' } }
+    const dispatchTo = { host: placed.host, incarnation: incarnation.value }
+    const intent = await this.writeIntent(attempt, placed.upstream, dispatchTo, startedAt)
+    if (!intent.ok) return { type: 'failed', decided: 'final', failure: { ...intent.failure, verdict: 'notRun' } }
+    // Counted by the state's open intent from here on.
+    attempt.program.reserved = local.lessUsage(attempt.program.reserved, attempt.need.usage)
+    const result = await this.send(attempt, placed, { position: intent.value, at: startedAt, incarnation: incarnation.value })
+    const end = await this.endOfIntent(attempt, placed, dispatchTo, intent.value, startedAt, result)
+    attempt.program.reserved = local.addUsage(attempt.program.reserved, attempt.need.usage)
+    return end
+  }
+
+  private async writeIntent (attempt: Attempt, upstream: types.UpstreamId, dispatchTo: types.ProcessRef, at: types.EpochMs): Promise<errors.Result<types.Term>> {
+    const { program, running, need } = attempt
+    const { key, branch, seq, target } = running.call
+    return await journalWriter.writeRecord(this.deps.journal, program, {
+      type: 'intent', key, branch, seq, digest: running.digest, target, upstream, dispatchTo, reserved: need.usage, at
+    })
+  }
+
+  private async endOfIntent (attempt: Attempt, placed: { readonly upstream: types.UpstreamId, readonly host: types.HostId }, dispatchTo: types.ProcessRef, position: types.Term, startedAt: types.EpochMs, result: errors.Result<types.DispatchAnswer>): Promise<AttemptEnd> {
+    const { program, running } = attempt
+    const known = await this.knownEnd(attempt, placed, dispatchTo, position, result)
+    switch (known.type) {
+      case 'answered': return { type: 'answered', answer: known.answer, upstream: placed.upstream, host: placed.host, startedAt }
+      case 'failed': return { type: 'recordFailure', outcome: known, upstream: placed.upstream, startedAt }
+      case 'notRun': {
+        const settled = await journalWriter.writeRecord(this.deps.journal, program, { type: 'settle', key: running.call.key, verdict: 'notRun' })
+        const failure = result.ok ? logUnavailable('notRun') : { ...result.failure, verdict: 'notRun' as const }
+        return { type: 'failed', decided: settled.ok ? 'mayRetry' : 'final', failure }
+      }
+      default: return errors.unreachable(known)
+    }
+  }
+
+  private async knownEnd (attempt: Attempt, placed: { readonly upstream: types.UpstreamId }, dispatchTo: types.ProcessRef, position: types.Term, result: errors.Result<types.DispatchAnswer>): Promise<resolving.IntentEnd> {
+    if (result.ok) return { type: 'answered', answer: result.value }
+    const { failure } = result
+    if (failure.verdict === 'notRun') return { type: 'notRun' }
+    if (failure.verdict === 'ran') return { type: 'failed', verdict: 'ran', tag: failure.tag, message: failure.message }
+    const { program, running, deadline } = attempt
+    const leftMs = Math.max(0, deadline - this.deps.timers.monotonic())
+    return await resolving.resolveIntent(this.deps, { program: program.id, key: running.call.key, upstream: placed.upstream, position, dispatchTo }, leftMs)
+  }
+
+  private async incarnationOf (host: types.HostId): Promise<errors.Result<types.Incarnation>> {
+    if (host === this.deps.self.host) return errors.ok(this.deps.self.incarnation)
+    const known = this.deps.hosts.incarnationOf(host)
+    return known === undefined ? await this.deps.hosts.askIncarnation(host) : errors.ok(known)
+  }
+
+  private async send (attempt: Attempt, placed: Extract<placeCall.Placement, { type: 'placed' }>, intent: types.DispatchIntent | null): Promise<errors.Result<types.DispatchAnswer>> {
+    const { running, deadline, ctx } = attempt
+    const { timers, upstreams, dispatchPort } = this.deps
+    running.sink.onPlaced({ upstream: placed.upstream, host: placed.host })
+    upstreams.noteStart(placed.upstream)
+    let lastPieceAt: number | undefined
+    const onDelta = (text: string): void => {
+      const now = timers.monotonic()
+      if (lastPieceAt !== undefined) upstreams.noteSpeed(placed.upstream, 1, now - lastPieceAt)
+      lastPieceAt = now
+      running.sink.onDelta(text)
+    }
+    const dispatch = this.dispatchOf(attempt, placed.upstream, intent, Math.max(1, Math.ceil(deadline - timers.monotonic())))
+    const result = await dispatchPort.dispatch(placed.host, dispatch, ctx, new AbortController().signal, onDelta)
+    upstreams.noteEnd(placed.upstream, result.ok ? result.value.load : null)
+    return result
+  }
+
+  private dispatchOf (attempt: Attempt, upstream: types.UpstreamId, intent: types.DispatchIntent | null, timeoutMs: number): types.Dispatch {
+    const { program, running } = attempt
+    const cfg = this.deps.config()
+    return {
+      program: program.id,
+      key: running.call.key,
+      term: program.state.term,
+      upstream,
+      intent,
+      timeoutMs,
+      queue: this.deps.learning.queueInput(cfg, program),
+      payload: this.payloadOf(cfg, attempt)
+    }
+  }
+
+  private payloadOf (cfg: configState.Config, attempt: Attempt): types.DispatchPayload {
+    const { target, branch } = attempt.running.call
+    switch (target.type) {
+      case 'model': {
+        const messages = [...programState.messagesOf(attempt.program.state, branch), ...target.messages]
+        return { type: 'model', model: target.model, messages, maxTokens: attempt.need.maxTokens, options: target.options }
+      }
+      case 'service': {
+        const prefix = cfg.services.get(target.service)?.pathPrefix ?? '/'
+        return { type: 'service', path: joinPath(prefix, target.path), body: target.body }
+      }
+      default: return errors.unreachable(target)
+    }
+  }
+
+  private async recordAnswer (attempt: Attempt, end: Extract<AttemptEnd, { type: 'answered' }>): Promise<runningCalls.CallResult> {
+    const { program, running } = attempt
+    const { tokens, outcome } = end.answer
+    const usage = reserve.usageOf(this.deps.config(), running.call.target, tokens)
+    const result = await this.recordTurn(attempt, { outcome, usage, tokens, upstream: end.upstream, startedAt: end.startedAt })
+    if (result.ok && running.call.target.type === 'model') {
+      program.lastUpstream = end.upstream
+      program.lastHost = end.host
+      program.cachedTokens = tokens.prompt + tokens.generated
+      this.deps.learning.holdPrefix(program)
+    }
+    return result
+  }
+
+  private async recordFailure (attempt: Attempt, end: Extract<AttemptEnd, { type: 'recordFailure' }>): Promise<runningCalls.CallResult> {
+    const tokens = { prompt: 0, cached: 0, generated: 0 }
+    return await this.recordTurn(attempt, { outcome: end.outcome, usage: attempt.need.usage, tokens, upstream: end.upstream, startedAt: end.startedAt })
+  }
+
+  /** Writes the turn until its fate is known. Those who wait are answered for now once it takes long. */
+  private async recordTurn (attempt: Attempt, parts: Pick<types.Turn, 'outcome' | 'usage' | 'tokens' | 'upstream' | 'startedAt'>): Promise<runningCalls.CallResult> {
+    const { program, running } = attempt
+    const { key, branch, seq, target } = running.call
+    const { timers, journal } = this.deps
+    const turn: types.Turn = { key, branch, seq, digest: running.digest, target, ...parts, endedAt: timers.now() as types.EpochMs }
+    const patience = timers.after(recordPatienceMs, () => running.answerForNow(logUnavailable('ran')))
+    this.unconfirmed += 1
+    try {
+      for (;;) {
+        const written = await journalWriter.writeRecord(journal, program, { type: 'turn', turn })
+        if (written.ok) return errors.ok(checkCall.endOfTurn(turn, false))
+        if (written.failure.tag !== 'logUnavailable') return errors.fail({ ...written.failure, verdict: 'ran' })
+        running.answerForNow(logUnavailable('ran'))
+        await timerService.sleep(timers, logRetryMs)
+      }
+    } finally {
+      patience.cancel()
+      this.unconfirmed -= 1
+    }
+  }
+
+  /** A call whose intent an earlier home wrote. */
+  private async resumeIntent (program: local.LocalProgram, call: types.Call, digest: string, sink: types.CallSink): Promise<runningCalls.CallResult> {
+    const running = new runningCalls.RunningCall(call, digest)
+    program.running.set(call.key, running)
+    void this.settleIntent(program, running)
+    return await running.join(sink)
+  }
+
+  /** Finds out how an earlier home's dispatch ended, and writes that down. */
+  async settleIntent (program: local.LocalProgram, running: runningCalls.RunningCall): Promise<void> {
+    const { key } = running.call
+    const intent = programState.findIntent(program.state, key)
+    let result: runningCalls.CallResult = errors.fail(logUnavailable('mayHaveRun'))
+    if (intent !== undefined) {
+      const need = { promptTokens: 0, maxTokens: 0, usage: intent.reserved }
+      const attempt: Attempt = { program, running, need, ctx: { traceparent: '' }, deadline: this.deps.timers.monotonic() + running.call.timeoutMs }
+      const lost: errors.Result<types.DispatchAnswer> = errors.fail({ tag: 'peerUnavailable', verdict: 'mayHaveRun', message: 'an earlier home dispatched it', retryAfterMs: logRetryMs })
+      const end = await this.endOfIntent(attempt, { upstream: intent.upstream, host: intent.dispatchTo.host }, intent.dispatchTo, program.state.term, intent.at, lost)
+      result = await this.recordEnd(attempt, end)
+    }
+    program.end(key)
+    running.end(result)
+  }
+
+  private async recordEnd (attempt: Attempt, end: AttemptEnd): Promise<runningCalls.CallResult> {
+    switch (end.type) {
+      case 'answered': return await this.recordAnswer(attempt, end)
+      case 'recordFailure': return await this.recordFailure(attempt, end)
+      case 'failed': return errors.fail(end.failure)
+      default: return errors.unreachable(end)
+    }
+  }
+
+  private note (program: local.LocalProgram, step: types.DecisionStep, choice: string, reason: string, candidates: readonly string[]): void {
+    program.note({ at: this.deps.timers.now() as types.EpochMs, step, choice, reason, candidates })
+  }
+}
+
+function joinPath (prefix: string, path: string): string {
+  return `${prefix.replace(/\/$/, '')}/${path.replace(/^\//, '')}`
+}
+
+export function logUnavailable (verdict: types.Verdict): errors.Failure {
+  const message = verdict === 'ran' ? 'the answer is whole, its record waits for the log; ask again with the same key' : 'the log is not available'
+  return { tag: 'logUnavailable', verdict, message, retryAfterMs: logRetryMs }
+}
--- /dev/null
+++ b/packages/program-home/src/check-call.ts
@@ -0,0 +1,63 @@
+/** Whether a call may run now, or is answered by what already is. */
+import * as errors from '@eelgrasswind/errors'
+import * as programState from '@eelgrasswind/program-state'
+import type * as types from '@eelgrasswind/types'
+import type * as local from './local-program.js'
+import type * as runningCalls from './running-call.js'
+
+export type CallCheck =
+  | { readonly type: 'run' }
+  /** Asked before and finished. */
+  | { readonly type: 'finished', readonly turn: types.Turn }
+  /** Asked before and still under way. */
+  | { readonly type: 'join', readonly running: runningCalls.RunningCall }
+  /** Asked before at an earlier home; what became of it is being found out. */
+  | { readonly type: 'openIntent' }
+  | { readonly type: 'refuse', readonly failure: errors.Failure }
+
+const inProgressRetryMs = 500
+
+export function checkCall (program: local.LocalProgram, call: types.Call, digest: string): CallCheck {
+  const { state } = program
+  if (state.start.client !== call.client) return refuse({ tag: 'unknownProgram', verdict: 'notRun', message: `client ${call.client} has no program ${call.program}` })
+  const turn = programState.findTurn(state, call.key)
+  if (turn !== undefined) return turn.digest === digest ? { type: 'finished', turn } : refuse(keyReused(call))
+  const running = program.running.get(call.key)
+  if (running !== undefined) return running.digest === digest ? { type: 'join', running } : refuse(keyReused(call))
+  const intent = programState.findIntent(state, call.key)
+  if (intent !== undefined) return intent.digest === digest ? { type: 'openIntent' } : refuse(keyReused(call))
+  return checkNew(program, call)
+}
+
+function checkNew (program: local.LocalProgram, call: types.Call): CallCheck {
+  const { finished } = program.state
+  if (finished !== null) return refuse({ tag: 'programFinished', verdict: 'notRun', message: `the program has ended: ${finished}`, result: finished })
+  if (program.releasing) return refuse({ tag: 'notHome', verdict: 'notRun', message: 'the program is moving to another home', home: null, retryAfterMs: inProgressRetryMs })
+  const expectedSeq = programState.nextSeq(program.state, call.branch)
+  if (call.seq > expectedSeq) return refuse({ tag: 'sequenceGap', verdict: 'notRun', message: `branch ${call.branch} expects ${expectedSeq}`, expectedSeq })
+  if (call.seq < expectedSeq || isTaken(program, call)) {
+    return refuse({ tag: 'sequenceRepeat', verdict: 'notRun', message: `place ${call.seq} of branch ${call.branch} belongs to another call`, expectedSeq })
+  }
+  return { type: 'run' }
+}
+
+function isTaken (program: local.LocalProgram, call: types.Call): boolean {
+  for (const other of program.running.values()) {
+    if (other.call.branch === call.branch) return true
+  }
+  return false
+}
+
+function refuse (failure: errors.Failure): CallCheck {
+  return { type: 'refuse', failure }
+}
+
+function keyReused (call: types.Call): errors.Failure {
+  return { tag: 'keyReused', verdict: 'notRun', message: `key ${call.key} was used for another request` }
+}
+
+/** The end of a call that stands in the history. */
+export function endOfTurn (turn: types.Turn, repeated: boolean): types.CallEnd {
+  const { key, branch, seq, outcome, tokens, usage, upstream } = turn
+  return { key, branch, seq, outcome, tokens, usage, upstream, repeated }
+}
--- a/packages/program-home/src/index.ts
+++ b/packages/program-home/src/index.ts
@@ -1,2 +1,3 @@
 /** The home of a program: order, budget, dispatch, takeover and release. */
-export {}
+export type * from './ports.js'
+export * from './program-home.js'
--- /dev/null
+++ b/packages/program-home/src/learning.ts
@@ -0,0 +1,111 @@
+/** What this home learns from its programs, by kind, and the decisions that rest on it. */
+import type * as admitProgram from '@eelgrasswind/admit-program'
+import type * as configState from '@eelgrasswind/config-state'
+import type * as logger from '@eelgrasswind/logger'
+import * as orderQueue from '@eelgrasswind/order-queue'
+import * as programState from '@eelgrasswind/program-state'
+import * as retainPrefix from '@eelgrasswind/retain-prefix'
+import type * as timerService from '@eelgrasswind/timer-service'
+import type * as types from '@eelgrasswind/types'
+import type * as local from './local-program.js'
+import type * as ports from './ports.js'
+
+export interface LearningDeps {
+  readonly timers: timerService.TimerService
+  readonly logger: logger.Logger
+  readonly dispatchPort: Pick<ports.DispatchPort, 'hold' | 'drop'>
+  readonly holdRule: retainPrefix.HoldRule
+  /** Share of the cache of an upstream that is in use, 0 to 1. */
+  readonly cacheUsed: (upstream: types.UpstreamId) => number
+}
+
+const ordinaryWeight = 1
+
+export class Learning {
+  private readonly remaining = orderQueue.createRemainingEstimator()
+  private readonly pauses = retainPrefix.createPauseLearner()
+
+  constructor (private readonly deps: LearningDeps) {}
+
+  /** The end of a tool pause. */
+  noteCallStart (program: local.LocalProgram, now: number): void {
+    if (program.lastEndedAt === undefined) return
+    this.pauses.observe(program.state.start.kind, { type: 'returned', afterMs: now - program.lastEndedAt })
+    program.lastEndedAt = undefined
+  }
+
+  noteFinish (program: local.LocalProgram): void {
+    const { kind } = program.state.start
+    if (program.lastEndedAt !== undefined) this.pauses.observe(kind, { type: 'gone', afterMs: this.deps.timers.now() - program.lastEndedAt })
+    this.remaining.observe(kind, program.state.turns.map(workOf))
+  }
+
+  queueInput (cfg: configState.Config, program: local.LocalProgram): types.QueueInput {
+    const { start, turns } = program.state
+    return {
+      kind: start.kind,
+      deadline: start.deadline,
+      weight: cfg.kinds.get(start.kind)?.weight ?? ordinaryWeight,
+      attainedTokens: programState.spent(program.state).tokens,
+      expectedRemainingMs: this.remaining.expect(start.kind, turns.length).ms
+    }
+  }
+
+  /** What admission weighs, from the programs at home here. */
+  admissionInput (cfg: configState.Config, start: types.ProgramStart, programs: Iterable<local.LocalProgram>, slots: number, waiting: number): admitProgram.AdmissionInput {
+    const whole = this.remaining.expect(start.kind, 0)
+    let admittedWorkMs = 0
+    for (const { state } of programs) admittedWorkMs += this.remaining.expect(state.start.kind, state.turns.length).runMs
+    return {
+      now: this.deps.timers.now(),
+      deadline: start.deadline,
+      weight: cfg.kinds.get(start.kind)?.weight ?? ordinaryWeight,
+      slots,
+      waiting,
+      admittedWorkMs,
+      workMs: whole.runMs,
+      expectedMs: whole.ms,
+      expectedMsDeviation: whole.msDeviation,
+      stretch: 1
+    }
+  }
+
+  /** Holds the prefix over the pause that begins now, for as long as the rule says. */
+  holdPrefix (program: local.LocalProgram): void {
+    const { lastHost: host, lastUpstream: upstream } = program
+    if (host === undefined || upstream === undefined) return
+    const { start, term } = program.state
+    const decision = retainPrefix.decideHold(this.deps.holdRule, {
+      prefixTokens: program.cachedTokens,
+      pauses: this.pauses.stats(start.kind),
+      leftMs: start.deadline - this.deps.timers.now(),
+      cacheUsed: this.deps.cacheUsed(upstream)
+    })
+    const holdMs = Math.round(decision.holdMs)
+    program.note({ at: this.deps.timers.now() as types.EpochMs, step: 'hold', choice: `${holdMs} ms`, reason: decision.reason.type, candidates: [] })
+    if (holdMs > 0) this.report(program, this.deps.dispatchPort.hold(host, program.id, term, upstream, holdMs))
+  }
+
+  /** Lets go of the prefix of a program that has ended. */
+  dropPrefix (program: local.LocalProgram): void {
+    const { lastHost: host, lastUpstream: upstream } = program
+    if (host === undefined || upstream === undefined) return
+    this.report(program, this.deps.dispatchPort.drop(host, program.id, program.state.term, upstream))
+  }
+
+  /** A lost hold or drop costs a computation or a lease's time, nothing else. */
+  private report (program: local.LocalProgram, sent: ReturnType<ports.DispatchPort['hold']>): void {
+    sent.then(
+      (result) => { if (!result.ok) this.deps.logger.debug({ program: program.id, failure: result.failure }, 'prefix hold not changed') },
+      (err: unknown) => this.deps.logger.error({ program: program.id, err }, 'prefix hold failed')
+    )
+  }
+}
+
+/** Each turn with the pause after it; branches that overlap count their own time. */
+function workOf (turn: types.Turn, at: number, turns: readonly types.Turn[]): orderQueue.TurnWork {
+  const runMs = turn.endedAt - turn.startedAt
+  const next = turns[at + 1]
+  const ms = next === undefined ? runMs : Math.max(runMs, next.startedAt - turn.startedAt)
+  return { tokens: turn.tokens.prompt - turn.tokens.cached + turn.tokens.generated, runMs, ms }
+}
--- /dev/null
+++ b/packages/program-home/src/program-home.ts
@@ -0,0 +1,280 @@
+/** The home of programs: starts, calls, finishes, reads and hands over those that this process is the home of. */
+import * as admitProgram from '@eelgrasswind/admit-program'
+import * as errors from '@eelgrasswind/errors'
+import * as limitClient from '@eelgrasswind/limit-client'
+import * as programState from '@eelgrasswind/program-state'
+import type * as retainPrefix from '@eelgrasswind/retain-prefix'
+import type * as types from '@eelgrasswind/types'
+import * as callRunner from './call-runner.js'
+import * as journalWriter from './journal-writer.js'
+import * as learnings from './learning.js'
+import * as local from './local-program.js'
+import * as reserve from './reserve-budget.js'
+import * as runningCalls from './running-call.js'
+import * as startProgram from './start-program.js'
+import * as takeOvers from './take-over.js'
+
+export interface ProgramHomeDeps extends Omit<callRunner.CallRunnerDeps, 'learning'> {
+  readonly holdRule: retainPrefix.HoldRule
+  readonly admissionRule: admitProgram.AdmissionRule
+  readonly cacheUsed: (upstream: types.UpstreamId) => number
+  /** Slots of the engines beside this process, and the calls that wait for them. */
+  readonly ownSlots: () => { readonly slots: number, readonly waiting: number }
+}
+
+const retryMs = 500
+/** How long a settled intent of an earlier home may run on, in milliseconds. */
+const settlePatienceMs = 30_000
+
+export class ProgramHome {
+  private readonly programs = new Map<types.ProgramId, local.LocalProgram>()
+  private readonly opening = new Map<types.ProgramId, Promise<errors.Result<local.LocalProgram>>>()
+  private readonly learning: learnings.Learning
+  private readonly runner: callRunner.CallRunner
+  private draining = false
+
+  constructor (private readonly deps: ProgramHomeDeps) {
+    this.learning = new learnings.Learning(deps)
+    this.runner = new callRunner.CallRunner({ ...deps, learning: this.learning })
+  }
+
+  get size (): number {
+    return this.programs.size
+  }
+
+  // ---- start
+
+  async start (req: types.StartRequest, _ctx: types.RequestContext): Promise<errors.Result<types.ProgramDocument>> {
+    if (this.draining) return errors.fail(this.leavingFailure())
+    const known = this.programs.get(req.program)
+    if (known !== undefined) return this.sameStart(known.state, req)
+    const head = await this.deps.journal.head(req.program)
+    if (!head.ok) return errors.fail({ ...head.failure, verdict: 'notRun' })
+    if (head.value !== undefined) return await this.startAgain(req)
+    const start = startProgram.completeStart(this.deps.config(), req, this.deps.timers.now())
+    if (!start.ok) return start
+    const admitted = this.admit(start.value)
+    if (!admitted.ok) return admitted
+    return await this.begin(start.value, req)
+  }
+
+  private sameStart (state: programState.ProgramState, req: types.StartRequest): errors.Result<types.ProgramDocument> {
+    const field = startProgram.differingField(state.start, req)
+    if (field === undefined) return errors.ok(this.documentOf(state, false))
+    return errors.fail({ tag: 'startConflict', verdict: 'notRun', message: `program ${req.program} was started with another ${field}`, field })
+  }
+
+  private async startAgain (req: types.StartRequest): Promise<errors.Result<types.ProgramDocument>> {
+    const opened = await this.open(req.program)
+    return opened.ok ? this.sameStart(opened.value.state, req) : opened
+  }
+
+  private admit (start: types.ProgramStart): errors.Result<void> {
+    const { slots, waiting } = this.deps.ownSlots()
+    const input = this.learning.admissionInput(this.deps.config(), start, this.programs.values(), slots, waiting)
+    const decision = admitProgram.decideAdmission(this.deps.admissionRule, input)
+    if (decision.type === 'admit') return errors.ok(undefined)
+    this.deps.logger.info({ program: start.program, reason: decision.reason }, 'start refused')
+    return errors.fail({ tag: 'notAdmitted', verdict: 'notRun', message: `unlikely to finish in time: ${describe(decision.reason)}`, retryAfterMs: decision.retryAfterMs })
+  }
+
+  private async begin (start: types.ProgramStart, req: types.StartRequest): Promise<errors.Result<types.ProgramDocument>> {
+    const { self, journal, timers } = this.deps
+    const record: types.BeginRecord = { type: 'begin', program: start.program, n: 1, term: 0 as types.Term, start, home: self, at: timers.now() as types.EpochMs }
+    const appended = await journal.append(record)
+    if (!appended.ok) return appended
+    const effect = journalWriter.checkEffect(record, appended.value)
+    // Another process began it first, or an earlier copy of this very record took effect.
+    if (!effect.ok) return await this.startAgain(req)
+    const opened = await this.open(start.program)
+    return opened.ok ? errors.ok(this.documentOf(opened.value.state, false)) : opened
+  }
+
+  // ---- becoming and being the home
+
+  /** The program at home here; this process becomes its home where it may. */
+  private async open (program: types.ProgramId): Promise<errors.Result<local.LocalProgram>> {
+    const known = this.programs.get(program)
+    if (known !== undefined) return errors.ok(known)
+    const pending = this.opening.get(program)
+    if (pending !== undefined) return await pending
+    const opening = this.openNow(program).finally(() => this.opening.delete(program))
+    this.opening.set(program, opening)
+    return await opening
+  }
+
+  private async openNow (program: types.ProgramId): Promise<errors.Result<local.LocalProgram>> {
+    const state = await takeOvers.takeOver(this.deps, program)
+    if (!state.ok) return state
+    const opened = new local.LocalProgram(state.value, limitClient.createRetryBudget(limitClient.programRetrySettings))
+    if (state.value.finished !== null) {
+      this.deps.journal.release(program)
+      return errors.ok(opened)
+    }
+    this.programs.set(program, opened)
+    this.limitWallTime(opened)
+    this.settleIntents(opened)
+    return errors.ok(opened)
+  }
+
+  private limitWallTime (program: local.LocalProgram): void {
+    const leftMs = Math.max(0, reserve.wallLeftMs(program.state, this.deps.timers.now()))
+    program.wallLimit = this.deps.timers.after(leftMs, () => { void this.expire(program) })
+  }
+
+  private async expire (program: local.LocalProgram): Promise<void> {
+    await program.idle()
+    if (this.programs.get(program.id) !== program) return
+    const finished = await this.finishLocal(program, 'expired')
+    if (finished.ok || this.programs.get(program.id) !== program) return
+    program.wallLimit = this.deps.timers.after(retryMs, () => { void this.expire(program) })
+  }
+
+  /** Dispatches of an earlier home whose end is not known are found out now, not when their caller asks. */
+  private settleIntents (program: local.LocalProgram): void {
+    for (const intent of [...program.state.intents.values()]) {
+      const { key, branch, seq, target, digest } = intent
+      const call: types.Call = { program: program.id, client: program.state.start.client, key, branch, seq, idempotent: false, timeoutMs: settlePatienceMs, target }
+      const running = new runningCalls.RunningCall(call, digest)
+      program.running.set(key, running)
+      this.runner.settleIntent(program, running).catch((err: unknown) => this.deps.logger.error({ err, program: program.id, key }, 'intent not settled'))
+    }
+  }
+
+  /** Called when the journal shows that another process has become the home. */
+  superseded (program: types.ProgramId): void {
+    const known = this.programs.get(program)
+    if (known === undefined) return
+    this.deps.logger.warn({ program }, 'another process became the home')
+    this.forget(known)
+  }
+
+  private forget (program: local.LocalProgram): void {
+    program.releasing = true
+    program.wallLimit?.cancel()
+    this.programs.delete(program.id)
+    this.deps.journal.release(program.id)
+  }
+
+  // ---- calls
+
+  async call (call: types.Call, ctx: types.RequestContext, sink: types.CallSink): Promise<errors.Result<types.CallEnd>> {
+    const opened = await this.openForCall(call)
+    if (!opened.ok) return opened
+    return await this.runner.call(opened.value, call, ctx, sink)
+  }
+
+  private async openForCall (call: types.Call): Promise<errors.Result<local.LocalProgram>> {
+    if (this.draining && this.programs.get(call.program)?.running.has(call.key) !== true) return errors.fail(this.leavingFailure())
+    return await this.open(call.program)
+  }
+
+  private leavingFailure (): errors.Failure {
+    return { tag: 'shuttingDown', verdict: 'notRun', message: `${this.deps.self.host} is leaving`, retryAfterMs: retryMs }
+  }
+
+  // ---- finish and read
+
+  async finish (program: types.ProgramId, result: types.FinishResult, _ctx: types.RequestContext): Promise<errors.Result<types.ProgramDocument>> {
+    if (this.draining) return errors.fail(this.leavingFailure())
+    const opened = await this.open(program)
+    if (!opened.ok) return opened
+    const { state } = opened.value
+    if (state.finished !== null) return this.finishedAlready(state, result)
+    if (opened.value.running.size > 0) {
+      return errors.fail({ tag: 'inProgress', verdict: 'notRun', message: `${opened.value.running.size} calls are under way`, retryAfterMs: retryMs })
+    }
+    return await this.finishLocal(opened.value, result)
+  }
+
+  private finishedAlready (state: programState.ProgramState, result: types.FinishResult): errors.Result<types.ProgramDocument> {
+    if (state.finished === result) return errors.ok(this.documentOf(state, false))
+    return errors.fail({ tag: 'programFinished', verdict: 'notRun', message: `the program has ended: ${state.finished}`, result: state.finished ?? '' })
+  }
+
+  private async finishLocal (program: local.LocalProgram, result: types.FinishResult): Promise<errors.Result<types.ProgramDocument>> {
+    program.releasing = true
+    // The prefix goes even while the log is down: the program makes no more calls either way.
+    this.learning.dropPrefix(program)
+    const written = await journalWriter.writeRecord(this.deps.journal, program, { type: 'finish', result, at: this.deps.timers.now() as types.EpochMs })
+    if (!written.ok) {
+      program.releasing = false
+      return written
+    }
+    this.learning.noteFinish(program)
+    const document = this.documentOf(program.state, false)
+    this.forget(program)
+    return errors.ok(document)
+  }
+
+  async read (program: types.ProgramId, history: boolean): Promise<errors.Result<types.ProgramDocument>> {
+    const opened = await this.open(program)
+    return opened.ok ? errors.ok(this.documentOf(opened.value.state, history)) : opened
+  }
+
+  async list (limit: number): Promise<errors.Result<readonly types.ProgramSummary[]>> {
+    const summaries: types.ProgramSummary[] = []
+    for (const program of this.programs.values()) {
+      if (summaries.length >= limit) break
+      summaries.push(this.summaryOf(program.state))
+    }
+    return errors.ok(summaries)
+  }
+
+  explain (program: types.ProgramId, key: types.RequestKey | null): types.CallExplanation {
+    return { program, key, decisions: this.programs.get(program)?.decisionsTaken() ?? [] }
+  }
+
+  private documentOf (state: programState.ProgramState, history: boolean): types.ProgramDocument {
+    return { summary: this.summaryOf(state), history: history ? [...state.turns] : null }
+  }
+
+  private summaryOf (state: programState.ProgramState): types.ProgramSummary {
+    const { start, finished } = state
+    return {
+      program: start.program,
+      client: start.client,
+      kind: start.kind,
+      state: finished === null ? 'running' : 'finished',
+      result: finished,
+      home: state.home.host,
+      term: state.term,
+      turns: state.turns.length,
+      spent: programState.spent(state),
+      budget: start.budget,
+      deadline: start.deadline,
+      startedAt: state.at,
+      complete: state.complete
+    }
+  }
+
+  // ---- leaving
+
+  /** Lets go of a program: no new calls, those under way end and are written. False where it was not at home here. */
+  async release (program: types.ProgramId, askedBy: types.HostId): Promise<errors.Result<boolean>> {
+    const known = this.programs.get(program)
+    if (known === undefined) return errors.ok(false)
+    known.releasing = true
+    await known.idle()
+    if (this.programs.get(program) !== known) return errors.ok(false)
+    this.deps.logger.info({ program, askedBy }, 'released a program')
+    this.forget(known)
+    return errors.ok(true)
+  }
+
+  /** Takes no new calls and resolves when those under way have ended and are written. */
+  async drain (): Promise<void> {
+    this.draining = true
+    await Promise.all([...this.programs.values()].map((program) => program.idle()))
+  }
+}
+
+function describe (reason: admitProgram.AdmissionReason): string {
+  switch (reason.type) {
+    case 'rule': return 'the rule'
+    case 'queue': return `${reason.waiting} calls wait, at most ${reason.most} may`
+    case 'likelihood': return `likelihood ${reason.likelihood.toFixed(2)}, use ${reason.use.toFixed(2)}`
+    case 'deadlineTooClose': return `the deadline is too close, likelihood ${reason.likelihood.toFixed(2)}`
+    default: return errors.unreachable(reason)
+  }
+}
--- /dev/null
+++ b/packages/program-home/src/take-over.ts
@@ -0,0 +1,93 @@
+/** Makes this process the home of a program: loads it, or claims it from a home that let go or is gone. */
+import type * as appendJournal from '@eelgrasswind/append-journal'
+import * as errors from '@eelgrasswind/errors'
+import type * as logger from '@eelgrasswind/logger'
+import type * as programState from '@eelgrasswind/program-state'
+import type * as types from '@eelgrasswind/types'
+import type * as timerService from '@eelgrasswind/timer-service'
+import type * as ports from './ports.js'
+import * as journalWriter from './journal-writer.js'
+
+export interface TakeOverDeps {
+  readonly self: types.ProcessRef
+  readonly journal: appendJournal.Journal
+  readonly hosts: ports.HostsPort
+  readonly timers: timerService.TimerService
+  readonly logger: logger.Logger
+}
+
+/** Claims lost to others before this process stops trying. */
+const maxClaims = 3
+const retryMs = 500
+
+interface Head {
+  readonly term: types.Term
+  readonly n: number
+  readonly home: types.ProcessRef
+  readonly finished: types.FinishResult | null
+}
+
+type Claim =
+  | { readonly type: 'claim' }
+  /** The journal names this very process: it begun or claimed it and did not see the answer. */
+  | { readonly type: 'own' }
+  | { readonly type: 'refuse', readonly failure: errors.Failure }
+
+/** The whole state of a program that this process is now the home of, or that has ended. */
+export async function takeOver (deps: TakeOverDeps, program: types.ProgramId): Promise<errors.Result<programState.ProgramState>> {
+  for (let count = 0; count < maxClaims; count += 1) {
+    const head = await deps.journal.head(program)
+    if (!head.ok) return errors.fail({ ...head.failure, verdict: 'notRun' })
+    if (head.value === undefined) return errors.fail({ tag: 'unknownProgram', verdict: 'notRun', message: `no program ${program}` })
+    if (head.value.finished !== null) return await load(deps, program)
+    const decision = await mayClaim(deps, program, head.value)
+    if (decision.type === 'refuse') return errors.fail(decision.failure)
+    if (decision.type === 'own') return await load(deps, program)
+    const claimed = await claim(deps, program, head.value)
+    if (!claimed.ok) return claimed
+    if (claimed.value) return await load(deps, program)
+  }
+  return errors.fail(notHome(null, 'other processes claimed the program first'))
+}
+
+async function load (deps: TakeOverDeps, program: types.ProgramId): Promise<errors.Result<programState.ProgramState>> {
+  const loaded = await deps.journal.load(program)
+  if (!loaded.ok) return errors.fail({ ...loaded.failure, verdict: 'notRun' })
+  if (loaded.value === undefined) return errors.fail({ tag: 'unknownProgram', verdict: 'notRun', message: `no program ${program}` })
+  return errors.ok(loaded.value)
+}
+
+async function mayClaim (deps: TakeOverDeps, program: types.ProgramId, head: Head): Promise<Claim> {
+  const { host, incarnation } = head.home
+  if (host === deps.self.host) return incarnation === deps.self.incarnation ? { type: 'own' } : { type: 'claim' }
+  if (deps.hosts.stateOf(host) === 'gone') return { type: 'claim' }
+  const latest = deps.hosts.incarnationOf(host)
+  if (latest !== undefined && latest !== incarnation) return { type: 'claim' }
+  if (deps.hosts.stateOf(host) === 'live' && !deps.hosts.isFirstChoice(program)) return { type: 'refuse', failure: notHome(host, `${host} is its home`) }
+  return await askRelease(deps, program, host)
+}
+
+/** A home that lets go, or is not the home any more, or whose process is not there, makes way for a claim. */
+async function askRelease (deps: TakeOverDeps, program: types.ProgramId, host: types.HostId): Promise<Claim> {
+  const released = await deps.hosts.askRelease(host, program)
+  if (released.ok) return { type: 'claim' }
+  if (released.failure.verdict === 'notRun') return { type: 'claim' }
+  const state = deps.hosts.stateOf(host)
+  if (state === 'suspect' || state === 'gone') return { type: 'claim' }
+  return { type: 'refuse', failure: notHome(host, `${host} has not let go of it: ${released.failure.message}`) }
+}
+
+/** False when another process came first. */
+async function claim (deps: TakeOverDeps, program: types.ProgramId, head: Head): Promise<errors.Result<boolean>> {
+  const record: types.ClaimRecord = { type: 'claim', program, n: head.n + 1, term: head.term, home: deps.self, at: deps.timers.now() as types.EpochMs }
+  const appended = await deps.journal.append(record)
+  if (!appended.ok) return errors.fail({ ...appended.failure, verdict: 'notRun' })
+  const effect = journalWriter.checkEffect(record, appended.value)
+  deps.logger.info({ program, from: head.home.host, won: effect.ok }, 'claimed a program')
+  if (effect.ok) return errors.ok(true)
+  return effect.failure.tag === 'notHome' ? errors.ok(false) : errors.fail({ ...effect.failure, verdict: 'notRun' })
+}
+
+function notHome (home: string | null, message: string): errors.Failure {
+  return { tag: 'notHome', verdict: 'notRun', message, home, retryAfterMs: retryMs }
+}
--- a/packages/sidecar-client/src/handlers.ts
+++ b/packages/sidecar-client/src/handlers.ts
@@ -4,7 +4,7 @@
 
 /** Requests to the home of a program. */
 export interface HomeHandlers {
-  start: (start: types.ProgramStart, ctx: types.RequestContext) => Promise<errors.Result<types.ProgramDocument>>
+  start: (start: types.StartRequest, ctx: types.RequestContext) => Promise<errors.Result<types.ProgramDocument>>
   call: (call: types.Call, ctx: types.RequestContext, sink: types.CallSink) => Promise<errors.Result<types.CallEnd>>
   finish: (program: types.ProgramId, result: types.FinishResult, ctx: types.RequestContext) => Promise<errors.Result<types.ProgramDocument>>
   read: (program: types.ProgramId, history: boolean) => Promise<errors.Result<types.ProgramDocument>>
--- a/packages/types/src/program.ts
+++ b/packages/types/src/program.ts
@@ -20,7 +20,7 @@
   readonly microCost: number
 }
 
-/** What a caller says when starting a program. */
+/** What a program was started with. */
 export interface ProgramStart {
   readonly program: ids.ProgramId
   readonly client: ids.ClientId
@@ -29,6 +29,15 @@
   readonly budget: Budget
 }
 
+/** A start as its caller asks for it; what is left out comes from the configuration of its kind. */
+export interface StartRequest {
+  readonly program: ids.ProgramId
+  readonly client: ids.ClientId
+  readonly kind: ids.KindId
+  readonly deadline: ids.EpochMs | null
+  readonly budget: Partial<Budget>
+}
+
 /** One message of a conversation, in the chat-completions form. Unknown members are kept as they came. */
 export interface ChatMessage {
   readonly role: string
