--- a/packages/stand-ins/src/engine-messages.ts
+++ b/packages/stand-ins/src/engine-messages.ts
@@ -32,6 +32,9 @@
 export const sessionRequest = zod.object({ session: zod.string() })
 export const importRequest = zod.object({ session: zod.string(), chain: zod.array(chainLink) })
 
+/** Paths under /v1 other than generations. */
+export const controlPlace = zod.enum(['orders', 'load', 'sessions', 'cache', 'kv', 'state'])
+
 /** Faults of generations; their scope is the session. */
 const engineFault = zod.discriminatedUnion('type', [
   /** 503 with Retry-After; does not run. */
@@ -60,7 +63,7 @@
   /** A request other than a generation is refused, reset, left without an answer, or served with its answer lost. */
   zod.object({
     type: zod.literal('control'),
-    on: zod.enum(['orders', 'load', 'sessions', 'cache', 'kv', 'state']),
+    on: controlPlace,
     how: zod.enum(['refuse', 'reset', 'hang', 'loseAnswer'])
   })
 ])
--- a/packages/stand-ins/src/http-host.ts
+++ b/packages/stand-ins/src/http-host.ts
@@ -106,9 +106,9 @@
 }
 
 /** Announces a whole body, sends half of it and ends the connection. */
-export function sendTruncated (res: http.ServerResponse, text: string, headers: http.OutgoingHttpHeaders = {}): void {
+export function sendTruncated (res: http.ServerResponse, body: string | Buffer, headers: http.OutgoingHttpHeaders = {}): void {
   if (res.destroyed) return
-  const bytes = Buffer.from(text)
+  const bytes = Buffer.from(body)
   res.writeHead(200, { 'content-type': 'application/json', 'content-length': bytes.length, ...headers })
   res.write(bytes.subarray(0, bytes.length >> 1), () => { res.req.socket.destroy() })
 }
