--- /dev/null
+++ b/packages/process-base/src/index.ts
@@ -0,0 +1,2 @@
+/** What every process of the system shares: settings, hosts, configuration and its end. */
+export {}
--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -6,7 +6,7 @@
   'admit-program', 'retain-prefix', 'limit-client', 'decide-retry', 'membership']
 const peers = ['log-client', 'host-list-client', 'engine-client', 'service-client', 'weight-store-client',
   'sidecar-client', 'caller-server', 'metrics', 'tracing']
-const parts = ['append-journal', 'follow-config', 'guard-upstream', 'program-home']
+const parts = ['append-journal', 'follow-config', 'guard-upstream', 'program-home', 'process-base']
 const binaries = ['entry', 'sidecar', 'cli', 'load']
 const bench = ['stand-ins', 'test-utils', 'model-engines', 'slopes', 'demo']
 
@@ -21,7 +21,7 @@
   ...layer(pure, ['types', 'errors', 'timer-service', ...pure]),
   // A package for each peer; they know nothing of one another.
   ...layer(peers, [...base]),
-  ...layer(parts, [...base, ...pure, ...peers, 'append-journal']),
+  ...layer(parts, [...base, ...pure, ...peers, 'append-journal', 'follow-config']),
   ...layer(binaries, [...base, ...pure, ...peers, ...parts]),
   ...layer(['stand-ins'], base),
   ...layer(bench.filter((name) => name !== 'stand-ins'), [...base, ...pure, ...peers, ...parts, ...binaries, ...bench])
