--- a/packages/choose-home/src/rendezvous.ts
+++ b/packages/choose-home/src/rendezvous.ts
@@ -37,8 +37,16 @@
   return mix(mix(keyFirst ^ hostFirst) ^ keySecond ^ hostSecond)
 }
 
+/** A ranking longer than this is sorted whole. */
+const longRanking = 16
+
+function sorted (scores: Int32Array): number[] {
+  return Array.from(scores, (_, index) => index).sort((a, b) => scores[b]! - scores[a]! || a - b)
+}
+
 /** Indexes with the highest scores, highest first; of equal scores the lower index, which is the lesser host id. */
 function highest (scores: Int32Array, count: number): number[] {
+  if (count > longRanking) return sorted(scores).slice(0, count)
   const top: number[] = []
   for (let index = 0; index < scores.length; index += 1) {
     const score = scores[index]!
--- /dev/null
+++ b/packages/membership/src/membership.test.ts
@@ -0,0 +1,250 @@
+import * as assert from 'node:assert/strict'
+import tap from 'tap'
+import * as fc from 'fast-check'
+import * as chooseHome from '@eelgrasswind/choose-home'
+import type * as types from '@eelgrasswind/types'
+import * as membership from './membership.js'
+import * as selectHosts from './select-hosts.js'
+import * as config from './settings.js'
+
+const settings = config.defaultMembershipSettings
+const self = 'self' as types.HostId
+const first = 'run-1' as types.Incarnation
+const second = 'run-2' as types.Incarnation
+const h0 = 'h0' as types.HostId
+
+function entry (host: types.HostId, state: 'live' | 'leaving' = 'live'): types.HostEntry {
+  return {
+    host,
+    role: 'sidecar',
+    region: 'ncr' as types.RegionId,
+    availabilityZone: 'makati-a' as types.AvailabilityZoneId,
+    address: 'http://127.0.0.1:1',
+    state
+  }
+}
+
+function hostNames (count: number): types.HostId[] {
+  return Array.from({ length: count }, (_, index) => `h${index}` as types.HostId)
+}
+
+function listOf (version: number, hosts: readonly types.HostEntry[]): types.HostList {
+  return { version, hosts }
+}
+
+function start (count = 4): membership.Membership {
+  const table = membership.createMembership({ settings, self, now: 0 })
+  table.applyHostList(listOf(1, hostNames(count).map((host) => entry(host))), 0)
+  return table
+}
+
+function stateOf (table: membership.Membership, host: types.HostId): string | undefined {
+  return table.view().hosts.find((found) => found.entry.host === host)?.state
+}
+
+const selectAll = (): selectHosts.HostSelector => selectHosts.createHostSelector(() => true)
+
+tap.test('a failure takes effect at the next batch and an answer ends it', async (t) => {
+  const table = start()
+  table.noteFailure(h0, 100)
+  t.equal(stateOf(table, h0), 'live')
+  t.notOk(table.tick(settings.batchMs - 1))
+  t.ok(table.tick(settings.batchMs))
+  t.equal(stateOf(table, h0), 'suspect')
+  table.noteAnswer(h0, first, false, 1_500)
+  table.tick(2_000)
+  t.equal(stateOf(table, h0), 'live')
+})
+
+tap.test('a leaving host gets no new work at once, until another incarnation answers', async (t) => {
+  const table = start()
+  table.noteAnswer(h0, first, false, 10)
+  table.noteLeaving(h0, 20)
+  t.equal(stateOf(table, h0), 'leaving')
+  table.noteAnswer(h0, first, false, 30)
+  table.tick(1_000)
+  t.equal(stateOf(table, h0), 'leaving', 'a crossed answer of the same incarnation changes nothing')
+  table.noteAnswer(h0, second, false, 1_500)
+  table.noteAnswer(h0, first, true, 1_600)
+  table.tick(2_000)
+  t.equal(stateOf(table, h0), 'live', 'a late answer of the earlier incarnation says nothing of the new one')
+})
+
+tap.test('an empty or older list changes nothing', async (t) => {
+  const table = start()
+  const before = table.view()
+  table.applyHostList(listOf(9, []), 1_000)
+  table.applyHostList(listOf(0, [entry(h0)]), 1_000)
+  for (let now = 1_000; now <= 2 * settings.massLossMs; now += 1_000) table.tick(now)
+  t.equal(table.view(), before)
+})
+
+tap.test('a list that starts its versions anew is taken after a while', async (t) => {
+  const table = start(2)
+  const later = settings.staleListMs
+  table.applyHostList(listOf(0, [entry(h0, 'leaving'), entry('h1' as types.HostId)]), later)
+  table.tick(later)
+  t.equal(stateOf(table, h0), 'leaving')
+})
+
+tap.test('a list that loses most hosts keeps those that do not fail for longer', async (t) => {
+  const table = start(4)
+  table.applyHostList(listOf(2, [entry('h3' as types.HostId)]), 0)
+  table.noteFailure('h1' as types.HostId, 0)
+  table.tick(settings.missingMs)
+  t.equal(stateOf(table, h0), 'live')
+  t.equal(stateOf(table, 'h1' as types.HostId), 'gone')
+  table.tick(settings.massLossMs)
+  t.equal(stateOf(table, h0), 'gone')
+})
+
+tap.test('a host that the list drops is gone after the grace, and forgotten in the end', async (t) => {
+  const table = start(4)
+  table.applyHostList(listOf(2, hostNames(4).slice(1).map((host) => entry(host))), 0)
+  table.tick(settings.missingMs - 1)
+  t.equal(stateOf(table, h0), 'live')
+  table.tick(settings.missingMs + settings.batchMs)
+  t.equal(stateOf(table, h0), 'gone')
+  table.tick(settings.flapWindowMs)
+  t.equal(stateOf(table, h0), undefined)
+})
+
+tap.test('the view and its selections stay the same objects while nothing changes', async (t) => {
+  const table = start()
+  const select = selectAll()
+  const view = table.view()
+  const hosts = select(view)
+  table.noteAnswer(h0, first, false, 10)
+  table.noteFailure(h0, 20)
+  table.noteAnswer(h0, first, false, 30)
+  table.applyHostList(listOf(2, hostNames(4).map((host) => entry(host))), 40)
+  t.notOk(table.tick(1_000))
+  t.equal(table.view(), view)
+  t.equal(select(table.view()), hosts)
+})
+
+tap.test('probes are few a batch, and less often for each host', async (t) => {
+  const table = start(20)
+  for (const host of hostNames(20)) table.noteFailure(host, 0)
+  table.tick(settings.batchMs)
+  let sent = 0
+  for (let now = 1_000; now < 61_000; now += 1_000) {
+    const probes = table.takeProbes(now)
+    t.ok(probes.length <= settings.probesPerBatch)
+    sent += probes.length
+  }
+  const perHost = 20 * Math.ceil(60_000 / settings.maxProbeMs)
+  t.ok(sent >= perHost && sent <= perHost + 20 * 5, `${sent} probes`)
+})
+
+tap.test('a process that reaches almost nobody doubts itself', async (t) => {
+  const table = start(9)
+  const select = selectAll()
+  for (const host of hostNames(9).slice(0, 6)) table.noteFailure(host, 0)
+  table.tick(1_000)
+  t.equal(select(table.view()).length, 3, 'losing two thirds is believed')
+  table.noteFailure('h6' as types.HostId, 1_500)
+  table.noteLeaving('h7' as types.HostId, 1_500)
+  table.tick(2_000)
+  t.equal(select(table.view()).length, 8, 'all but the leaving one')
+})
+
+type Event =
+  | { readonly type: 'answer', readonly host: number, readonly run: number, readonly leaving: boolean }
+  | { readonly type: 'failure', readonly host: number }
+  | { readonly type: 'list', readonly missing: number, readonly version: number }
+  | { readonly type: 'pause', readonly ms: number }
+
+const hostCount = 4
+const eventArb: fc.Arbitrary<Event> = fc.oneof(
+  fc.record({ type: fc.constant('answer' as const), host: fc.nat(hostCount - 1), run: fc.nat(2), leaving: fc.boolean() }),
+  fc.record({ type: fc.constant('failure' as const), host: fc.nat(hostCount - 1) }),
+  fc.record({ type: fc.constant('list' as const), missing: fc.nat(2 ** hostCount - 1), version: fc.nat(30) }),
+  fc.record({ type: fc.constant('pause' as const), ms: fc.nat(20_000) })
+)
+
+function apply (table: membership.Membership, event: Event, now: number): void {
+  switch (event.type) {
+    case 'answer': return table.noteAnswer(`h${event.host}` as types.HostId, `run-${event.run}` as types.Incarnation, event.leaving, now)
+    case 'failure': return table.noteFailure(`h${event.host}` as types.HostId, now)
+    case 'list': {
+      const hosts = hostNames(hostCount).filter((_, index) => (event.missing & (1 << index)) === 0)
+      return table.applyHostList(listOf(event.version, hosts.map((host) => entry(host))), now)
+    }
+    case 'pause':
+  }
+}
+
+/** Runs events with a tick each second of a pause; calls back after every step. */
+function runEvents (events: readonly Event[], after: (table: membership.Membership, now: number, event: Event | 'tick') => void): void {
+  const table = start(hostCount)
+  let now = 0
+  for (const event of events) {
+    apply(table, event, now)
+    after(table, now, event)
+    const until = event.type === 'pause' ? now + event.ms : now
+    for (now += settings.batchMs; now <= until; now += settings.batchMs) {
+      table.tick(now)
+      after(table, now, 'tick')
+    }
+  }
+}
+
+tap.test('whatever happens, a dead host is not live after the next batch', async (t) => {
+  fc.assert(fc.property(fc.array(eventArb, { maxLength: 60 }), (events) => {
+    const failedAt = new Map<string, number>()
+    runEvents(events, (table, now, event) => {
+      if (event !== 'tick' && event.type === 'failure') failedAt.set(`h${event.host}`, failedAt.get(`h${event.host}`) ?? now)
+      if (event !== 'tick' && event.type === 'answer') failedAt.delete(`h${event.host}`)
+      if (event !== 'tick') return
+      for (const { entry: { host }, state } of table.view().hosts) {
+        if (failedAt.has(host) && now - failedAt.get(host)! >= settings.batchMs) assert.notEqual(state, 'live')
+      }
+    })
+  }), { seed: 11, numRuns: 500 })
+  t.pass('500 runs')
+})
+
+tap.test('whatever happens, one host comes back a bounded number of times and the version follows the view', async (t) => {
+  fc.assert(fc.property(fc.array(eventArb, { minLength: 40, maxLength: 200 }), (events) => {
+    let last = new Map<string, string>()
+    let lastVersion = 0
+    const returns = new Map<string, number[]>()
+    runEvents(events, (table, now) => {
+      const view = table.view()
+      const states = new Map(view.hosts.map((host) => [host.entry.host as string, host.state as string]))
+      if (view.version === lastVersion) assert.deepEqual(states, last)
+      for (const [host, state] of states) {
+        if (state !== 'live' || last.get(host) === 'live' || !last.has(host)) continue
+        const recent = [...returns.get(host) ?? [], now].filter((at) => now - at < settings.flapWindowMs)
+        returns.set(host, recent)
+        assert.ok(recent.length <= settings.maxReturns, `${host} returned ${recent.length} times`)
+      }
+      assert.ok(view.hosts.length > 0)
+      last = states
+      lastVersion = view.version
+    })
+  }), { seed: 12, numRuns: 300 })
+  t.pass('300 runs')
+})
+
+tap.test('a flapping host moves at most its share, 2 * maxReturns + 1 times a window', async (t) => {
+  const homes = await chooseHome.createHomeChooser()
+  const programs = Array.from({ length: 2_000 }, (_, index) => `p${index}` as types.ProgramId)
+  const table = start(20)
+  const select = selectAll()
+  const homesNow = (): (types.HostId | undefined)[] => programs.map((program) => homes.homeOf(program, select(table.view())))
+  let before = homesNow()
+  const share = before.filter((host) => host === h0).length
+  let moved = 0
+  for (let now = 1_000; now < settings.flapWindowMs; now += 1_000) {
+    if ((now / 1_000) % 10 === 0) table.noteFailure(h0, now)
+    if ((now / 1_000) % 10 === 5) table.noteAnswer(h0, first, false, now)
+    if (!table.tick(now)) continue
+    const after = homesNow()
+    moved += after.filter((host, index) => host !== before[index]).length
+    before = after
+  }
+  t.ok(share > 0)
+  t.equal(moved, (2 * settings.maxReturns + 1) * share)
+})
