--- /dev/null
+++ b/packages/entry/src/forward.ts
@@ -0,0 +1,94 @@
+/**
+ * Forwards requests to the home of their program. Homes answer a request that was asked before by its id or key,
+ * so asking again is safe whatever became of the earlier attempt; the verdict a caller sees covers all attempts.
+ */
+import * as decideRetry from '@eelgrasswind/decide-retry'
+import * as errors from '@eelgrasswind/errors'
+import * as limitClient from '@eelgrasswind/limit-client'
+import * as timerService from '@eelgrasswind/timer-service'
+import type * as sidecarClient from '@eelgrasswind/sidecar-client'
+import type * as types from '@eelgrasswind/types'
+
+export interface ForwardDeps {
+  readonly timers: timerService.TimerService
+  /** The home of a program and the hosts that would be home after it. */
+  readonly rankHomes: (program: types.ProgramId) => readonly types.HostId[]
+  readonly ask: <T>(host: types.HostId, send: (peer: sidecarClient.PeerClient) => Promise<errors.Result<T>>) => Promise<errors.Result<T>>
+  readonly isKnown: (host: types.HostId) => boolean
+  readonly random: () => number
+}
+
+const retrySettings: decideRetry.RetrySettings = { maxAttempts: 10, firstWaitMs: 50, maxWaitMs: 500 }
+/** Homes remembered where they are not the first choice. */
+const maxHints = 10_000
+const noHomeRetryMs = 1_000
+
+const noHome: errors.Failure = { tag: 'notHome', verdict: 'notRun', message: 'no live sidecar may be the home', home: null, retryAfterMs: noHomeRetryMs }
+
+export class Forwarder {
+  private retries = limitClient.createRetryBudget(limitClient.processRetrySettings)
+  private readonly hints = new Map<types.ProgramId, types.HostId>()
+
+  constructor (private readonly deps: ForwardDeps) {}
+
+  async forward<T> (program: types.ProgramId, deadline: number, send: (peer: sidecarClient.PeerClient) => Promise<errors.Result<T>>): Promise<errors.Result<T>> {
+    this.retries = limitClient.earnRetry(this.retries)
+    let worst: types.Verdict = 'notRun'
+    for (let attempt = 1; ; attempt += 1) {
+      const host = this.homeOf(program)
+      const result = host === undefined ? errors.fail(noHome) : await this.deps.ask(host, send)
+      if (result.ok) return result
+      worst = worse(worst, result.failure.verdict)
+      if (!concernsHome(result.failure)) return errors.fail(withVerdict(result.failure, worst))
+      const redirected = this.learnHome(program, host, result.failure)
+      const wait = redirected && attempt === 1 ? 0 : this.waitBefore(result.failure, attempt, deadline)
+      if (wait === undefined) return errors.fail(withVerdict(result.failure, worst))
+      if (wait > 0) await timerService.sleep(this.deps.timers, wait)
+    }
+  }
+
+  private waitBefore (failure: errors.Failure, attempt: number, deadline: number): number | undefined {
+    const decision = decideRetry.decideRetry({
+      failure,
+      idempotent: true,
+      attempt,
+      programBudget: { retriesLeft: 1 },
+      processBudget: this.retries,
+      now: this.deps.timers.monotonic(),
+      deadline,
+      random: this.deps.random
+    }, retrySettings)
+    if (decision.type === 'giveUp') return undefined
+    this.retries = limitClient.spendRetry(this.retries)
+    return decision.afterMs
+  }
+
+  private homeOf (program: types.ProgramId): types.HostId | undefined {
+    const hint = this.hints.get(program)
+    if (hint !== undefined && this.deps.isKnown(hint)) return hint
+    return this.deps.rankHomes(program)[0]
+  }
+
+  /** True when the failure names another home than the one that was asked. */
+  private learnHome (program: types.ProgramId, asked: types.HostId | undefined, failure: errors.Failure): boolean {
+    this.hints.delete(program)
+    if (failure.tag !== 'notHome' || failure.home === null || failure.home === asked) return false
+    if (this.hints.size >= maxHints) this.hints.clear()
+    this.hints.set(program, failure.home as types.HostId)
+    return true
+  }
+}
+
+/** Failures that say that the request did not find its home, or lost it on the way. */
+function concernsHome (failure: errors.Failure): boolean {
+  return failure.tag === 'notHome' || failure.tag === 'peerUnavailable' || failure.tag === 'shuttingDown'
+}
+
+function worse (a: types.Verdict, b: types.Verdict): types.Verdict {
+  if (a === 'ran' || b === 'ran') return 'ran'
+  return a === 'mayHaveRun' || b === 'mayHaveRun' ? 'mayHaveRun' : 'notRun'
+}
+
+function withVerdict (failure: errors.Failure, verdict: types.Verdict): errors.Failure {
+  return { ...failure, verdict }
+}
--- a/packages/process-base/src/index.ts
+++ b/packages/process-base/src/index.ts
@@ -1,2 +1,5 @@
 /** What every process of the system shares: settings, hosts, configuration and its end. */
-export {}
+export * from './base-settings.js'
+export * from './host-directory.js'
+export * from './load-settings.js'
+export * from './run-process.js'
