Clients of the log, host list, engines and services, and the logger

Cause: the parts need peers to talk to, and every failure must say whether the request may have run. Weighed: undici's request() with verdicts from error codes. Ruled out, since a request that is aborted while it waits for a connection then counts as sent. Change: each client hands the callbacks of dispatch() to one small state machine (errors.exchange), which sees the moment the request goes on the wire, refuses a second sending, checks the echoed id and bounds the body.

--- a/packages/engine-client/src/engine-client.ts
+++ b/packages/engine-client/src/engine-client.ts
@@ -1,6 +1,7 @@
 /** What the system asks of a model engine. */
 import type * as types from '@eelgrasswind/types'
 import type * as errors from '@eelgrasswind/errors'
+import type * as timerService from '@eelgrasswind/timer-service'
 
 /** One generation. */
 export interface EngineRequest {
@@ -75,9 +76,31 @@
   close: () => Promise<void>
 }
 
+/** A message of a cached prefix, named by the digest of all up to it. */
+export interface CacheLink {
+  readonly digest: string
+  readonly tokens: number
+}
+
+/** What one engine gives another to spare it the computing of a prefix. */
+export interface CacheExport {
+  readonly session: types.ProgramId
+  readonly chain: readonly CacheLink[]
+}
+
+/** Moves a session's cached prefix between engines. */
+export interface EngineCacheTransfer {
+  exportCache: (session: types.ProgramId) => Promise<errors.Result<CacheExport>>
+  importCache: (prefix: CacheExport) => Promise<errors.Result<void>>
+}
+
 export interface EngineSettings {
   readonly upstream: types.UpstreamId
   readonly address: string
   /** For short requests other than generations, in milliseconds. */
   readonly timeoutMs: number
+  /** Most bytes of an answer, its framing included. */
+  readonly maxAnswerBytes?: number
+  /** The process clock where left out. */
+  readonly timers?: timerService.TimerService
 }
--- a/packages/log-client/src/log-client.ts
+++ b/packages/log-client/src/log-client.ts
@@ -1,6 +1,7 @@
 /** What the system asks of the platform's append-only log service. */
 import type * as types from '@eelgrasswind/types'
 import type * as errors from '@eelgrasswind/errors'
+import type * as timerService from '@eelgrasswind/timer-service'
 
 /** One record as the log keeps it. */
 export interface LogRecord {
@@ -46,4 +47,6 @@
   readonly address: string
   /** After this an answer counts as lost, in milliseconds. */
   readonly timeoutMs: number
+  /** The process clock where left out. */
+  readonly timers?: timerService.TimerService
 }
--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -1,2 +1,2 @@
 /** Structured logs by bunyan, with the ids of program, call and host. */
-export {}
+export * from './logger.js'
--- /dev/null
+++ b/packages/service-client/src/create-service-client.ts
@@ -0,0 +1,57 @@
+/** The service client over HTTP. */
+import * as undici from 'undici'
+import * as errors from '@eelgrasswind/errors'
+import type * as serviceClient from './service-client.js'
+
+const connectTimeoutMs = 2000
+const keepAliveTimeoutMs = 30_000
+const maxConnections = 256
+
+function parseBody (body: Buffer): { readonly value: unknown } | undefined {
+  if (body.length === 0) return { value: null }
+  try {
+    return { value: JSON.parse(body.toString('utf8')) }
+  } catch {
+    return undefined
+  }
+}
+
+function headersOf (req: serviceClient.ServiceRequest, options: serviceClient.CallOptions): string[] {
+  const headers = ['content-type', 'application/json', 'x-request-id', req.requestId]
+  if (options.traceparent !== undefined) headers.push('traceparent', options.traceparent)
+  return headers
+}
+
+function answerOf (end: errors.ExchangeEnd): errors.Result<serviceClient.ServiceAnswer> {
+  if (end.type !== 'answered') return errors.fail(errors.upstreamFailure(end))
+  const { status } = end
+  if (errors.isRefusal(status)) return errors.fail(errors.upstreamRefusal(status, end.headers))
+  if (status >= 500) return errors.fail({ tag: 'upstreamFailed', verdict: 'mayHaveRun', message: `the service answered ${status}`, status })
+  const body = parseBody(end.body)
+  if (body === undefined) return errors.fail({ tag: 'answerBroken', verdict: 'ran', message: 'the answer is not JSON', detail: 'invalid' })
+  return errors.ok({ status, body: body.value })
+}
+
+/** Connects on the first call and keeps connections for the next ones. Never sends a request twice. */
+export function createServiceClient (settings: serviceClient.ServiceSettings): serviceClient.ServiceClient {
+  const pool = new undici.Pool(settings.address, {
+    connections: maxConnections,
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    keepAliveTimeout: keepAliveTimeoutMs,
+    connect: { timeout: connectTimeoutMs }
+  })
+
+  async function call (req: serviceClient.ServiceRequest, options: serviceClient.CallOptions): Promise<errors.Result<serviceClient.ServiceAnswer>> {
+    const { requestId } = req
+    const path = req.path.startsWith('/') ? req.path : `/${req.path}`
+    const body = Buffer.from(JSON.stringify(req.body ?? null))
+    const end = await errors.exchange({ requestId, maxBytes: settings.maxAnswerBytes, signal: options.signal }, (handler) => {
+      pool.dispatch({ path, method: 'POST', headers: headersOf(req, options), body }, handler)
+    })
+    return answerOf(end)
+  }
+
+  return { call, close: () => pool.close() }
+}
--- a/packages/stand-ins/src/http-host.ts
+++ b/packages/stand-ins/src/http-host.ts
@@ -83,9 +83,16 @@
   sendJson(res, status, { error: { message: err instanceof Error ? err.message : String(err) } })
 }
 
+/** Every protocol of the platform gives the id of a request back with its answer. */
+function echoRequestId (req: http.IncomingMessage, res: http.ServerResponse): void {
+  const requestId = req.headers['x-request-id']
+  if (typeof requestId === 'string') res.setHeader('x-request-id', requestId)
+}
+
 /** Serves on loopback; port 0 takes a free one. */
 export async function createHttpHost (port: number, handle: (exchange: Exchange) => Promise<void> | void): Promise<HttpHost> {
   const server = http.createServer((req, res) => {
+    echoRequestId(req, res)
     toExchange(req, res).then(handle).catch((err: unknown) => sendError(res, err))
   })
   server.keepAliveTimeout = keepAliveMs
