--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,3 @@
-/** The entry process: HTTP to callers, forwarding to each program's home. */
-export {}
+/** The entry process. */
+export * from './entry.js'
+export * from './settings.js'
--- a/packages/process-base/src/index.ts
+++ b/packages/process-base/src/index.ts
@@ -2,4 +2,5 @@
 export * from './base-settings.js'
 export * from './host-directory.js'
 export * from './load-settings.js'
+export * from './process-base.js'
 export * from './run-process.js'
--- a/packages/process-base/src/run-process.ts
+++ b/packages/process-base/src/run-process.ts
@@ -13,12 +13,14 @@
   /** Takes no new work and resolves when what is under way has ended. */
   readonly drain: () => Promise<void>
   readonly close: () => Promise<void>
+  readonly logger: logger.Logger
 }
 
 const exitForced = 1
 
 /** Ends gracefully on SIGTERM and SIGINT; a second signal, or more than drainMs, ends it at once. */
-export function runUntilSignal (running: RunningProcess, drainMs: number, log: logger.Logger): void {
+export function runUntilSignal (running: RunningProcess, drainMs: number): void {
+  const log = running.logger
   let ending = false
   const end = (signal: NodeJS.Signals): void => {
     if (ending) process.exit(exitForced)
--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -1,2 +1,3 @@
 /** The process beside each upstream host. */
-export {}
+export * from './settings.js'
+export * from './sidecar.js'
--- /dev/null
+++ b/packages/sidecar/src/ports.ts
@@ -0,0 +1,34 @@
+/** Joins the home of programs to the other processes: what is for this host goes straight to its own door. */
+import * as errors from '@eelgrasswind/errors'
+import type * as guardUpstream from '@eelgrasswind/guard-upstream'
+import type * as processBase from '@eelgrasswind/process-base'
+import type * as programHome from '@eelgrasswind/program-home'
+import type * as types from '@eelgrasswind/types'
+
+export function createDispatchPort (self: types.HostId, guard: guardUpstream.UpstreamGuard, directory: processBase.HostDirectory): programHome.DispatchPort {
+  return {
+    dispatch: (host, dispatch, ctx, signal, onDelta) => host === self
+      ? guard.dispatch(dispatch, ctx, signal, onDelta)
+      : directory.ask(host, (peer) => peer.dispatch(dispatch, ctx, signal, onDelta)),
+    seal: (host, seal) => host === self ? guard.seal(seal) : directory.ask(host, (peer) => peer.seal(seal)),
+    hold: (host, program, term, upstream, holdMs) => host === self
+      ? guard.hold(program, term, upstream, holdMs)
+      : directory.ask(host, (peer) => peer.hold(program, term, upstream, holdMs)),
+    drop: (host, program, term, upstream) => host === self
+      ? guard.drop(program, term, upstream)
+      : directory.ask(host, (peer) => peer.drop(program, term, upstream))
+  }
+}
+
+export function createHostsPort (self: types.HostId, directory: processBase.HostDirectory): programHome.HostsPort {
+  return {
+    stateOf: (host) => directory.stateOf(host),
+    incarnationOf: (host) => directory.incarnationOf(host),
+    async askIncarnation (host) {
+      const status = await directory.ask(host, (peer) => peer.status())
+      return status.ok ? errors.ok(status.value.incarnation) : status
+    },
+    isFirstChoice: (program) => directory.rankHomes(program)[0] === self,
+    askRelease: (host, program) => directory.ask(host, (peer) => peer.release(program, self))
+  }
+}
