--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -1,2 +1,6 @@
 /** Fixtures that tests share. */
-export {}
+export * from './eventually.js'
+export * from './free-port.js'
+export * from './spawn-process.js'
+export * from './start-stand-ins.js'
+export type * from './test-scope.js'
--- /dev/null
+++ b/packages/test-utils/src/test-utils.test.ts
@@ -0,0 +1,39 @@
+import tap from 'tap'
+import * as testUtils from './index.js'
+
+tap.test('eventually waits for a check and gives its value', async (t) => {
+  let tries = 0
+  t.equal(await testUtils.eventually(() => { tries += 1; return tries === 3 && 'done' }), 'done')
+  await t.rejects(testUtils.eventually(() => { throw new Error('never') }, 50), { cause: { message: 'never' } })
+})
+
+tap.test('free ports differ and refuse connections', async (t) => {
+  const ports = await testUtils.freePorts(3)
+  t.equal(new Set(ports).size, 3)
+  await t.rejects(fetch(await testUtils.refusingAddress()))
+})
+
+tap.test('a stand-in process takes control, pauses and dies', async (t) => {
+  const standIn = await testUtils.spawnStandIn(t, { kind: 'service' })
+  const call = (): Promise<Response> => fetch(`${standIn.address}/orders`, { method: 'POST', headers: { 'x-request-id': 'r1' }, body: '{}', signal: AbortSignal.timeout(300) })
+  t.equal((await call()).status, 200)
+  await standIn.control({ type: 'fault', fault: { type: 'refuse' }, times: 1 })
+  t.equal((await call()).status, 503)
+  t.match(await standIn.counters(), { executions: { r1: 1 }, requests: { r1: 2 } })
+  standIn.pause()
+  await t.rejects(call(), { name: 'TimeoutError' })
+  standIn.resume()
+  await testUtils.eventually(async () => (await call()).ok)
+  await standIn.kill()
+  await t.rejects(call())
+})
+
+tap.test('a process that ends before it is ready fails with its output', async (t) => {
+  await t.rejects(testUtils.spawnStandIn(t, { kind: 'nothing' } as unknown as testUtils.StandInProcess), /Invalid/)
+})
+
+tap.test('the stand-ins of a deployment answer', async (t) => {
+  const { log, engines } = await testUtils.startStandIns(t, { engines: [testUtils.instantEngine, testUtils.instantEngine] })
+  t.equal((await fetch(`${log.address}/v1/streams/s/records`, { method: 'POST', body: 'x' })).status, 201)
+  t.equal(engines.length, 2)
+})
