--- a/packages/config-state/src/config.ts
+++ b/packages/config-state/src/config.ts
@@ -1,11 +1,13 @@
 /** The configuration in force, with its sections as maps by branded id. */
 import type * as types from '@eelgrasswind/types'
-import type * as schema from './schema.js'
+import * as schema from './schema.js'
 
 /** Names of the sections that are keyed by id. */
 export const keyedSections = ['hosts', 'models', 'services', 'clients', 'kinds'] as const
 export type KeyedSection = typeof keyedSections[number]
-export type Section = KeyedSection | 'limits'
+/** Names of all sections, in the order in which they are shown. */
+export const sections = [...keyedSections, 'limits'] as const
+export type Section = typeof sections[number]
 
 export interface Config {
   readonly hosts: ReadonlyMap<types.HostId, schema.Host>
@@ -47,3 +49,6 @@
     limits: config.limits
   }
 }
+
+/** What is in force before the first change: no host, no client, and the default limits. */
+export const emptyConfig: Config = fromDocument(schema.documentShape.parse({}))
--- a/packages/config-state/src/schema.ts
+++ b/packages/config-state/src/schema.ts
@@ -1,4 +1,5 @@
 /** Schema of the published configuration, as an operator writes it: one JSON document with six sections. */
+import * as net from 'node:net'
 import * as types from '@eelgrasswind/types'
 import * as z from 'zod'
 
@@ -9,6 +10,7 @@
 
 const maxTimeMs = 30 * 24 * 60 * 60 * 1000
 const maxCount = 1_000_000_000
+const maxPort = 65_535
 
 function id<Id extends string> (description: string): z.ZodType<Id, string> {
   const schema = z.string().regex(types.idPattern, 'an id: letters, digits and . _ ~ -, at most 128').meta({ description })
@@ -31,9 +33,16 @@
   return z.number().positive().max(maxCount).meta({ description, unit })
 }
 
-const addressPattern = /^http:\/\/(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/
+/** Whether a text is `http://IP:PORT` with an IP number and a port. */
+export function isAddress (text: string): boolean {
+  const match = /^http:\/\/(?:([\d.]+)|\[([\da-fA-F:.]+)\]):(\d{1,5})$/.exec(text)
+  if (match === null) return false
+  const port = Number(match[3])
+  return net.isIP(match[1] ?? match[2] ?? '') !== 0 && port >= 1 && port <= maxPort
+}
+
 const address = z.string()
-  .regex(addressPattern, 'an address as http://IP:PORT')
+  .refine(isAddress, 'an address as http://IP:PORT')
   .meta({ description: 'Where the sidecar beside it reaches the upstream, as http://IP:PORT.' })
 
 const slots = count('calls', 'Calls that the upstream runs at the same time.')
--- a/packages/parse-settings/src/json-schema.ts
+++ b/packages/parse-settings/src/json-schema.ts
@@ -21,8 +21,15 @@
   readonly anyOf?: readonly JsonSchema[]
 }
 
+const converted = new WeakMap<z.ZodType, JsonSchema>()
+
+/** The JSON Schema of a zod schema; converted once. */
 export function jsonSchemaOf (schema: z.ZodType): JsonSchema {
-  return z.toJSONSchema(schema, { io: 'input', unrepresentable: 'any', reused: 'inline' }) as JsonSchema
+  const known = converted.get(schema)
+  if (known !== undefined) return known
+  const found = z.toJSONSchema(schema, { io: 'input', unrepresentable: 'any', reused: 'inline' }) as JsonSchema
+  converted.set(schema, found)
+  return found
 }
 
 /** The forms that a value may have: the options of a union, or the schema alone. */
