--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,2 +1,2 @@
 /** Starts the whole system on embedded stand-ins and runs one kit order program. */
-export {}
+export * from './kit-order.js'
--- a/packages/process-base/src/run-process.ts
+++ b/packages/process-base/src/run-process.ts
@@ -3,7 +3,8 @@
 
 /** Printed as one JSON line on standard output when the process takes requests. */
 export interface ReadyLine {
-  readonly ready: string
+  readonly ready: true
+  readonly binary: string
   readonly peerAddress: string
   readonly callerAddress?: string
 }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -76,7 +76,7 @@
     await base.close()
   }
 
-  return { ready: { ready: 'eelgrasswind-sidecar', peerAddress: `http://${cfg.bindAddress}:${server.port}` }, drain, close, logger }
+  return { ready: { ready: true as const, binary: 'eelgrasswind-sidecar', peerAddress: `http://${cfg.bindAddress}:${server.port}` }, drain, close, logger }
 }
 
 const noConfigVersion = 0 as types.ConfigVersion
--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -5,7 +5,7 @@
 const pure = ['parse-settings', 'program-state', 'config-state', 'choose-home', 'place-call', 'order-queue',
   'admit-program', 'retain-prefix', 'limit-client', 'decide-retry', 'membership']
 const peers = ['log-client', 'host-list-client', 'engine-client', 'service-client', 'weight-store-client',
-  'sidecar-client', 'caller-server', 'metrics', 'tracing']
+  'sidecar-client', 'caller-server', 'caller-client', 'metrics', 'tracing']
 const parts = ['append-journal', 'follow-config', 'guard-upstream', 'program-home', 'process-base']
 const binaries = ['entry', 'sidecar', 'cli', 'load']
 const bench = ['stand-ins', 'test-utils', 'model-engines', 'slopes', 'demo']
