Property test of dispatch records: at most once over late, crossed and repeated dispatches

Seen red with each guard taken out: the incarnation check of a dispatch, the refusal of sealed intents, the order of intents, the retention of records (20 s instead of 15 min), the age bound, and the incarnation check of a seal. The last one passed at first because fast-check's default array size gave schedules of about ten steps; with 10 to 40 steps it is found.

--- /dev/null
+++ b/packages/guard-upstream/src/dispatch-records.test.ts
@@ -0,0 +1,153 @@
+import tap from 'tap'
+import * as fc from 'fast-check'
+import type * as errors from '@eelgrasswind/errors'
+import type * as types from '@eelgrasswind/types'
+import * as dispatchRecords from './dispatch-records.js'
+
+const program = 'p1' as types.ProgramId
+const key = 'print-1' as types.RequestKey
+const upstream = 'kit-1' as types.UpstreamId
+
+function dispatchOf (): types.Dispatch {
+  return {
+    program,
+    key,
+    term: 1 as types.Term,
+    upstream,
+    intent: null,
+    timeoutMs: 1_000,
+    queue: { kind: 'k' as types.KindId, deadline: 0 as types.EpochMs, weight: 1, attainedTokens: 0, expectedRemainingMs: 0 },
+    payload: { type: 'service', path: '/print', body: null }
+  }
+}
+
+const answered: errors.Result<types.DispatchAnswer> = { ok: true, value: { outcome: { type: 'service', status: 200, body: 1 }, tokens: { prompt: 0, cached: 0, generated: 0 }, load: null } }
+
+function failed (verdict: types.Verdict): errors.Result<types.DispatchAnswer> {
+  return { ok: false, failure: { tag: 'upstreamFailed', verdict, message: 'failed', status: 500 } }
+}
+
+type Op =
+  /** A home writes an intent, if the one before is settled as notRun. */
+  | { readonly type: 'intent' }
+  /** A copy of any dispatch so far arrives: late, crossed or twice. */
+  | { readonly type: 'arrive', readonly which: number }
+  /** The call whose turn came ends. */
+  | { readonly type: 'end', readonly how: 'answered' | types.Verdict }
+  /** Some home asks what became of the open intent. */
+  | { readonly type: 'seal' }
+  | { readonly type: 'restart' }
+  | { readonly type: 'wait', readonly ms: number }
+
+const opArb: fc.Arbitrary<Op> = fc.oneof(
+  { weight: 3, arbitrary: fc.record({ type: fc.constant('intent' as const) }) },
+  { weight: 5, arbitrary: fc.record({ type: fc.constant('arrive' as const), which: fc.nat(5) }) },
+  { weight: 3, arbitrary: fc.record({ type: fc.constant('end' as const), how: fc.constantFrom('answered' as const, 'notRun' as const, 'mayHaveRun' as const, 'ran' as const) }) },
+  { weight: 3, arbitrary: fc.record({ type: fc.constant('seal' as const) }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('restart' as const) }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('wait' as const), ms: fc.constantFrom(10, 30_000, dispatchRecords.recordRetentionMs) }) }
+)
+
+/** Homes as the journal allows them: one open intent at a time, a new one only after notRun. */
+class World {
+  executions = 0
+  private now = 1_000_000
+  private runs = 1
+  private records = dispatchRecords.createDispatchRecords(this.incarnation(), () => this.now)
+  private intents: { readonly intent: types.DispatchIntent, toldNotRun: boolean }[] = []
+  private open = false
+  private closed = false
+  private running: (() => void) | undefined
+  private endRunning: ((result: errors.Result<types.DispatchAnswer>) => void) | undefined
+
+  private incarnation (): types.Incarnation {
+    return `run-${this.runs}` as types.Incarnation
+  }
+
+  apply (op: Op): void {
+    switch (op.type) {
+      case 'intent': return this.writeIntent()
+      case 'arrive': return this.arrive(op.which)
+      case 'end': return this.end(op.how)
+      case 'seal': return this.seal()
+      case 'restart': return this.restart()
+      case 'wait': this.now += op.ms; this.records.forgetOld()
+    }
+  }
+
+  private writeIntent (): void {
+    if (this.open || this.closed) return
+    this.open = true
+    const position = (this.intents.length + 1) * 10 as types.Term
+    this.intents.push({ intent: { position, at: this.now as types.EpochMs, incarnation: this.incarnation() }, toldNotRun: false })
+  }
+
+  private arrive (which: number): void {
+    const sent = this.intents[which]
+    if (sent === undefined) return
+    const permission = this.records.permit(dispatchOf(), sent.intent)
+    if (permission.type !== 'run') return
+    if (sent.toldNotRun) throw new Error('ran after notRun was told')
+    this.executions += 1
+    const records = this.records
+    let ended = false
+    records.noteWaiting(dispatchOf(), sent.intent, () => { ended = true }, Promise.resolve(answered))
+    records.noteRunning(dispatchOf())
+    this.endRunning = (result) => {
+      if (ended) return
+      ended = true
+      if (!result.ok && result.failure.verdict === 'notRun') this.executions -= 1
+      records.noteEnded(dispatchOf(), result)
+    }
+  }
+
+  private end (how: 'answered' | types.Verdict): void {
+    this.endRunning?.(how === 'answered' ? answered : failed(how))
+    this.endRunning = undefined
+  }
+
+  private seal (): void {
+    const last = this.intents.at(-1)
+    if (!this.open || last === undefined) return
+    const { position, incarnation } = last.intent
+    const state = this.records.seal({ program, key, upstream, intent: position, incarnation })
+    if (state.type === 'running') return
+    this.open = false
+    last.toldNotRun = state.type === 'sealed'
+    this.closed = !last.toldNotRun
+  }
+
+  private restart (): void {
+    this.runs += 1
+    this.endRunning = undefined
+    this.records = dispatchRecords.createDispatchRecords(this.incarnation(), () => this.now)
+  }
+}
+
+tap.test('a key runs at most once, and never after notRun was told', async (t) => {
+  fc.assert(fc.property(fc.array(opArb, { minLength: 10, maxLength: 40, size: 'max' }), (ops) => {
+    const world = new World()
+    for (const op of ops) {
+      world.apply(op)
+      if (world.executions > 1) throw new Error(`ran ${world.executions} times`)
+    }
+  }), { seed: 4, numRuns: 5_000 })
+  t.pass('5000 schedules')
+})
+
+tap.test('a sealed intent is refused as notRun, a later one runs', async (t) => {
+  const records = dispatchRecords.createDispatchRecords('run-1' as types.Incarnation, () => 0)
+  const intent = (position: number): types.DispatchIntent => ({ position: position as types.Term, at: 0 as types.EpochMs, incarnation: 'run-1' as types.Incarnation })
+  const sealed = records.seal({ program, key, upstream, intent: 10 as types.Term, incarnation: 'run-1' as types.Incarnation })
+  t.same(sealed, { type: 'sealed' })
+  t.match(records.permit(dispatchOf(), intent(10)), { type: 'refuse', failure: { tag: 'sealed', verdict: 'notRun' } })
+  t.match(records.permit(dispatchOf(), intent(11)), { type: 'run' })
+})
+
+tap.test('a dispatch meant for another run of the process, or far too old, is refused', async (t) => {
+  const records = dispatchRecords.createDispatchRecords('run-2' as types.Incarnation, () => 1_000_000)
+  const intent = { position: 1 as types.Term, at: 1_000_000 as types.EpochMs, incarnation: 'run-1' as types.Incarnation }
+  t.match(records.permit(dispatchOf(), intent), { type: 'refuse', failure: { tag: 'wrongIncarnation', verdict: 'notRun' } })
+  const old = { ...intent, incarnation: 'run-2' as types.Incarnation, at: (1_000_000 - dispatchRecords.maxIntentAgeMs - 1) as types.EpochMs }
+  t.match(records.permit(dispatchOf(), old), { type: 'refuse', failure: { field: 'intent.at', verdict: 'notRun' } })
+})
