A seal of a forgotten intent no longer says notRun

Cause: dispatch records are dropped 15 minutes after their last change, and a seal that found none said sealed, so notRun. A home that settled an intent later than that (a program idle through the death of its home) would have run the call a second time. Found by the property test with schedules of 10 to 40 steps: intent, run, answered, wait 15 min, seal, intent, run. Change: a seal carries the time of its intent; a guard that may have forgotten it answers forgotten, which the home writes as mayHaveRun.

--- a/packages/guard-upstream/src/dispatch-records.test.ts
+++ b/packages/guard-upstream/src/dispatch-records.test.ts
@@ -109,8 +109,8 @@
   private seal (): void {
     const last = this.intents.at(-1)
     if (!this.open || last === undefined) return
-    const { position, incarnation } = last.intent
-    const state = this.records.seal({ program, key, upstream, intent: position, incarnation })
+    const { position, at, incarnation } = last.intent
+    const state = this.records.seal({ program, key, upstream, intent: position, intentAt: at, incarnation })
     if (state.type === 'running') return
     this.open = false
     last.toldNotRun = state.type === 'sealed'
@@ -138,7 +138,7 @@
 tap.test('a sealed intent is refused as notRun, a later one runs', async (t) => {
   const records = dispatchRecords.createDispatchRecords('run-1' as types.Incarnation, () => 0)
   const intent = (position: number): types.DispatchIntent => ({ position: position as types.Term, at: 0 as types.EpochMs, incarnation: 'run-1' as types.Incarnation })
-  const sealed = records.seal({ program, key, upstream, intent: 10 as types.Term, incarnation: 'run-1' as types.Incarnation })
+  const sealed = records.seal({ program, key, upstream, intent: 10 as types.Term, intentAt: 0 as types.EpochMs, incarnation: 'run-1' as types.Incarnation })
   t.same(sealed, { type: 'sealed' })
   t.match(records.permit(dispatchOf(), intent(10)), { type: 'refuse', failure: { tag: 'sealed', verdict: 'notRun' } })
   t.match(records.permit(dispatchOf(), intent(11)), { type: 'run' })
--- a/packages/guard-upstream/src/dispatch-records.ts
+++ b/packages/guard-upstream/src/dispatch-records.ts
@@ -111,7 +111,7 @@
   function seal (wanted: types.Seal): types.SealState {
     if (wanted.incarnation !== incarnation) return { type: 'otherIncarnation' }
     const record = records.get(nameOf(wanted))
-    if (record === undefined) return sealNow(wanted)
+    if (record === undefined) return isRemembered(wanted.intentAt) ? sealNow(wanted) : { type: 'forgotten' }
     const state = record.state
     switch (state.type) {
       case 'sealed': return sealNow({ ...wanted, intent: Math.max(wanted.intent, record.intent) as types.Term })
@@ -125,6 +125,15 @@
     }
   }
 
+  /**
+   * Whether a dispatch of the intent, had it come, would still be on record, and whether a seal would outlast all
+   * that may come. A dispatch is accepted only within maxIntentAgeMs of the intent's time.
+   */
+  function isRemembered (intentAt: number): boolean {
+    const ageMs = now() - intentAt
+    return ageMs >= -maxIntentAgeMs && ageMs <= recordRetentionMs - maxIntentAgeMs
+  }
+
   /** Dispatches of this intent and of all before it are refused from now on. */
   function sealNow (wanted: types.Seal): types.SealState {
     records.set(nameOf(wanted), { intent: wanted.intent, state: { type: 'sealed' }, changedAt: now() })
--- a/packages/program-home/src/call-runner.ts
+++ b/packages/program-home/src/call-runner.ts
@@ -216,7 +216,7 @@
 
   private async endOfIntent (attempt: Attempt, placed: { readonly upstream: types.UpstreamId, readonly host: types.HostId }, dispatchTo: types.ProcessRef, position: types.Term, startedAt: types.EpochMs, result: errors.Result<types.DispatchAnswer>): Promise<AttemptEnd> {
     const { program, running } = attempt
-    const known = await this.knownEnd(attempt, placed, dispatchTo, position, result)
+    const known = await this.knownEnd(attempt, { upstream: placed.upstream, dispatchTo, position, at: startedAt }, result)
     switch (known.type) {
       case 'answered': return { type: 'answered', answer: known.answer, upstream: placed.upstream, host: placed.host, startedAt }
       case 'failed': return { type: 'recordFailure', outcome: known, upstream: placed.upstream, startedAt }
@@ -229,14 +229,14 @@
     }
   }
 
-  private async knownEnd (attempt: Attempt, placed: { readonly upstream: types.UpstreamId }, dispatchTo: types.ProcessRef, position: types.Term, result: errors.Result<types.DispatchAnswer>): Promise<resolving.IntentEnd> {
+  private async knownEnd (attempt: Attempt, intent: Pick<resolving.IntentRef, 'upstream' | 'dispatchTo' | 'position' | 'at'>, result: errors.Result<types.DispatchAnswer>): Promise<resolving.IntentEnd> {
     if (result.ok) return { type: 'answered', answer: result.value }
     const { failure } = result
     if (failure.verdict === 'notRun') return { type: 'notRun' }
     if (failure.verdict === 'ran') return { type: 'failed', verdict: 'ran', tag: failure.tag, message: failure.message }
     const { program, running, deadline } = attempt
     const leftMs = Math.max(0, deadline - this.deps.timers.monotonic())
-    return await resolving.resolveIntent(this.deps, { program: program.id, key: running.call.key, upstream: placed.upstream, position, dispatchTo }, leftMs)
+    return await resolving.resolveIntent(this.deps, { program: program.id, key: running.call.key, ...intent }, leftMs)
   }
 
   private async incarnationOf (host: types.HostId): Promise<errors.Result<types.Incarnation>> {
--- a/packages/program-home/src/resolve-intent.ts
+++ b/packages/program-home/src/resolve-intent.ts
@@ -19,6 +19,8 @@
   readonly upstream: types.UpstreamId
   /** Position of the intent, or any later position of the same program where that is not known. */
   readonly position: types.Term
+  /** When it was written, by its home's clock. */
+  readonly at: types.EpochMs
   readonly dispatchTo: types.ProcessRef
 }
 
@@ -53,7 +55,7 @@
 }
 
 function sealOf (intent: IntentRef): types.Seal {
-  return { program: intent.program, key: intent.key, upstream: intent.upstream, intent: intent.position, incarnation: intent.dispatchTo.incarnation }
+  return { program: intent.program, key: intent.key, upstream: intent.upstream, intent: intent.position, intentAt: intent.at, incarnation: intent.dispatchTo.incarnation }
 }
 
 function endOf (state: types.SealState): IntentEnd | undefined {
@@ -63,6 +65,7 @@
     case 'answered': return { type: 'answered', answer: state.answer }
     case 'failed': return state
     case 'otherIncarnation': return unknownEnd('wrongIncarnation', 'its sidecar was replaced')
+    case 'forgotten': return unknownEnd('timeout', 'it is too long ago')
     default: return errors.unreachable(state)
   }
 }
--- a/packages/sidecar-client/src/peer-client.ts
+++ b/packages/sidecar-client/src/peer-client.ts
@@ -130,7 +130,7 @@
     release: (program, askedBy) => askDocument(() => home.release({ program, askedBy }, short), (reply) => reply.released),
     list: (limit) => askDocument(() => home.list({ limit }, short), (reply) => convert.fromJson(reply.programsJson)),
     dispatch,
-    seal: (seal) => ask(() => upstream.seal({ ...seal, intent: BigInt(seal.intent) }, short)),
+    seal: (seal) => ask(() => upstream.seal({ ...seal, intent: BigInt(seal.intent), intentAtMs: seal.intentAt }, short)),
     hold: (program, term, upstreamId, holdMs) => askNothing(() => upstream.hold({ program, term: BigInt(term), upstream: upstreamId, holdMs }, short)),
     drop: (program, term, upstreamId) => askNothing(() => upstream.drop({ program, term: BigInt(term), upstream: upstreamId }, short)),
     status: () => askDocument(() => peer.status({}, short), (reply) => convert.fromJson(reply.statusJson)),
--- a/packages/sidecar-client/src/peer-server.ts
+++ b/packages/sidecar-client/src/peer-server.ts
@@ -113,6 +113,7 @@
         key: req.key as types.RequestKey,
         upstream: req.upstream as types.UpstreamId,
         intent: Number(req.intent) as types.Term,
+        intentAt: req.intentAtMs as types.EpochMs,
         incarnation: req.incarnation as types.Incarnation
       }))
       return { result: reply('stateJson', result), sender: sender() }
--- a/packages/types/src/wire.ts
+++ b/packages/types/src/wire.ts
@@ -88,6 +88,8 @@
   readonly key: ids.RequestKey
   readonly upstream: ids.UpstreamId
   readonly intent: ids.Term
+  /** When the intent was written, by its home's clock. */
+  readonly intentAt: ids.EpochMs
   readonly incarnation: ids.Incarnation
 }
 
@@ -101,6 +103,8 @@
   | { readonly type: 'failed', readonly verdict: 'mayHaveRun' | 'ran', readonly tag: string, readonly message: string }
   /** The process was replaced and knows nothing of it. */
   | { readonly type: 'otherIncarnation' }
+  /** The intent is so old that what became of it is not kept any more. */
+  | { readonly type: 'forgotten' }
 
 /** What a process says of itself with every answer, so that answers serve as heartbeats. */
 export interface Sender {
