--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -1,5 +1,5 @@
 /** Starts the whole system on embedded stand-ins, runs one kit order program, prints it, and ends. */
-import * as callerClient from '@eelgrasswind/caller-client'
+import type * as callerClient from '@eelgrasswind/caller-client'
 import * as testUtils from '@eelgrasswind/test-utils'
 import * as kitOrder from './kit-order.js'
 import * as scopes from './scope.js'
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -54,7 +54,8 @@
   }
 
   const ready = {
-    ready: true as const, binary: 'eelgrasswind-entry',
+    ready: true as const,
+    binary: 'eelgrasswind-entry',
     peerAddress: `http://${cfg.bindAddress}:${peers.port}`,
     callerAddress: `http://${cfg.bindAddress}:${callers.port}`
   }
--- a/packages/process-base/src/host-directory.ts
+++ b/packages/process-base/src/host-directory.ts
@@ -1,5 +1,5 @@
 /** The other processes of the system: which are live, how to reach them, and which is the home of a program. */
-import * as chooseHome from '@eelgrasswind/choose-home'
+import type * as chooseHome from '@eelgrasswind/choose-home'
 import type * as configState from '@eelgrasswind/config-state'
 import * as errors from '@eelgrasswind/errors'
 import type * as hostListClient from '@eelgrasswind/host-list-client'
--- a/packages/program-home/src/check-call.ts
+++ b/packages/program-home/src/check-call.ts
@@ -1,5 +1,5 @@
 /** Whether a call may run now, or is answered by what already is. */
-import * as errors from '@eelgrasswind/errors'
+import type * as errors from '@eelgrasswind/errors'
 import * as programState from '@eelgrasswind/program-state'
 import type * as types from '@eelgrasswind/types'
 import type * as local from './local-program.js'
