--- a/packages/config-state/src/change.ts
+++ b/packages/config-state/src/change.ts
@@ -88,8 +88,7 @@
   return errors.fail({ tag: 'malformed', errors: [{ kind: 'wrongValue', path: [], expected, found }] })
 }
 
-/** The value of a JSON text, or undefined where it is none. */
-export function parseJson (data: string): unknown {
+function parseJson (data: string): unknown {
   try {
     return JSON.parse(data) as unknown
   } catch {
--- a/packages/config-state/src/fold.test.ts
+++ b/packages/config-state/src/fold.test.ts
@@ -221,7 +221,7 @@
   fc.assert(fc.property(cfg, cfg, (from, to) => {
     const whole = fold([change(0, state.diffConfig(null, from).puts)])
     const text = state.encodeChange(state.makeChange(state.diffConfig(from, to), 1 as types.ConfigVersion, author('d')))
-    const parsed = state.parseSnapshot(state.encodeSnapshot(fold([text], whole.state).state))
+    const parsed = state.parseSnapshot(JSON.parse(JSON.stringify(state.toSnapshotDocument(fold([text], whole.state).state))))
     return parsed.ok && state.listDifferences(parsed.value.config, to).length === 0
   }), { seed: 1, numRuns: 200 })
   t.pass('every pair')
--- a/packages/config-state/src/snapshot.ts
+++ b/packages/config-state/src/snapshot.ts
@@ -27,21 +27,21 @@
   document: check.documentSchema
 })
 
-/** The text of a snapshot, for a peer that asks. */
-export function encodeSnapshot (snapshot: ConfigSnapshot): string {
+/** A snapshot as a JSON document, for a peer that asks. */
+export function toSnapshotDocument (snapshot: ConfigSnapshot): unknown {
   const { version, asOf, copiedAt } = snapshot
-  return JSON.stringify({ format: change.configFormat, version, asOf, copiedAt, document: config.toDocument(snapshot.config) })
+  return { format: change.configFormat, version, asOf, copiedAt, document: config.toDocument(snapshot.config) }
 }
 
-/** Reads a snapshot that a peer sent. */
-export function parseSnapshot (text: string): errors.Result<ConfigSnapshot, readonly parseSettings.FieldError[]> {
-  const parsed = parseSettings.parseValue(change.parseJson(text), snapshotSchema)
+/** Reads the document that a peer sent. */
+export function parseSnapshot (document: unknown): errors.Result<ConfigSnapshot, readonly parseSettings.FieldError[]> {
+  const parsed = parseSettings.parseValue(document, snapshotSchema)
   if (!parsed.ok) return parsed
-  const { version, asOf, copiedAt, document } = parsed.value
+  const { value } = parsed
   return errors.ok({
-    version: version as types.ConfigVersion,
-    asOf: asOf as types.LogOffset,
-    copiedAt: copiedAt as types.EpochMs | null,
-    config: config.fromDocument(document)
+    version: value.version as types.ConfigVersion,
+    asOf: value.asOf as types.LogOffset,
+    copiedAt: value.copiedAt as types.EpochMs | null,
+    config: config.fromDocument(value.document)
   })
 }
--- a/packages/follow-config/src/index.ts
+++ b/packages/follow-config/src/index.ts
@@ -1,2 +1,2 @@
 /** Follows the configuration stream and keeps the version in force. */
-export {}
+export * from './config-follower.js'
