--- a/packages/admit-program/src/decide-admission.ts
+++ b/packages/admit-program/src/decide-admission.ts
@@ -5,8 +5,11 @@
   | { readonly type: 'none' }
   /** Refuses while more calls wait for each slot than `waitingPerSlot`. */
   | { readonly type: 'queueBound', readonly waitingPerSlot: number }
-  /** Refuses a program whose likelihood of finishing in time is below `minLikelihood`, divided by its weight. */
-  | { readonly type: 'inTime', readonly minLikelihood: number, readonly maxUse: number }
+  /**
+   * Refuses a program whose likelihood of finishing in time is below `minLikelihood`, and any while admitted
+   * programs would run more than `maxUse` calls for each slot; `weightUse` more for each doubling of the weight.
+   */
+  | { readonly type: 'inTime', readonly minLikelihood: number, readonly maxUse: number, readonly weightUse: number }
 
 /** What admission is decided from; times in milliseconds. */
 export interface AdmissionInput {
@@ -14,26 +17,30 @@
   readonly deadline: number
   /** Weight of the program's kind, above 0; 1 is ordinary. */
   readonly weight: number
-  /** Calls that the engine of the program's home runs at once at full speed. */
+  /** Calls that the live engines of the region run at once. */
   readonly slots: number
-  /** Calls waiting there. */
+  /** Calls waiting there, as last reported. */
   readonly waiting: number
-  /** Slot time that programs admitted there still need, all together: their expected remaining call time. */
-  readonly admittedWorkMs: number
-  /** Slot time that the new program is expected to need. */
-  readonly workMs: number
+  /**
+   * Calls that admitted programs are expected to run at once: the sum over them of expected run time divided by
+   * expected time, both of what remains. Known at once for one's own programs and late for others'.
+   */
+  readonly demand: number
+  /** Time that the new program's calls are expected to run. */
+  readonly runMs: number
   /** Expected time from start to finish if nothing waits, pauses included. */
   readonly expectedMs: number
   /** Mean absolute deviation of the same. */
   readonly expectedMsDeviation: number
-  /** Time that finished calls lately took, waiting included, as a multiple of the time they would have run alone. */
+  /** Time that finished calls lately took, waiting included, as a multiple of the time that they ran. */
   readonly stretch: number
 }
 
 export type AdmissionReason =
   | { readonly type: 'rule' }
   | { readonly type: 'queue', readonly waiting: number, readonly most: number }
-  | { readonly type: 'likelihood', readonly likelihood: number, readonly least: number, readonly use: number }
+  /** Likelihood of finishing in time, and calls for each slot that would run with this program admitted. */
+  | { readonly type: 'likelihood', readonly likelihood: number, readonly use: number, readonly mostUse: number }
   /** Too little time is left even on an idle system; coming back does not help. */
   | { readonly type: 'deadlineTooClose', readonly likelihood: number }
 
@@ -41,10 +48,12 @@
   | { readonly type: 'admit', readonly reason: AdmissionReason }
   | { readonly type: 'refuse', readonly retryAfterMs: number, readonly reason: AdmissionReason }
 
-export const defaultAdmissionRule: AdmissionRule = { type: 'inTime', minLikelihood: 0.6, maxUse: 1 }
+export const defaultAdmissionRule: AdmissionRule = { type: 'inTime', minLikelihood: 0.5, maxUse: 0.9, weightUse: 0.05 }
 
 /** Shortest time to come back that is worth naming. */
 const shortestRetryAfterMs = 1_000
+/** Part of the programs that has to end before another try is worth it. */
+const shortestExcess = 0.05
 /** Longest one: the estimate does not reach further. */
 const longestRetryAfterMs = 300_000
 
@@ -61,45 +70,35 @@
   const most = rule.waitingPerSlot * input.slots
   const reason: AdmissionReason = { type: 'queue', waiting: input.waiting, most }
   if (input.waiting <= most) return { type: 'admit', reason }
-  return { type: 'refuse', retryAfterMs: drainMs(input.admittedWorkMs / 2, input.slots), reason }
+  const retryAfterMs = clampRetryAfter((input.waiting - most) / Math.max(1, input.slots) * input.runMs)
+  return { type: 'refuse', retryAfterMs, reason }
 }
 
 function weighLikelihood (rule: Extract<AdmissionRule, { type: 'inTime' }>, input: AdmissionInput): AdmissionDecision {
-  const least = rule.minLikelihood / Math.max(1, input.weight)
-  const alone = likelihood(input, 1)
-  if (alone < least) {
+  const alone = likelihoodOf(input, 1)
+  if (alone < rule.minLikelihood) {
     const retryAfterMs = clampRetryAfter(input.deadline - input.now)
     return { type: 'refuse', retryAfterMs, reason: { type: 'deadlineTooClose', likelihood: alone } }
   }
-  const stretch = Math.max(1, input.stretch)
-  const now = likelihood(input, stretch)
-  const use = useOf(input)
-  const reason: AdmissionReason = { type: 'likelihood', likelihood: now, least, use }
-  if (now >= least && use <= rule.maxUse) return { type: 'admit', reason }
-  return { type: 'refuse', retryAfterMs: drainMs(excessMs(rule, input), input.slots), reason }
+  const likelihood = likelihoodOf(input, Math.max(1, input.stretch))
+  const use = (input.demand + input.runMs / Math.max(1, input.expectedMs)) / Math.max(1, input.slots)
+  const mostUse = rule.maxUse + rule.weightUse * Math.log2(input.weight)
+  const reason: AdmissionReason = { type: 'likelihood', likelihood, use, mostUse }
+  if (likelihood >= rule.minLikelihood && use <= mostUse) return { type: 'admit', reason }
+  return { type: 'refuse', retryAfterMs: freeAgainMs(input, use, mostUse), reason }
 }
 
-/** Likelihood that the program finishes in time when its calls take `stretch` times as long as alone. */
-function likelihood (input: AdmissionInput, stretch: number): number {
-  const needMs = input.expectedMs + (stretch - 1) * input.workMs
+/** Likelihood that the program finishes in time when its calls take `stretch` times as long as they run. */
+function likelihoodOf (input: AdmissionInput, stretch: number): number {
+  const needMs = input.expectedMs + (stretch - 1) * input.runMs
   const spareMs = input.deadline - input.now - needMs
   return logistic(spareMs / Math.max(1, input.expectedMsDeviation))
 }
 
-/** Share of the slot time up to the deadline that admitted work and the new program need. */
-function useOf (input: AdmissionInput): number {
-  const availableMs = input.slots * Math.max(1, input.deadline - input.now)
-  return (input.admittedWorkMs + input.workMs) / availableMs
-}
-
-/** Slot time that has to be worked off before the program would fit. */
-function excessMs (rule: Extract<AdmissionRule, { type: 'inTime' }>, input: AdmissionInput): number {
-  const fits = rule.maxUse * input.slots * Math.max(1, input.deadline - input.now)
-  return Math.max(input.workMs, input.admittedWorkMs + input.workMs - fits)
-}
-
-function drainMs (workMs: number, slots: number): number {
-  return clampRetryAfter(workMs / Math.max(1, slots))
+/** Time until so many admitted programs have ended that the program would fit, if no other is admitted. */
+function freeAgainMs (input: AdmissionInput, use: number, mostUse: number): number {
+  const excess = Math.max(0, use - mostUse) / Math.max(use, Number.EPSILON)
+  return clampRetryAfter(input.expectedMs * Math.max(excess, shortestExcess))
 }
 
 function clampRetryAfter (ms: number): number {
