Holds only where the cache evicts; admission by demand without silent programs; log-normal likelihood

Change: the survival time of unheld prefixes is learnt from evictions and bounds the hold; log-normal likelihood and a low threshold; programs silent for 30 s do not count.

--- a/packages/admit-program/src/decide-admission.ts
+++ b/packages/admit-program/src/decide-admission.ts
@@ -23,7 +23,8 @@
   readonly waiting: number
   /**
    * Calls that admitted programs are expected to run at once: the sum over them of expected run time divided by
-   * expected time, both of what remains. Known at once for one's own programs and late for others'.
+   * expected time, both of what remains. Known at once for one's own programs and late for others'. A program that has been silent
+   * for longer than `silentMs` does not count: its caller has probably gone away.
    */
   readonly demand: number
   /** Time that the new program's calls are expected to run. */
@@ -48,10 +49,16 @@
   | { readonly type: 'admit', readonly reason: AdmissionReason }
   | { readonly type: 'refuse', readonly retryAfterMs: number, readonly reason: AdmissionReason }
 
-export const defaultAdmissionRule: AdmissionRule = { type: 'inTime', minLikelihood: 0.5, maxUse: 0.9, weightUse: 0.05 }
+export const defaultAdmissionRule: AdmissionRule = { type: 'inTime', minLikelihood: 0.05, maxUse: 0.9, weightUse: 0.05 }
 
+/** Silence after which an admitted program no longer counts as demand, until its next call. */
+export const silentMs = 30_000
 /** Shortest time to come back that is worth naming. */
 const shortestRetryAfterMs = 1_000
+/** Standard deviation of a normal distribution, in mean absolute deviations. */
+const deviationsOfMean = 1.25
+/** Least standard deviation that is believed, as a part of the mean. */
+const smallestVariation = 0.1
 /** Part of the programs that has to end before another try is worth it. */
 const shortestExcess = 0.05
 /** Longest one: the estimate does not reach further. */
@@ -90,9 +97,8 @@
 
 /** Likelihood that the program finishes in time when its calls take `stretch` times as long as they run. */
 function likelihoodOf (input: AdmissionInput, stretch: number): number {
-  const needMs = input.expectedMs + (stretch - 1) * input.runMs
-  const spareMs = input.deadline - input.now - needMs
-  return logistic(spareMs / Math.max(1, input.expectedMsDeviation))
+  const waitMs = (stretch - 1) * input.runMs
+  return logNormalShare(input.deadline - input.now - waitMs, input.expectedMs, input.expectedMsDeviation)
 }
 
 /** Time until so many admitted programs have ended that the program would fit, if no other is admitted. */
@@ -105,8 +111,17 @@
   return Math.round(Math.min(longestRetryAfterMs, Math.max(shortestRetryAfterMs, ms)))
 }
 
-/** Close to the normal distribution when its argument is in mean absolute deviations. */
-function logistic (x: number): number {
-  const steepness = 1.36
+/** Share of a log-normal distribution below a value; program times have a long tail. */
+function logNormalShare (value: number, mean: number, meanDeviation: number): number {
+  if (value <= 0) return 0
+  const variation = deviationsOfMean * meanDeviation / Math.max(1, mean)
+  const sigma = Math.sqrt(Math.log(1 + Math.max(smallestVariation, variation) ** 2))
+  const median = Math.max(1, mean) * Math.exp(-sigma * sigma / 2)
+  return normalShare(Math.log(value / median) / sigma)
+}
+
+/** Share of the normal distribution below a value in standard deviations, within 0.01. */
+function normalShare (x: number): number {
+  const steepness = 1.702
   return 1 / (1 + Math.exp(-steepness * x))
 }
--- a/packages/model-engines/src/fake-engine.ts
+++ b/packages/model-engines/src/fake-engine.ts
@@ -42,7 +42,6 @@
 
 export interface EngineLoad {
   readonly running: number
-  readonly cacheUsed: number
 }
 
 interface Running {
@@ -82,7 +81,7 @@
   }
 
   get load (): EngineLoad {
-    return { running: this.#running.length, cacheUsed: this.cache.usedShare }
+    return { running: this.#running.length }
   }
 
   /** Starts a call if there is a free stream and memory for it. */
--- a/packages/model-engines/src/hold-book.ts
+++ b/packages/model-engines/src/hold-book.ts
@@ -35,7 +35,7 @@
       prefixTokens: tokens,
       pauses: this.#learner.stats(kind),
       leftMs: call.script.deadline - now,
-      cacheUsed: upstream.engine.load.cacheUsed
+      survivalMs: upstream.evictionAge.survivalMs(now)
     })
     upstream.engine.cache.hold(call.prefix, hold.holdMs)
     this.#pauses.set(call.prefix, { kind, upstream, tokens, since: now, until: now + hold.holdMs })
--- a/packages/model-engines/src/main.ts
+++ b/packages/model-engines/src/main.ts
@@ -16,7 +16,7 @@
   readonly seeds = Option.String('--seeds', '10', { description: 'number of paired seeds' })
   readonly firstSeed = Option.String('--first-seed', '1')
   readonly fault = Option.String('--fault', 'none', { description: scenario.faults.join(', ') })
-  readonly rules = Option.Array('--rules', ['baseline', 'winners'], { description: 'baseline or winners, with changes: winners,order=fifo' })
+  readonly rules = Option.Array('--rules', { description: 'baseline or winners, with changes: winners,order=fifo' })
   readonly json = Option.String('--json', { description: 'file for all figures, seed by seed' })
 
   override async execute (): Promise<void> {
@@ -40,7 +40,7 @@
       seeds: Number(this.seeds),
       firstSeed: Number(this.firstSeed),
       fault,
-      rules: this.rules
+      rules: this.rules ?? ['baseline', 'winners']
     }
   }
 }
--- a/packages/model-engines/src/prefix-cache.ts
+++ b/packages/model-engines/src/prefix-cache.ts
@@ -5,10 +5,11 @@
   tokens: number
   inUse: boolean
   heldUntil: number
+  usedAt: number
 }
 
-/** Told when a prefix is evicted; the engine passes it on late, and not always. */
-export type EvictionListener = (prefix: string) => void
+/** Told when a prefix is evicted, and how long after its last use; the engine passes it on late, and not always. */
+export type EvictionListener = (prefix: string, ageMs: number) => void
 
 export class PrefixCache {
   /** Least recently used first. */
@@ -23,10 +24,6 @@
     this.#timers = timers
   }
 
-  get usedShare (): number {
-    return this.#used / this.#capacity
-  }
-
   tokensOf (prefix: string): number {
     return this.#entries.get(prefix)?.tokens ?? 0
   }
@@ -46,7 +43,7 @@
       return undefined
     }
     this.drop(prefix)
-    this.#entries.set(prefix, { tokens: totalTokens, inUse: true, heldUntil: 0 })
+    this.#entries.set(prefix, { tokens: totalTokens, inUse: true, heldUntil: 0, usedAt: this.#timers.now() })
     this.#used += totalTokens
     return cached
   }
@@ -54,7 +51,12 @@
   /** The call has ended; its prefix stays until its memory is needed. */
   close (prefix: string): void {
     const entry = this.#entries.get(prefix)
-    if (entry !== undefined) entry.inUse = false
+    if (entry === undefined) return
+    entry.inUse = false
+    entry.usedAt = this.#timers.now()
+    // The map keeps the order of use.
+    this.#entries.delete(prefix)
+    this.#entries.set(prefix, entry)
   }
 
   /** Keeps a prefix from being evicted for a time. */
@@ -78,8 +80,9 @@
     const victims = this.#victims(needed, breakHolds)
     if (victims === undefined) return false
     for (const prefix of victims) {
+      const usedAt = this.#entries.get(prefix)?.usedAt ?? 0
       this.drop(prefix)
-      this.onEvict(prefix)
+      this.onEvict(prefix, this.#timers.now() - usedAt)
     }
     return true
   }
--- a/packages/model-engines/src/program-run.ts
+++ b/packages/model-engines/src/program-run.ts
@@ -1,4 +1,5 @@
 /** Walks one program through its script at its home. */
+import * as admitProgram from '@eelgrasswind/admit-program'
 import * as limitClient from '@eelgrasswind/limit-client'
 import type * as orderQueue from '@eelgrasswind/order-queue'
 import type * as timerService from '@eelgrasswind/timer-service'
@@ -47,6 +48,7 @@
   #turnRunMs = 0
   #running: homes.RunningCall | undefined
   #pause: timerService.Subscription | undefined
+  #silence: timerService.Subscription | undefined
   #expiry: timerService.Subscription | undefined
 
   constructor (world: homes.World, home: homes.Home, script: workload.Script, tries: number) {
@@ -96,6 +98,8 @@
   }
 
   #call (branch: Branch, step: workload.Step, done: () => void): void {
+    this.#silence?.cancel()
+    if (this.#demand === 0) this.#expectRest()
     const promptTokens = branch.tokens + step.addedTokens
     this.#running = this.#home.dispatch({
       script: this.#script,
@@ -114,6 +118,7 @@
         this.#turnTokens += tokens
         this.#turnRunMs += end.runMs
         this.#running = undefined
+        this.#silence = this.#world.timers.after(admitProgram.silentMs, () => this.#setDemand(0))
         done()
       },
       onGivenUp: () => this.#end('expired')
@@ -139,7 +144,8 @@
     this.#expiry?.cancel()
     this.#pause?.cancel()
     this.#running?.cancel()
-    this.#home.demand -= this.#demand
+    this.#silence?.cancel()
+    this.#setDemand(0)
     for (const { prefix } of this.#branches) {
       this.#home.holds.gone(prefix)
       this.#home.prefixes.forget(prefix)
@@ -149,9 +155,13 @@
     this.#world.recorder.results.push({ script, end: fated, latencyMs, tries: this.#tries })
   }
 
+  /** Counts the rest of the program as demand, for as long as it is not silent. */
   #expectRest (): void {
     const rest = this.#home.remaining.expect(this.#script.profile.kind, this.#turns.length)
-    const demand = rest.runMs / Math.max(1, rest.ms)
+    this.#setDemand(rest.runMs / Math.max(1, rest.ms))
+  }
+
+  #setDemand (demand: number): void {
     this.#home.demand += demand - this.#demand
     this.#demand = demand
   }
--- a/packages/model-engines/src/scenario.ts
+++ b/packages/model-engines/src/scenario.ts
@@ -91,11 +91,12 @@
 
 /** Evictions reach the homes late, and some never. */
 function passEvictionsOn (world: homes.World, all: readonly homes.Home[], news: randoms.Random): void {
-  for (const { engine, place } of world.upstreams) {
-    engine.cache.onEvict = (prefix) => {
+  for (const { engine, place, evictionAge } of world.upstreams) {
+    engine.cache.onEvict = (prefix, ageMs) => {
       const at = world.timers.now()
       if (news.chance(eventLostShare)) return
       world.timers.after(500 + 1_500 * news.uniform(), () => {
+        evictionAge.observe(ageMs, world.timers.now())
         for (const home of all) home.prefixes.evicted(prefix, place.upstream, at)
       })
     }
--- a/packages/model-engines/src/upstream.ts
+++ b/packages/model-engines/src/upstream.ts
@@ -1,6 +1,7 @@
 /** The door of one engine: a queue by the order rule, and the late news that others get of it. */
 import * as orderQueue from '@eelgrasswind/order-queue'
 import type * as placeCall from '@eelgrasswind/place-call'
+import * as retainPrefix from '@eelgrasswind/retain-prefix'
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as types from '@eelgrasswind/types'
 import type * as fakeEngine from './fake-engine.js'
@@ -26,6 +27,8 @@
 export class Upstream {
   readonly place: UpstreamPlace
   readonly engine: fakeEngine.FakeEngine
+  /** Learnt from the evictions that the engine reports. */
+  readonly evictionAge = retainPrefix.createEvictionAge()
   /** What the host list says of it. */
   listed: 'live' | 'leaving' = 'live'
   /** The load that has arrived at others. */
--- a/packages/retain-prefix/src/decide-hold.ts
+++ b/packages/retain-prefix/src/decide-hold.ts
@@ -17,14 +17,16 @@
   readonly pauses: learnPauses.PauseStats
   /** Time to the program's deadline, in milliseconds; no hold is longer. */
   readonly leftMs: number
-  /** Share of the engine's cache that is held or in use, 0 to 1. */
-  readonly cacheUsed: number
+  /** Time that an unheld prefix survives in the engine's cache, in milliseconds; infinite while nothing is evicted. */
+  readonly survivalMs: number
 }
 
 export type HoldReason =
   | { readonly type: 'rule' }
   /** Too few pauses of the kind were seen. */
   | { readonly type: 'fewSamples', readonly samples: number }
+  /** Unheld prefixes survive longer than most pauses: a hold would only cost. */
+  | { readonly type: 'cacheLargeEnough' }
   /** Least expected waste, in tokens for each token of the prefix. */
   | { readonly type: 'leastWaste', readonly expectedWaste: number, readonly returnShare: number }
   | { readonly type: 'deadlinePassed' }
@@ -39,8 +41,6 @@
 
 /** Waste of one token held for one second for a program that never returns, in tokens computed again. */
 const tokenSecondWaste = 1
-/** The same for a program that does return, where the cache is full: others are evicted meanwhile. */
-const crowdingWaste = 0.02
 
 export function decideHold (rule: HoldRule, input: HoldInput): Hold {
   if (input.leftMs <= 0) return { holdMs: 0, reason: { type: 'deadlinePassed' } }
@@ -54,6 +54,7 @@
 }
 
 function learntHold (rule: Extract<HoldRule, { type: 'learnt' }>, input: HoldInput): Hold {
+  if (input.survivalMs === Infinity) return { holdMs: 0, reason: { type: 'cacheLargeEnough' } }
   const samples = input.pauses.samples
   if (samples < rule.minSamples) {
     return { holdMs: Math.min(rule.fallbackMs, input.leftMs), reason: { type: 'fewSamples', samples } }
@@ -74,14 +75,18 @@
 /** Expected waste of a hold, for each token of the prefix. */
 function expectedWaste (holdMs: number, input: HoldInput): number {
   const { edgesMs, returned, gone } = input.pauses
+  const survivesMs = Math.max(holdMs, input.survivalMs)
+  // While a token is held, another one that would have survived as long is evicted in its place.
+  const crowdingWaste = sumOf(returned) * 1000 / input.survivalMs
   let waste = 0
   edgesMs.forEach((edge, at) => {
     const returnShare = returned[at] ?? 0
     const goneShare = gone[at] ?? 0
     const heldSeconds = Math.min(edge, holdMs) / 1000
+    const crowdedSeconds = Math.max(0, Math.min(edge, holdMs) - input.survivalMs) / 1000
     waste += goneShare * heldSeconds * tokenSecondWaste
-    waste += returnShare * heldSeconds * crowdingWaste * input.cacheUsed
-    if (edge > holdMs) waste += returnShare
+    waste += (goneShare + returnShare) * crowdedSeconds * crowdingWaste
+    if (edge > survivesMs) waste += returnShare
   })
   return waste
 }
--- /dev/null
+++ b/packages/retain-prefix/src/eviction-age.ts
@@ -0,0 +1,25 @@
+/** Learns how long an unheld prefix survives in an engine's cache, from the evictions that it reports. */
+
+export interface EvictionAge {
+  /** A prefix was evicted so long after its last use. */
+  observe: (ageMs: number, now: number) => void
+  /** Time that an unheld prefix survives; infinite while nothing is being evicted. */
+  survivalMs: (now: number) => number
+}
+
+/** Weight of the newest eviction. */
+const newestShare = 0.1
+/** Without evictions for so long, the cache counts as large enough. */
+const quietMs = 60_000
+
+export function createEvictionAge (): EvictionAge {
+  let mean = 0
+  let lastAt = -Infinity
+
+  function observe (ageMs: number, now: number): void {
+    mean = now - lastAt > quietMs ? ageMs : mean + newestShare * (ageMs - mean)
+    lastAt = now
+  }
+
+  return { observe, survivalMs: (now) => now - lastAt > quietMs ? Infinity : mean }
+}
--- a/packages/retain-prefix/src/index.ts
+++ b/packages/retain-prefix/src/index.ts
@@ -1,3 +1,4 @@
 /** Decides how long a program's cached prefix is held over a tool pause. */
 export * from './decide-hold.js'
 export * from './learn-pauses.js'
+export * from './eviction-age.js'
--- a/packages/retain-prefix/src/retain-prefix.test.ts
+++ b/packages/retain-prefix/src/retain-prefix.test.ts
@@ -1,13 +1,14 @@
 import tap from 'tap'
 import type * as types from '@eelgrasswind/types'
 import * as decideHold from './decide-hold.js'
+import * as evictionAge from './eviction-age.js'
 import * as learnPauses from './learn-pauses.js'
 
 const kind = 'roster' as types.KindId
 const learnt: decideHold.HoldRule = { type: 'learnt', fallbackMs: 7_000, minSamples: 20, maxMs: 600_000 }
 
 function input (pauses: learnPauses.PauseStats, over: Partial<decideHold.HoldInput> = {}): decideHold.HoldInput {
-  return { prefixTokens: 1_000, pauses, leftMs: 100_000, cacheUsed: 1, ...over }
+  return { prefixTokens: 1_000, pauses, leftMs: 100_000, survivalMs: 700, ...over }
 }
 
 function statsOf (ends: readonly learnPauses.PauseEnd[]): learnPauses.PauseStats {
@@ -46,3 +47,17 @@
   t.ok(gone < 0.2, 'most of what was seen first has faded')
   t.ok(Math.abs(gone + returned - 1) < 1e-9, 'the shares add up')
 })
+
+tap.test('nothing is held while unheld prefixes survive anyway', async (t) => {
+  const short = statsOf(repeat(50, { type: 'returned', afterMs: 900 }))
+  t.match(decideHold.decideHold(learnt, input(short, { survivalMs: Infinity })), { holdMs: 0, reason: { type: 'cacheLargeEnough' } })
+  t.equal(decideHold.decideHold(learnt, input(short, { survivalMs: 2_000 })).holdMs, 0)
+})
+
+tap.test('survival is learnt from evictions and forgotten when they cease', async (t) => {
+  const age = evictionAge.createEvictionAge()
+  t.equal(age.survivalMs(0), Infinity)
+  for (let now = 0; now < 5_000; now += 100) age.observe(8_000, now)
+  t.ok(Math.abs(age.survivalMs(5_000) - 8_000) < 1)
+  t.equal(age.survivalMs(70_000), Infinity)
+})
