--- a/packages/program-home/src/learning.ts
+++ b/packages/program-home/src/learning.ts
@@ -1,5 +1,5 @@
 /** What this home learns from its programs, by kind, and the decisions that rest on it. */
-import type * as admitProgram from '@eelgrasswind/admit-program'
+import * as admitProgram from '@eelgrasswind/admit-program'
 import type * as configState from '@eelgrasswind/config-state'
 import type * as logger from '@eelgrasswind/logger'
 import * as orderQueue from '@eelgrasswind/order-queue'
@@ -20,10 +20,17 @@
 }
 
 const ordinaryWeight = 1
+/** Share that the newest call has in the stretch. */
+const newestShare = 0.05
+/** Share of a cache in use from which on prefixes are evicted. */
+const fullCache = 0.95
+/** Time that an unheld prefix is taken to survive in a full cache, in milliseconds; engines do not report it. */
+const fullCacheSurvivalMs = 20_000
 
 export class Learning {
   private readonly remaining = orderQueue.createRemainingEstimator()
   private readonly pauses = retainPrefix.createPauseLearner()
+  private stretch = 1
 
   constructor (private readonly deps: LearningDeps) {}
 
@@ -54,22 +61,38 @@
   /** What admission weighs, from the programs at home here. */
   admissionInput (cfg: configState.Config, start: types.ProgramStart, programs: Iterable<local.LocalProgram>, slots: number, waiting: number): admitProgram.AdmissionInput {
     const whole = this.remaining.expect(start.kind, 0)
-    let admittedWorkMs = 0
-    for (const { state } of programs) admittedWorkMs += this.remaining.expect(state.start.kind, state.turns.length).runMs
     return {
       now: this.deps.timers.now(),
       deadline: start.deadline,
       weight: cfg.kinds.get(start.kind)?.weight ?? ordinaryWeight,
       slots,
       waiting,
-      admittedWorkMs,
-      workMs: whole.runMs,
+      demand: this.demandOf(programs),
+      runMs: whole.runMs,
       expectedMs: whole.ms,
       expectedMsDeviation: whole.msDeviation,
-      stretch: 1
+      stretch: this.stretch
     }
   }
 
+  /** Calls that these programs are expected to run at once; silent ones are not counted. */
+  private demandOf (programs: Iterable<local.LocalProgram>): number {
+    const now = this.deps.timers.now()
+    let demand = 0
+    for (const program of programs) {
+      if (program.running.size === 0 && now - (program.lastEndedAt ?? program.state.at) > admitProgram.silentMs) continue
+      const rest = this.remaining.expect(program.state.start.kind, program.state.turns.length)
+      demand += rest.ms > 0 ? rest.runMs / rest.ms : 0
+    }
+    return demand
+  }
+
+  /** Time that a finished call took, waiting included, beside the time that it ran; both in milliseconds. */
+  noteStretch (totalMs: number, runMs: number): void {
+    if (runMs <= 0) return
+    this.stretch += newestShare * (Math.max(1, totalMs / runMs) - this.stretch)
+  }
+
   /** Holds the prefix over the pause that begins now, for as long as the rule says. */
   holdPrefix (program: local.LocalProgram): void {
     const { lastHost: host, lastUpstream: upstream } = program
@@ -79,7 +102,7 @@
       prefixTokens: program.cachedTokens,
       pauses: this.pauses.stats(start.kind),
       leftMs: start.deadline - this.deps.timers.now(),
-      cacheUsed: this.deps.cacheUsed(upstream)
+      survivalMs: this.deps.cacheUsed(upstream) < fullCache ? Infinity : fullCacheSurvivalMs
     })
     const holdMs = Math.round(decision.holdMs)
     program.note({ at: this.deps.timers.now() as types.EpochMs, step: 'hold', choice: `${holdMs} ms`, reason: decision.reason.type, candidates: [] })
