--- a/packages/caller-server/src/caller-server.test.ts
+++ b/packages/caller-server/src/caller-server.test.ts
@@ -159,10 +159,12 @@
 })
 
 tap.test('while draining new requests are refused as notRun and running ones end', async (t) => {
-  let finish: (() => void) | undefined
-  const { url, server } = await serve(t, { call: async () => { await new Promise<void>((resolve) => { finish = resolve }); return { ok: true, value: end } } })
+  let finish: () => void = () => undefined
+  let begun: () => void = () => undefined
+  const beginning = new Promise<void>((resolve) => { begun = resolve })
+  const { url, server } = await serve(t, { call: async () => { await new Promise<void>((resolve) => { finish = resolve; begun() }); return { ok: true, value: end } } })
   const running = post(`${url}/v1/programs/p1/chat/completions`, completion)
-  while (finish === undefined) await new Promise((resolve) => { setTimeout(resolve, 5) })
+  await beginning
   const drained = server.drain()
   finish()
   t.equal((await running).status, 200)
--- a/packages/guard-upstream/src/dispatch-records.test.ts
+++ b/packages/guard-upstream/src/dispatch-records.test.ts
@@ -21,7 +21,7 @@
   }
 }
 
-const answered: errors.Result<types.DispatchAnswer> = { ok: true, value: { outcome: { type: 'service', status: 200, body: 1 }, tokens: { prompt: 0, cached: 0, generated: 0 }, load: null } }
+const answered: errors.Result<types.DispatchAnswer> = { ok: true, value: { outcome: { type: 'service', status: 200, body: 1 }, tokens: { prompt: 0, cached: 0, generated: 0 }, ranMs: 1, load: null } }
 
 function failed (verdict: types.Verdict): errors.Result<types.DispatchAnswer> {
   return { ok: false, failure: { tag: 'upstreamFailed', verdict, message: 'failed', status: 500 } }
--- a/packages/guard-upstream/src/send-dispatch.ts
+++ b/packages/guard-upstream/src/send-dispatch.ts
@@ -6,6 +6,7 @@
 import * as doors from './door.js'
 
 type Result = errors.Result<types.DispatchAnswer>
+type Untimed = errors.Result<Omit<types.DispatchAnswer, 'ranMs'>>
 type Payload<Type extends types.DispatchPayload['type']> = Extract<types.DispatchPayload, { type: Type }>
 
 const noTokens: types.TokenCount = { prompt: 0, cached: 0, generated: 0 }
@@ -19,7 +20,7 @@
   return { tag: 'unknownTarget', verdict: 'notRun', message: `${req.upstream} does not take a ${req.payload.type} call`, field: 'upstream' }
 }
 
-async function toEngine (door: doors.Door, req: types.Dispatch, payload: Payload<'model'>, options: engineClient.CallOptions, now: () => number): Promise<Result> {
+async function toEngine (door: doors.Door, req: types.Dispatch, payload: Payload<'model'>, options: engineClient.CallOptions, now: () => number): Promise<Untimed> {
   if (door.target.type !== 'engine') return errors.fail(wrongType(req))
   const answer = await door.target.client.complete({
     requestId: requestIdOf(req),
@@ -35,7 +36,7 @@
   return errors.ok({ outcome: { type: 'message', message, finishReason }, tokens, load: doors.loadOf(door, now()) })
 }
 
-async function toService (door: doors.Door, req: types.Dispatch, payload: Payload<'service'>, options: engineClient.CallOptions): Promise<Result> {
+async function toService (door: doors.Door, req: types.Dispatch, payload: Payload<'service'>, options: engineClient.CallOptions): Promise<Untimed> {
   if (door.target.type !== 'service') return errors.fail(wrongType(req))
   const answer = await door.target.client.call({ requestId: requestIdOf(req), path: payload.path, body: payload.body }, options)
   if (!answer.ok) return answer
@@ -43,7 +44,7 @@
   return errors.ok({ outcome: { type: 'service', status, body }, tokens: noTokens, load: null })
 }
 
-async function send (door: doors.Door, req: types.Dispatch, options: engineClient.CallOptions, now: () => number): Promise<Result> {
+async function send (door: doors.Door, req: types.Dispatch, options: engineClient.CallOptions, now: () => number): Promise<Untimed> {
   const payload = req.payload
   switch (payload.type) {
     case 'model': return await toEngine(door, req, payload, options, now)
@@ -57,12 +58,14 @@
   const stop = new AbortController()
   const abort = (): void => stop.abort()
   let timedOut = false
+  const startedAt = timers.monotonic()
   const limit = timers.after(req.timeoutMs, () => { timedOut = true; abort() })
   options.signal.addEventListener('abort', abort, { once: true })
   if (options.signal.aborted) abort()
   try {
     const result = await send(door, req, { ...options, signal: stop.signal }, timers.now)
-    if (result.ok || !timedOut) return result
+    if (result.ok) return errors.ok({ ...result.value, ranMs: timers.monotonic() - startedAt })
+    if (!timedOut) return result
     return errors.fail({ tag: 'timeout', verdict: 'mayHaveRun', message: 'no whole answer in time', afterMs: req.timeoutMs })
   } catch (err) {
     return errors.fail(errors.failureFrom(err))
--- a/packages/program-home/src/call-runner.ts
+++ b/packages/program-home/src/call-runner.ts
@@ -302,6 +302,7 @@
       program.lastUpstream = end.upstream
       program.lastHost = end.host
       program.cachedTokens = tokens.prompt + tokens.generated
+      this.deps.learning.noteStretch(this.deps.timers.now() - end.startedAt, end.answer.ranMs)
       this.deps.learning.holdPrefix(program)
     }
     return result
--- a/packages/types/src/wire.ts
+++ b/packages/types/src/wire.ts
@@ -78,6 +78,8 @@
 export interface DispatchAnswer {
   readonly outcome: Exclude<program.CallOutcome, { type: 'failed' }>
   readonly tokens: program.TokenCount
+  /** Time that it ran at the upstream, without waiting for its turn, in milliseconds. */
+  readonly ranMs: number
   /** Load of the upstream when it ended. */
   readonly load: host.UpstreamLoad | null
 }
