--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -60,7 +60,8 @@
     home,
     upstream: guard
   })
-  await base.follower.waitForFirst()
+  const first = await base.follower.waitForFirst()
+  upstreams.apply(first.config)
 
   async function drain (): Promise<void> {
     leaving = true
