A killed home is found out by asking, not by waiting

Cause: after the kill the second choice refused for 20 s: it still held the dead home for live, since it never had a reason to talk to it, and sent the entry back there. Ruled out: shorter membership intervals, which only move the wait. Change: a sidecar that is asked though it is not the first choice asks the named home; an answer keeps the program there, a refused connection lets it claim. An entry goes to the next choice at once when a home can't be reached.

--- a/packages/entry/src/forward.ts
+++ b/packages/entry/src/forward.ts
@@ -19,6 +19,8 @@
 }
 
 const retrySettings: decideRetry.RetrySettings = { maxAttempts: 10, firstWaitMs: 50, maxWaitMs: 500 }
+/** Attempts after which the next host is asked at once, without waiting. */
+const maxDirectMoves = 3
 /** Homes remembered where they are not the first choice. */
 const maxHints = 10_000
 const noHomeRetryMs = 1_000
@@ -34,14 +36,15 @@
   async forward<T> (program: types.ProgramId, deadline: number, send: (peer: sidecarClient.PeerClient) => Promise<errors.Result<T>>): Promise<errors.Result<T>> {
     this.retries = limitClient.earnRetry(this.retries)
     let worst: types.Verdict = 'notRun'
+    const unreachable = new Set<types.HostId>()
     for (let attempt = 1; ; attempt += 1) {
-      const host = this.homeOf(program)
+      const host = this.homeOf(program, unreachable)
       const result = host === undefined ? errors.fail(noHome) : await this.deps.ask(host, send)
       if (result.ok) return result
       worst = worse(worst, result.failure.verdict)
       if (!concernsHome(result.failure)) return errors.fail(withVerdict(result.failure, worst))
-      const redirected = this.learnHome(program, host, result.failure)
-      const wait = redirected && attempt === 1 ? 0 : this.waitBefore(result.failure, attempt, deadline)
+      const elsewhere = this.learnHome(program, host, result.failure, unreachable)
+      const wait = elsewhere && attempt <= maxDirectMoves ? 0 : this.waitBefore(result.failure, attempt, deadline)
       if (wait === undefined) return errors.fail(withVerdict(result.failure, worst))
       if (wait > 0) await timerService.sleep(this.deps.timers, wait)
     }
@@ -63,15 +66,20 @@
     return decision.afterMs
   }
 
-  private homeOf (program: types.ProgramId): types.HostId | undefined {
+  private homeOf (program: types.ProgramId, unreachable: ReadonlySet<types.HostId>): types.HostId | undefined {
     const hint = this.hints.get(program)
-    if (hint !== undefined && this.deps.isKnown(hint)) return hint
-    return this.deps.rankHomes(program)[0]
+    if (hint !== undefined && this.deps.isKnown(hint) && !unreachable.has(hint)) return hint
+    const ranked = this.deps.rankHomes(program)
+    return ranked.find((host) => !unreachable.has(host)) ?? ranked[0]
   }
 
-  /** True when the failure names another home than the one that was asked. */
-  private learnHome (program: types.ProgramId, asked: types.HostId | undefined, failure: errors.Failure): boolean {
+  /** True when another host is to be asked next: the home that the failure names, or the next choice. */
+  private learnHome (program: types.ProgramId, asked: types.HostId | undefined, failure: errors.Failure, unreachable: Set<types.HostId>): boolean {
     this.hints.delete(program)
+    if (failure.tag === 'peerUnavailable' && asked !== undefined) {
+      unreachable.add(asked)
+      return this.homeOf(program, unreachable) !== asked
+    }
     if (failure.tag !== 'notHome' || failure.home === null || failure.home === asked) return false
     if (this.hints.size >= maxHints) this.hints.clear()
     this.hints.set(program, failure.home as types.HostId)
--- a/packages/program-home/src/take-over.ts
+++ b/packages/program-home/src/take-over.ts
@@ -63,18 +63,33 @@
   if (deps.hosts.stateOf(host) === 'gone') return { type: 'claim' }
   const latest = deps.hosts.incarnationOf(host)
   if (latest !== undefined && latest !== incarnation) return { type: 'claim' }
-  if (deps.hosts.stateOf(host) === 'live' && !deps.hosts.isFirstChoice(program)) return { type: 'refuse', failure: notHome(host, `${host} is its home`) }
+  if (!deps.hosts.isFirstChoice(program)) return await leaveOrClaim(deps, head.home)
   return await askRelease(deps, program, host)
 }
 
+/**
+ * Not the first choice here, yet asked: the asker has lost the home, or has an older list. A home that answers
+ * keeps the program; this process may simply not have noticed yet that it is gone.
+ */
+async function leaveOrClaim (deps: TakeOverDeps, home: types.ProcessRef): Promise<Claim> {
+  const answer = await deps.hosts.askIncarnation(home.host)
+  if (!answer.ok) return claimIfGone(deps, home.host, answer.failure)
+  if (answer.value !== home.incarnation) return { type: 'claim' }
+  return { type: 'refuse', failure: notHome(home.host, `${home.host} is its home`) }
+}
+
 /** A home that lets go, or is not the home any more, or whose process is not there, makes way for a claim. */
 async function askRelease (deps: TakeOverDeps, program: types.ProgramId, host: types.HostId): Promise<Claim> {
   const released = await deps.hosts.askRelease(host, program)
-  if (released.ok) return { type: 'claim' }
-  if (released.failure.verdict === 'notRun') return { type: 'claim' }
+  return released.ok ? { type: 'claim' } : claimIfGone(deps, host, released.failure)
+}
+
+/** A connection that was refused means that the process is not there; silence counts once the host is suspect. */
+function claimIfGone (deps: TakeOverDeps, host: types.HostId, failure: errors.Failure): Claim {
+  if (failure.verdict === 'notRun') return { type: 'claim' }
   const state = deps.hosts.stateOf(host)
   if (state === 'suspect' || state === 'gone') return { type: 'claim' }
-  return { type: 'refuse', failure: notHome(host, `${host} has not let go of it: ${released.failure.message}`) }
+  return { type: 'refuse', failure: notHome(host, `${host} does not answer: ${failure.message}`) }
 }
 
 /** False when another process came first. */
--- /dev/null
+++ b/packages/system-tests/src/index.ts
@@ -0,0 +1,2 @@
+/** Tests that bring failures about on a whole system of real processes. */
+export {}
--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -8,7 +8,7 @@
   'sidecar-client', 'caller-server', 'caller-client', 'metrics', 'tracing']
 const parts = ['append-journal', 'follow-config', 'guard-upstream', 'program-home', 'process-base']
 const binaries = ['entry', 'sidecar', 'cli', 'load']
-const bench = ['stand-ins', 'test-utils', 'model-engines', 'slopes', 'demo']
+const bench = ['stand-ins', 'test-utils', 'model-engines', 'slopes', 'demo', 'system-tests']
 
 function layer (names, allowed) {
   return names.map((name) => ({ name, allowed: allowed.filter((other) => other !== name) }))
