--- a/packages/stand-ins/src/engine-control.ts
+++ b/packages/stand-ins/src/engine-control.ts
@@ -1,6 +1,5 @@
 /** Requests to the engine stand-in other than generations: orders, load, sessions, cache events, transfer. */
 import * as errors from '@eelgrasswind/errors'
-import * as timerService from '@eelgrasswind/timer-service'
 import type * as zod from 'zod'
 import * as control from './control.js'
 import type * as engineCache from './engine-cache.js'
@@ -8,6 +7,7 @@
 import * as httpHost from './http-host.js'
 import type * as lateReports from './late-reports.js'
 import * as messages from './engine-messages.js'
+import type * as pausing from './pauses.js'
 import type * as prefixTree from './prefix-tree.js'
 
 export type ControlPlace = zod.infer<typeof messages.controlPlace>
@@ -21,7 +21,7 @@
 }
 
 export interface ControlParts {
-  readonly timers: timerService.TimerService
+  readonly pauses: pausing.Pauses
   readonly cache: engineCache.EngineCache
   readonly orders: engineOrders.EngineOrders
   readonly orderMs: number
@@ -48,7 +48,7 @@
 
   async function onOrder (exchange: httpHost.Exchange): Promise<object> {
     const { order, fencing } = control.parseControl(messages.orderRequest, exchange.body)
-    if (parts.orderMs > 0) await timerService.sleep(parts.timers, parts.orderMs)
+    if (parts.orderMs > 0) await parts.pauses.pause(parts.orderMs)
     if (!orders.take(order, fencing)) throw new httpHost.HttpError(409, 'old fencing number')
     return { fencing }
   }
--- a/packages/stand-ins/src/engine-stand-in.ts
+++ b/packages/stand-ins/src/engine-stand-in.ts
@@ -11,6 +11,7 @@
 import * as faultPlan from './faults.js'
 import * as httpHost from './http-host.js'
 import * as lateReports from './late-reports.js'
+import * as pausing from './pauses.js'
 import type * as prefixTree from './prefix-tree.js'
 
 export interface EngineCounters extends generations.GenerationCounters {
@@ -36,13 +37,14 @@
 export async function createEngineStandIn (settings: messages.EngineSettings): Promise<EngineStandIn> {
   const cfg = messages.engineSettings.parse(settings)
   const timers = settings.timers ?? timerService.createRealTimers()
+  const pauses = pausing.createPauses(timers)
   const faults = faultPlan.createFaults<messages.EngineFault>()
   const events = lateReports.createEventFeed<prefixTree.CacheChange>(timers, cfg.eventLagMs, cfg.eventLossEvery)
   const cache = engineCache.createEngineCache(cfg.cacheCapacity, events.push)
   const batch = engineBatch.createBatch(timers, cfg)
   const orders = engineOrders.createEngineOrders(cfg.models, cfg.checksFencing)
   const load = lateReports.createLaggingValue<engineControl.LoadReport>(timers, cfg.loadLagMs, loadNow())
-  const answerControl = engineControl.createEngineControl({ timers, cache, orders, orderMs: cfg.orderMs, load, events, changed })
+  const answerControl = engineControl.createEngineControl({ pauses, cache, orders, orderMs: cfg.orderMs, load, events, changed })
   const runs = generations.createGenerations({ timers, batch, cache, faults, cacheCapacity: cfg.cacheCapacity, changed })
 
   function loadNow (): engineControl.LoadReport {
@@ -113,6 +115,7 @@
 
   async function close (): Promise<void> {
     batch.close()
+    pauses.close()
     await host.close()
     faults.clear()
   }
--- a/packages/stand-ins/src/log-stand-in.ts
+++ b/packages/stand-ins/src/log-stand-in.ts
@@ -7,6 +7,7 @@
 import * as httpHost from './http-host.js'
 import * as lateAppends from './late-appends.js'
 import * as logStreams from './log-streams.js'
+import * as pausing from './pauses.js'
 import * as tokenBucket from './token-bucket.js'
 
 const requestKind = zod.enum(['append', 'read']).optional()
@@ -67,6 +68,7 @@
 
 export async function createLogStandIn (settings: LogSettings): Promise<LogStandIn> {
   const timers = settings.timers ?? timerService.createRealTimers()
+  const pauses = pausing.createPauses(timers)
   const faults = faultPlan.createFaults<LogFault>()
   const streams = logStreams.createLogStreams(timers.now, { ms: settings.retentionMs, records: settings.retentionRecords })
   const late = lateAppends.createLateAppends(timers, store)
@@ -124,7 +126,7 @@
         if (!exchange.req.socket.destroyed) serve(exchange, stream)
         return
       case 'slow':
-        await timerService.sleep(timers, fault.delayMs)
+        await pauses.pause(fault.delayMs)
         return serve(exchange, stream)
       case 'loseAnswer':
         if (isAppend) store(stream, exchange.body)
@@ -178,6 +180,7 @@
 
   async function close (): Promise<void> {
     late.close()
+    pauses.close()
     await host.close()
     faults.clear()
   }
--- a/packages/stand-ins/src/service-stand-in.ts
+++ b/packages/stand-ins/src/service-stand-in.ts
@@ -6,6 +6,7 @@
 import * as control from './control.js'
 import * as faultPlan from './faults.js'
 import * as httpHost from './http-host.js'
+import * as pausing from './pauses.js'
 
 const serviceFault = zod.discriminatedUnion('type', [
   /** 503 with Retry-After; does not run. */
@@ -82,7 +83,7 @@
 const unknownAnswer: Answer = { requestId: 'another-request', text: '{}' }
 
 export async function createServiceStandIn (settings: ServiceSettings): Promise<ServiceStandIn> {
-  const timers = settings.timers ?? timerService.createRealTimers()
+  const pauses = pausing.createPauses(settings.timers ?? timerService.createRealTimers())
   const faults = faultPlan.createFaults<ServiceFault>()
   const executions = new Map<string, number>()
   const requests = new Map<string, number>()
@@ -114,7 +115,7 @@
 
   async function serve (exchange: httpHost.Exchange, requestId: string, delayMs: number): Promise<void> {
     const answer = run(exchange, requestId)
-    if (delayMs > 0) await timerService.sleep(timers, delayMs)
+    if (delayMs > 0) await pauses.pause(delayMs)
     send(exchange.res, answer)
   }
 
@@ -193,6 +194,7 @@
   const host = await httpHost.createHttpHost(settings.port, handle)
 
   async function close (): Promise<void> {
+    pauses.close()
     await host.close()
     faults.clear()
   }
