--- a/packages/admit-program/src/decide-admission.ts
+++ b/packages/admit-program/src/decide-admission.ts
@@ -7,9 +7,10 @@
   | { readonly type: 'queueBound', readonly waitingPerSlot: number }
   /**
    * Refuses a program whose likelihood of finishing in time is below `minLikelihood`, and any while admitted
-   * programs would run more than `maxUse` calls for each slot; `weightUse` more for each doubling of the weight.
+   * programs would run more than `maxUse` calls for each slot; `worthUse` more for each doubling of the program's
+   * worth (its weight for each second that it is expected to run) above the usual one, and as much less below.
    */
-  | { readonly type: 'inTime', readonly minLikelihood: number, readonly maxUse: number, readonly weightUse: number }
+  | { readonly type: 'inTime', readonly minLikelihood: number, readonly maxUse: number, readonly worthUse: number }
 
 /** What admission is decided from; times in milliseconds. */
 export interface AdmissionInput {
@@ -17,7 +18,7 @@
   readonly deadline: number
   /** Weight of the program's kind, above 0; 1 is ordinary. */
   readonly weight: number
-  /** Calls that the live engines of the region run at once. */
+  /** Calls that the live engines of the region run at once, from `usableSlots`. */
   readonly slots: number
   /** Calls waiting there, as last reported. */
   readonly waiting: number
@@ -33,6 +34,8 @@
   readonly expectedMs: number
   /** Mean absolute deviation of the same. */
   readonly expectedMsDeviation: number
+  /** Mean over the programs offered lately of weight divided by `runMs`. */
+  readonly usualWorth: number
   /** Time that finished calls lately took, waiting included, as a multiple of the time that they ran. */
   readonly stretch: number
 }
@@ -49,12 +52,14 @@
   | { readonly type: 'admit', readonly reason: AdmissionReason }
   | { readonly type: 'refuse', readonly retryAfterMs: number, readonly reason: AdmissionReason }
 
-export const defaultAdmissionRule: AdmissionRule = { type: 'inTime', minLikelihood: 0.05, maxUse: 0.9, weightUse: 0.05 }
+export const defaultAdmissionRule: AdmissionRule = { type: 'inTime', minLikelihood: 0.05, maxUse: 0.9, worthUse: 0.1 }
 
 /** Silence after which an admitted program no longer counts as demand, until its next call. */
 export const silentMs = 30_000
 /** Shortest time to come back that is worth naming. */
 const shortestRetryAfterMs = 1_000
+/** Bounds what worth may do to a program's room. */
+const mostDoublings = 2
 /** Standard deviation of a normal distribution, in mean absolute deviations. */
 const deviationsOfMean = 1.25
 /** Least standard deviation that is believed, as a part of the mean. */
@@ -89,12 +94,19 @@
   }
   const likelihood = likelihoodOf(input, Math.max(1, input.stretch))
   const use = (input.demand + input.runMs / Math.max(1, input.expectedMs)) / Math.max(1, input.slots)
-  const mostUse = rule.maxUse + rule.weightUse * Math.log2(input.weight)
+  const mostUse = rule.maxUse + rule.worthUse * worthOf(input)
   const reason: AdmissionReason = { type: 'likelihood', likelihood, use, mostUse }
   if (likelihood >= rule.minLikelihood && use <= mostUse) return { type: 'admit', reason }
   return { type: 'refuse', retryAfterMs: freeAgainMs(input, use, mostUse), reason }
 }
 
+/** Doublings of the usual worth, within bounds. */
+function worthOf (input: AdmissionInput): number {
+  const worth = input.weight / Math.max(1, input.runMs)
+  const doublings = Math.log2(worth / input.usualWorth)
+  return Math.max(-mostDoublings, Math.min(mostDoublings, doublings))
+}
+
 /** Likelihood that the program finishes in time when its calls take `stretch` times as long as they run. */
 function likelihoodOf (input: AdmissionInput, stretch: number): number {
   const waitMs = (stretch - 1) * input.runMs
--- a/packages/admit-program/src/index.ts
+++ b/packages/admit-program/src/index.ts
@@ -1,2 +1,3 @@
 /** Decides whether a new program is admitted. */
 export * from './decide-admission.js'
+export * from './usable-slots.js'
--- a/packages/model-engines/src/home.ts
+++ b/packages/model-engines/src/home.ts
@@ -51,6 +51,8 @@
 /** How long a home avoids an upstream that refused a connection. */
 const suspectMs = 30_000
 const stretchShare = 0.05
+const usualRunMs = 4_000
+const worthShare = 0.02
 
 export class Home {
   readonly holds: holdBook.HoldBook
@@ -68,6 +70,8 @@
   #processRetries = limitClient.createRetryBudget(limitClient.processRetrySettings)
   #turn: number
   #stretch = 1
+  #meanCallTokens = 0
+  #worth = 1 / orderQueue.defaultRemainingSettings.prior.runMs
 
   constructor (world: World, index: number, random: randoms.Random) {
     this.#world = world
@@ -81,14 +85,16 @@
   decideAdmission (script: workload.Script): admitProgram.AdmissionDecision {
     const live = this.#world.upstreams.filter((upstream) => upstream.listed === 'live')
     const work = this.remaining.expect(script.profile.kind, 0)
+    this.#worth += worthShare * (script.profile.weight / Math.max(1, work.runMs) - this.#worth)
     return admitProgram.decideAdmission(this.#world.rules.admit, {
       now: this.#world.timers.now(),
       deadline: script.deadline,
       weight: script.profile.weight,
-      slots: this.#world.engine.slots * live.length,
+      slots: live.length * admitProgram.usableSlots({ ...this.#world.engine, meanCallTokens: this.#meanCallTokens }),
       waiting: live.reduce((sum, upstream) => sum + (upstream.reported?.waiting ?? 0), 0),
       demand: this.demand + this.#world.demandOfOthers(this),
       runMs: work.runMs,
+      usualWorth: this.#worth,
       expectedMs: work.ms,
       expectedMsDeviation: work.msDeviation,
       stretch: this.#stretch
@@ -167,6 +173,7 @@
     const now = this.#world.timers.now()
     const tookMs = now - submittedAt
     this.#stretch += stretchShare * (tookMs / Math.max(1, end.runMs) - this.#stretch)
+    this.#meanCallTokens += runShare(end.runMs) * (call.promptTokens + call.generatedTokens - this.#meanCallTokens)
     const kind = call.script.profile.kind
     const known = this.#generated.get(kind) ?? call.generatedTokens
     this.#generated.set(kind, known + stretchShare * (call.generatedTokens - known))
@@ -251,3 +258,8 @@
     return this.#world.upstreams.find((upstream) => upstream.place.upstream === name)!
   }
 }
+
+/** Share of the newest call in a mean over time: the longer it ran, the more. */
+function runShare (runMs: number): number {
+  return Math.min(1, stretchShare * runMs / usualRunMs)
+}
