Placement prices the batch: each further stream slows the others

Cause: what was late among the admitted were programs whose deadline leaves less than twice their time alone, in full batches; waiting in queues was not the reason. Home first filled some batches while others had room. Change: the price of a call grows with the batch; a first call has no prefix to lose and goes without a margin.

--- a/packages/model-engines/src/rules.ts
+++ b/packages/model-engines/src/rules.ts
@@ -25,7 +25,8 @@
 /** Prices of the fakes' engines, as an operator would measure them. */
 export const measuredCosts: placeCall.PlaceCosts = {
   prefillMsPerToken: 0.25,
-  decodeMsPerToken: 30,
+  decodeMsPerToken: 20,
+  slowdownPerStream: 0.06,
   importMsPerToken: 0.04,
   usualCallMs: 4_000
 }
--- a/packages/place-call/src/candidate.ts
+++ b/packages/place-call/src/candidate.ts
@@ -34,13 +34,16 @@
   | { readonly type: 'leastLoaded' }
   /** The better of two drawn at random, by reported load and own calls in flight. */
   | { readonly type: 'twoChoices' }
-  /** The program's own engine, unless another would answer sooner by more than `spillMarginMs`. */
+  /** The program's own engine, unless another would answer sooner by more than `spillMarginMs`; a first call has no margin. */
   | { readonly type: 'homeFirst', readonly costs: PlaceCosts, readonly spillMarginMs: number }
 
 /** Prices of the engines in use, in milliseconds. */
 export interface PlaceCosts {
   readonly prefillMsPerToken: number
+  /** Of one stream alone. */
   readonly decodeMsPerToken: number
+  /** Part by which each further stream of a batch slows the others. */
+  readonly slowdownPerStream: number
   /** Moving a cached token from one engine to another; undefined where engines cannot import. */
   readonly importMsPerToken: number | undefined
   /** Time that a call usually runs, for what waits before it. */
@@ -97,7 +100,8 @@
 /** Prices of a middle-sized model; measure your own, see docs/tuning.md. */
 export const defaultPlaceCosts: PlaceCosts = {
   prefillMsPerToken: 0.25,
-  decodeMsPerToken: 25,
+  decodeMsPerToken: 20,
+  slowdownPerStream: 0.06,
   importMsPerToken: undefined,
   usualCallMs: 3_000
 }
--- a/packages/place-call/src/place-call.ts
+++ b/packages/place-call/src/place-call.ts
@@ -67,7 +67,9 @@
   const stay = weighed.find((option) => option.candidate === own)
   if (stay === undefined) return placedAt(best, { type: 'homeUnavailable' }, weighed)
   const savedMs = stay.costMs - best.costMs
-  if (savedMs <= rule.spillMarginMs) return placedAt(stay, stayReason(input, stay), weighed)
+  // Before its first call a program has no prefix to leave behind.
+  const marginMs = input.lastUpstream === undefined ? 0 : rule.spillMarginMs
+  if (savedMs <= marginMs) return placedAt(stay, stayReason(input, stay), weighed)
   const prefix = best.importFrom === undefined ? 'recompute' : 'import'
   return placedAt(best, { type: 'spill', savedMs, prefix }, weighed)
 }
