--- a/packages/config-state/src/check.ts
+++ b/packages/config-state/src/check.ts
@@ -14,9 +14,9 @@
   private readonly first = new Map<string, parseSettings.FieldPath>()
   constructor (private readonly expected: string, private readonly report: Report) {}
 
-  use (value: string, path: parseSettings.FieldPath): void {
-    const earlier = this.first.get(value)
-    if (earlier === undefined) this.first.set(value, path)
+  use (value: string, path: parseSettings.FieldPath, key = value): void {
+    const earlier = this.first.get(key)
+    if (earlier === undefined) this.first.set(key, path)
     else this.report(path, this.expected, `${JSON.stringify(value)}, which ${parseSettings.formatPath(earlier)} has`)
   }
 }
@@ -43,6 +43,11 @@
   }
 }
 
+/** What tells the addresses of upstreams apart; each host has a loopback address of its own. */
+function addressKey (host: string, address: string): string {
+  return /^http:\/\/(127\.|\[::1\])/.test(address) ? `${host} ${address}` : address
+}
+
 function checkHosts (cfg: config.Config, report: Report): void {
   const upstreamIds = new FirstUses('an id that no other upstream has', report)
   const addresses = new FirstUses('an address that no other upstream has', report)
@@ -54,7 +59,7 @@
     host.upstreams.forEach((upstream, index) => {
       const path = ['hosts', id, 'upstreams', index]
       upstreamIds.use(upstream.id, [...path, 'id'])
-      addresses.use(upstream.address, [...path, 'address'])
+      addresses.use(upstream.address, [...path, 'address'], addressKey(id, upstream.address))
       checkUpstream(cfg, upstream, path, report)
     })
   }
--- a/packages/config-state/src/config-state.test.ts
+++ b/packages/config-state/src/config-state.test.ts
@@ -38,6 +38,12 @@
   t.same([...good, ...bad].filter(state.isAddress), good)
 })
 
+tap.test('hosts may use the same loopback address, but no other address twice', async (t) => {
+  const host = (id: string, address: string): unknown => ({ region: 'r', availabilityZone: 'z', upstreams: [{ id, type: 'service', address, service: 's', slots: 1 }] })
+  const check = (address: string): boolean => state.validateConfig({ services: { s: {} }, hosts: { a: host('a1', address), b: host('b1', address) } }).ok
+  t.same([check('http://127.0.0.1:80'), check('http://[::1]:80'), check('http://10.0.0.1:80')], [true, true, false])
+})
+
 tap.test('an id that is a member of every object is an id like others', async (t) => {
   const result = state.validateConfig({ hosts: { h: { region: 'r', availabilityZone: 'z', upstreams: [{ id: 's', type: 'service', address: 'http://10.0.0.1:80', service: 'constructor', slots: 1 }] } } })
   t.match(result, { ok: false, failure: [{ path: ['hosts', 'h', 'upstreams', 0, 'service'], found: '"constructor"' }] })
