--- a/packages/program-home/src/learning.ts
+++ b/packages/program-home/src/learning.ts
@@ -31,6 +31,8 @@
   private readonly remaining = orderQueue.createRemainingEstimator()
   private readonly pauses = retainPrefix.createPauseLearner()
   private stretch = 1
+  /** Mean of weight divided by run time, over the programs offered. */
+  private worth: number | undefined
 
   constructor (private readonly deps: LearningDeps) {}
 
@@ -61,10 +63,13 @@
   /** What admission weighs, from the programs at home here. */
   admissionInput (cfg: configState.Config, start: types.ProgramStart, programs: Iterable<local.LocalProgram>, slots: number, waiting: number): admitProgram.AdmissionInput {
     const whole = this.remaining.expect(start.kind, 0)
+    const weight = cfg.kinds.get(start.kind)?.weight ?? ordinaryWeight
+    this.noteWorth(weight / Math.max(1, whole.runMs))
     return {
       now: this.deps.timers.now(),
       deadline: start.deadline,
-      weight: cfg.kinds.get(start.kind)?.weight ?? ordinaryWeight,
+      weight,
+      usualWorth: this.worth ?? 1,
       slots,
       waiting,
       demand: this.demandOf(programs),
@@ -75,6 +80,10 @@
     }
   }
 
+  private noteWorth (worth: number): void {
+    this.worth = this.worth === undefined ? worth : this.worth + newestShare * (worth - this.worth)
+  }
+
   /** Calls that these programs are expected to run at once; silent ones are not counted. */
   private demandOf (programs: Iterable<local.LocalProgram>): number {
     const now = this.deps.timers.now()
