--- a/packages/entry/src/caller-handlers.ts
+++ b/packages/entry/src/caller-handlers.ts
@@ -5,6 +5,7 @@
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as tracing from '@eelgrasswind/tracing'
 import type * as types from '@eelgrasswind/types'
+import type * as clientLimits from './client-limits.js'
 import * as clientTokens from './client-tokens.js'
 import type * as forwarding from './forward.js'
 
@@ -14,6 +15,7 @@
   readonly config: () => configState.Config | undefined
   readonly homePatienceMs: number
   readonly tracer: tracing.Tracing
+  readonly limits: Pick<clientLimits.ClientLimits, 'take'>
   readonly noteRequest: (name: string, startedAt: number, failure: errors.Failure | undefined) => void
 }
 
@@ -63,6 +65,8 @@
     if (config === undefined) return tokens.clientOf(undefined, undefined) as errors.Result<never>
     const defaults = defaultsOf(config, req.target)
     if (!defaults.ok) return defaults
+    const taken = await deps.limits.take(req.client, 'calls')
+    if (!taken.ok) return taken
     const full: types.Call = {
       ...req,
       idempotent: req.idempotent ?? defaults.value.idempotent,
@@ -83,9 +87,15 @@
     return await traced('finish', program, ctx, (inner) => deps.forwarder.forward(program, patience(), (peer) => peer.finish(program, result, inner)))
   }
 
+  async function start (req: types.StartRequest, ctx: types.RequestContext): Promise<errors.Result<types.ProgramDocument>> {
+    const taken = await deps.limits.take(req.client, 'starts')
+    if (!taken.ok) return taken
+    return await traced('start', req.program, ctx, (inner) => deps.forwarder.forward(req.program, patience(), (peer) => peer.start(req, inner)))
+  }
+
   return {
     authorize: (token) => tokens.clientOf(deps.config(), token),
-    start: (req, ctx) => traced('start', req.program, ctx, (inner) => deps.forwarder.forward(req.program, patience(), (peer) => peer.start(req, inner))),
+    start,
     call,
     finish,
     read,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,6 +4,7 @@
 import * as sidecarClient from '@eelgrasswind/sidecar-client'
 import type * as types from '@eelgrasswind/types'
 import * as callerHandlers from './caller-handlers.js'
+import * as clientLimits from './client-limits.js'
 import * as forwarding from './forward.js'
 import type * as settings from './settings.js'
 
@@ -26,6 +27,7 @@
     config: base.config,
     homePatienceMs: cfg.homePatienceMs,
     tracer: base.tracer,
+    limits: new clientLimits.ClientLimits({ self: self.host, timers, config: base.config, directory }),
     noteRequest: () => { requests += 1 }
   })
   const peers = await sidecarClient.startPeerServer({
--- a/packages/process-base/src/host-directory.ts
+++ b/packages/process-base/src/host-directory.ts
@@ -123,6 +123,11 @@
     return this.deps.homes.rankHomes(program, this.homeHosts())
   }
 
+  /** The process that does a task for many; undefined while none is known. */
+  ownerOf (task: chooseHome.OwnedTask): types.HostId | undefined {
+    return this.deps.homes.ownerOf(task, this.homeHosts())
+  }
+
   /** Live sidecars beside model engines of this region. */
   private homeHosts (): readonly types.HostId[] {
     const config = this.deps.config()
--- a/packages/sidecar-client/src/handlers.ts
+++ b/packages/sidecar-client/src/handlers.ts
@@ -37,5 +37,10 @@
   loads: () => Promise<errors.Result<readonly types.UpstreamLoad[]>>
 }
 
+/** Requests to the owner of a client's limit. */
+export interface LimitHandlers {
+  borrowShare: (wish: types.ShareWish) => Promise<errors.Result<types.ShareLease>>
+}
+
 /** Everything that a sidecar answers. */
-export interface Peer extends HomeHandlers, UpstreamHandlers, ProcessHandlers {}
+export interface Peer extends HomeHandlers, UpstreamHandlers, ProcessHandlers, LimitHandlers {}
--- a/packages/sidecar-client/src/peer-client.ts
+++ b/packages/sidecar-client/src/peer-client.ts
@@ -139,6 +139,7 @@
       return { version: Number(reply.version) as types.ConfigVersion, config: convert.fromJson(reply.configJson) }
     }),
     explain: (program, key) => askDocument(() => peer.explain({ program, key: key ?? '' }, short), (reply) => convert.fromJson(reply.explainJson)),
+    borrowShare: (wish) => ask(() => peer.borrowShare({ ...wish }, short)),
     loads: () => askDocument(() => peer.getLoads({}, short), (reply) => convert.fromJson(reply.loadsJson)),
     close: () => session.abort()
   }
--- a/packages/sidecar-client/src/peer-server.ts
+++ b/packages/sidecar-client/src/peer-server.ts
@@ -21,6 +21,7 @@
   /** Only sidecars have these. */
   readonly home?: handlers.HomeHandlers
   readonly upstream?: handlers.UpstreamHandlers
+  readonly limits?: handlers.LimitHandlers
 }
 
 export interface PeerServer {
@@ -133,7 +134,7 @@
   return result.ok ? {} : { failure: convert.toFailureMessage(result.failure) }
 }
 
-function processRoutes (router: connect.ConnectRouter, own: handlers.ProcessHandlers, sender: () => gen.Sender): void {
+function processRoutes (router: connect.ConnectRouter, own: handlers.ProcessHandlers, limits: handlers.LimitHandlers | undefined, sender: () => gen.Sender): void {
   router.service(gen.PeerService, {
     async status () {
       return { statusJson: convert.toJson(valueOf(await own.status())), sender: sender() }
@@ -147,12 +148,25 @@
       const key = req.key === '' ? null : req.key as types.RequestKey
       return { explainJson: convert.toJson(valueOf(await own.explain(req.program as types.ProgramId, key))), sender: sender() }
     },
+    async borrowShare (req) {
+      const wish: types.ShareWish = {
+        client: req.client as types.ClientId,
+        limit: req.limit as types.LimitName,
+        holder: req.holder as types.HostId,
+        wantedPerSecond: req.wantedPerSecond,
+        wantedCredit: req.wantedCredit
+      }
+      const result = limits === undefined ? errors.fail(ownsNoLimit) : await guarded(() => limits.borrowShare(wish))
+      return { result: reply('grantJson', result), sender: sender() }
+    },
     async getLoads () {
       return { loadsJson: convert.toJson(valueOf(await own.loads())), sender: sender() }
     }
   })
 }
 
+const ownsNoLimit: errors.Failure = { tag: 'unknownTarget', verdict: 'notRun', message: 'an entry owns no limits', field: 'client' }
+
 /** Follows the sessions of a server so that it can end them. */
 function trackSessions (server: http2.Http2Server): Set<http2.ServerHttp2Session> {
   const sessions = new Set<http2.ServerHttp2Session>()
@@ -168,7 +182,7 @@
   const handler = connectNode.connectNodeAdapter({
     acceptCompression: [],
     routes (router) {
-      processRoutes(router, settings.process, sender)
+      processRoutes(router, settings.process, settings.limits, sender)
       if (settings.home !== undefined) homeRoutes(router, settings.home, sender)
       if (settings.upstream !== undefined) upstreamRoutes(router, settings.upstream, sender)
     }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -12,6 +12,7 @@
 import * as ownUpstreams from './own-upstreams.js'
 import * as ports from './ports.js'
 import type * as settings from './settings.js'
+import * as shareLender from './share-lender.js'
 import * as upstreamDirectory from './upstream-directory.js'
 
 export async function startSidecar (cfg: settings.SidecarSettings): Promise<processBase.RunningProcess> {
@@ -47,6 +48,8 @@
     random: Math.random
   })
 
+  const lender = new shareLender.ShareLender(base.config, timers)
+
   base.follower.subscribe(({ config: next }) => upstreams.apply(next))
   const server = await sidecarClient.startPeerServer({
     bindAddress: cfg.bindAddress,
@@ -58,7 +61,8 @@
       loads: () => guard.loads()
     }),
     home,
-    upstream: guard
+    upstream: guard,
+    limits: lender
   })
   const first = await base.follower.waitForFirst()
   upstreams.apply(first.config)
@@ -73,6 +77,7 @@
     await server.close()
     await journal.close()
     guard.close()
+    lender.close()
     await upstreams.close()
     await base.close()
   }
--- a/packages/test-utils/src/start-system.ts
+++ b/packages/test-utils/src/start-system.ts
@@ -27,8 +27,10 @@
   readonly log?: Omit<standIns.LogSettings, 'port'>
   /** Merged over the document that the plan makes. */
   readonly config?: Partial<configState.ConfigDocumentInput>
-  /** Merged over the settings of every process. */
+  /** Merged over the settings of every process, or of one role. */
   readonly settings?: Readonly<Record<string, unknown>>
+  readonly sidecarSettings?: Readonly<Record<string, unknown>>
+  readonly entrySettings?: Readonly<Record<string, unknown>>
 }
 
 export interface SystemProcess {
@@ -106,13 +108,13 @@
 
   async function startSidecar (host: string): Promise<SystemProcess> {
     const { availabilityZone } = plan.hosts.find((one) => one.host === host)!
-    const started = await start('sidecar', host, availabilityZone, {})
+    const started = await start('sidecar', host, availabilityZone, plan.sidecarSettings ?? {})
     sidecars.set(host, started)
     return started
   }
 
   async function startEntry (host: string, availabilityZone: string): Promise<SystemProcess> {
-    const started = await start('entry', host, availabilityZone, {})
+    const started = await start('entry', host, availabilityZone, plan.entrySettings ?? {})
     entries.set(host, started)
     return started
   }
--- a/packages/types/src/wire.ts
+++ b/packages/types/src/wire.ts
@@ -116,6 +116,28 @@
   readonly configVersion: ids.ConfigVersion
 }
 
+/** Which of a client's limits. */
+export type LimitName = 'calls' | 'starts'
+
+/** An entry asks the owner of a client's limit for a share of it. */
+export interface ShareWish {
+  readonly client: ids.ClientId
+  readonly limit: LimitName
+  readonly holder: ids.HostId
+  /** Rate that the entry was lately asked for. */
+  readonly wantedPerSecond: number
+  /** What it would need at once. */
+  readonly wantedCredit: number
+}
+
+/** A lease on a part of a client's limit. */
+export interface ShareLease {
+  readonly perSecond: number
+  readonly burst: number
+  readonly credit: number
+  readonly leaseMs: number
+}
+
 /** A request to append records of a shard through another process. */
 export interface ShardAppend {
   readonly shard: number
