--- a/packages/stand-ins/src/engine-answer.ts
+++ b/packages/stand-ins/src/engine-answer.ts
@@ -76,6 +76,7 @@
   const { source, request, fault } = plan
   const { tokens, finishReason } = source.text
   const sent: string[] = []
+  let isCut = false
 
   function event (choices: readonly object[], more: object = {}): string {
     const chunk = { id: source.requestId, object: 'chat.completion.chunk', created: plan.createdSeconds, model: request.model, choices, ...more }
@@ -87,7 +88,7 @@
   }
 
   function write (text: string): void {
-    if (res.destroyed || res.writableEnded) return
+    if (isCut || res.destroyed) return
     if (fault?.type === 'duplicate') sent.push(text)
     res.write(text)
   }
@@ -104,7 +105,8 @@
   }
 
   function cut (clean: boolean): void {
-    if (res.destroyed || res.writableEnded) return
+    if (isCut || res.destroyed) return
+    isCut = true
     if (clean) res.end()
     else res.write('data: {"id":', () => { res.req.socket.destroy() })
   }
--- a/packages/stand-ins/src/log-stand-in.ts
+++ b/packages/stand-ins/src/log-stand-in.ts
@@ -18,7 +18,7 @@
   zod.object({ type: zod.literal('refuse'), on: requestKind, retryAfterMs: zod.number().optional() }),
   /** The connection is reset before anything happens. */
   zod.object({ type: zod.literal('reset'), on: requestKind }),
-  /** Held without effect until the faults are cleared, then dropped where the asker has gone. */
+  /** Held without effect until the faults are cleared, then reset. */
   zod.object({ type: zod.literal('stall'), on: requestKind }),
   /** Served after a delay. */
   zod.object({ type: zod.literal('slow'), on: requestKind, delayMs: zod.number() }),
@@ -123,8 +123,7 @@
         return httpHost.resetConnection(exchange.res)
       case 'stall':
         await faults.cleared()
-        if (!exchange.req.socket.destroyed) serve(exchange, stream)
-        return
+        return httpHost.resetConnection(exchange.res)
       case 'slow':
         await pauses.pause(fault.delayMs)
         return serve(exchange, stream)
