--- a/packages/stand-ins/src/weight-store-stand-in.ts
+++ b/packages/stand-ins/src/weight-store-stand-in.ts
@@ -50,7 +50,7 @@
 
 /** The bytes of one version of a model: always the same ones. */
 export function weightsOf (model: string, version: string, bytes: number): Buffer {
-  const seed = crypto.createHash('sha256').update(`${model}/${version}`).digest()
+  const seed = crypto.createHash('sha256').update(`${model}/${version}`).digest('hex')
   return Buffer.alloc(bytes, seed)
 }
 
