--- a/packages/weight-store-client/src/index.ts
+++ b/packages/weight-store-client/src/index.ts
@@ -1,2 +1,3 @@
 /** Client of the platform's rate-limited weight store. */
-export {}
+export * from './weight-store-client.js'
+export * from './create-weight-store-client.js'
