slopes: npm run slopes measures state, messages and processor time per entry

docs/CAPACITY.md must be worked out from measured slopes.

Ruled out while measuring: keeping the hash words of hosts across lists, and ranking without a sorted list.

--- /dev/null
+++ b/packages/slopes/src/all-slopes.ts
@@ -0,0 +1,22 @@
+/** Every slope by name, in the order in which they are measured. */
+import type * as series from './series.js'
+import * as clients from './slopes/clients.js'
+import * as compression from './slopes/compression.js'
+import * as homes from './slopes/homes.js'
+import * as hosts from './slopes/hosts.js'
+import * as journal from './slopes/journal.js'
+import * as loadReports from './slopes/load-reports.js'
+import * as programs from './slopes/programs.js'
+import * as sessions from './slopes/sessions.js'
+
+export const allSlopes: readonly series.Slope[] = [
+  hosts.hosts,
+  homes.homes,
+  loadReports.loadReports,
+  clients.clients,
+  programs.programs,
+  journal.journal,
+  journal.takeover,
+  compression.compression,
+  sessions.sessions
+]
--- a/packages/slopes/src/index.ts
+++ b/packages/slopes/src/index.ts
@@ -1,2 +1,3 @@
 /** Measures what each role costs per entry of its state. */
-export {}
+export * from './fit.js'
+export * from './series.js'
