Placement spills at 1,500 ms saved, and a moved program leaves no copy behind

Cause: at 500 ms programs moved for small savings, and each move left a copy of the prefix that crowded the cache.

--- a/packages/model-engines/src/hold-book.ts
+++ b/packages/model-engines/src/hold-book.ts
@@ -48,12 +48,14 @@
     this.#learner.observe(pause.kind, { type: 'returned', afterMs: this.#timers.now() - pause.since })
   }
 
-  /** That call was placed; a hold elsewhere is of no more use. */
-  placed (prefix: string, upstream: upstreams.Upstream): void {
+  /** That call was placed; a hold elsewhere is of no more use, nor is the copy where the program has moved for good. */
+  placed (prefix: string, upstream: upstreams.Upstream, moved: boolean): void {
     const pause = this.#pauses.get(prefix)
     if (pause === undefined) return
     this.#pauses.delete(prefix)
-    if (pause.upstream !== upstream) pause.upstream.engine.cache.hold(prefix, 0)
+    if (pause.upstream === upstream) return
+    if (moved) pause.upstream.engine.cache.drop(prefix)
+    else pause.upstream.engine.cache.hold(prefix, 0)
   }
 
   /** The program has ended. */
--- a/packages/model-engines/src/home.ts
+++ b/packages/model-engines/src/home.ts
@@ -121,9 +121,9 @@
     }
     this.#world.recorder.attempts += 1
     const upstream = this.#upstream(placement.upstream)
-    this.holds.placed(call.prefix, upstream)
     this.#own.begin(placement.upstream, now)
     const submitted = this.#submission(call, running, attempt, upstream, placement.importFrom)
+    this.holds.placed(call.prefix, upstream, placement.reason.type === 'spill')
     running.cancel = () => {
       this.#own.end(placement.upstream, this.#world.timers.now())
       upstream.cancel(submitted)
--- a/packages/model-engines/src/rules.ts
+++ b/packages/model-engines/src/rules.ts
@@ -48,8 +48,8 @@
   roundRobin: { type: 'roundRobin' },
   leastLoaded: { type: 'leastLoaded' },
   twoChoices: { type: 'twoChoices' },
-  homeFirst: homeFirst(500, undefined),
-  homeFirstImport: homeFirst(500, measuredCosts.importMsPerToken)
+  homeFirst: homeFirst(1_500, undefined),
+  homeFirstImport: homeFirst(1_500, measuredCosts.importMsPerToken)
 }
 
 const holds: Readonly<Record<string, retainPrefix.HoldRule>> = {
@@ -68,7 +68,7 @@
 /** The winners together. */
 export const winners: Rules = {
   order: orderQueue.defaultOrderRule,
-  place: homeFirst(500, measuredCosts.importMsPerToken),
+  place: homeFirst(1_500, measuredCosts.importMsPerToken),
   hold: retainPrefix.defaultHoldRule,
   admit: admitProgram.defaultAdmissionRule,
   noticeSlow: true
--- a/packages/place-call/src/candidate.ts
+++ b/packages/place-call/src/candidate.ts
@@ -106,4 +106,4 @@
   usualCallMs: 3_000
 }
 
-export const defaultPlaceRule: PlaceRule = { type: 'homeFirst', costs: defaultPlaceCosts, spillMarginMs: 500 }
+export const defaultPlaceRule: PlaceRule = { type: 'homeFirst', costs: defaultPlaceCosts, spillMarginMs: 1_500 }
