--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -5,10 +5,10 @@
 const pure = ['parse-settings', 'program-state', 'config-state', 'choose-home', 'place-call', 'order-queue',
   'admit-program', 'retain-prefix', 'limit-client', 'decide-retry', 'membership']
 const peers = ['log-client', 'host-list-client', 'engine-client', 'service-client', 'weight-store-client',
-  'sidecar-client', 'caller-server', 'metrics', 'tracing']
-const parts = ['append-journal', 'follow-config', 'guard-upstream', 'program-home']
+  'sidecar-client', 'caller-server', 'caller-client', 'metrics', 'tracing']
+const parts = ['append-journal', 'follow-config', 'guard-upstream', 'program-home', 'process-base']
 const binaries = ['entry', 'sidecar', 'cli', 'load']
-const bench = ['stand-ins', 'test-utils', 'model-engines', 'slopes', 'demo']
+const bench = ['stand-ins', 'test-utils', 'model-engines', 'slopes', 'demo', 'system-tests']
 
 function layer (names, allowed) {
   return names.map((name) => ({ name, allowed: allowed.filter((other) => other !== name) }))
@@ -21,7 +21,7 @@
   ...layer(pure, ['types', 'errors', 'timer-service', ...pure]),
   // A package for each peer; they know nothing of one another.
   ...layer(peers, [...base]),
-  ...layer(parts, [...base, ...pure, ...peers, 'append-journal']),
+  ...layer(parts, [...base, ...pure, ...peers, 'append-journal', 'follow-config']),
   ...layer(binaries, [...base, ...pure, ...peers, ...parts]),
   ...layer(['stand-ins'], base),
   ...layer(bench.filter((name) => name !== 'stand-ins'), [...base, ...pure, ...peers, ...parts, ...binaries, ...bench])
