--- /dev/null
+++ b/packages/append-journal/src/heads.ts
@@ -0,0 +1,76 @@
+/** The index of a shard: where each program's chain stands, and which log records hold it, but no history. */
+import * as programState from '@eelgrasswind/program-state'
+import * as types from '@eelgrasswind/types'
+
+/** A program's place in its chain, and where its records are. */
+export interface HeadPoint extends programState.ChainPoint {
+  /** Position of the begin or snapshot that the state starts from. */
+  readonly base: types.Term
+  /** Log time of that record. */
+  readonly baseAt: types.EpochMs
+  /** Log records that hold the state: the base and every later one, in order. */
+  readonly offsets: types.LogOffset[]
+}
+
+type HeadChain = programState.Chain<HeadPoint>
+
+/** Sweeps of forgotten programs in each reuse time. */
+const sweepsPerReuse = 4
+
+const headRules: programState.PointRules<HeadPoint> = {
+  begin: (record, position, at) => baseOf(programState.firstPoint(record, position, at), position, at),
+  restore: (record, position, at) => baseOf(programState.restoredPoint(record, position, at), position, at),
+  apply: (point, record, position) => {
+    if (record.type === 'snapshot') Object.assign(point, baseOf(point, position, point.lastAt))
+    else addOffset(point.offsets, types.offsetOf(position))
+    return programState.applied
+  }
+}
+
+function baseOf (point: programState.ChainPoint, position: types.Term, at: types.EpochMs): HeadPoint {
+  return { ...point, base: position, baseAt: at, offsets: [types.offsetOf(position)] }
+}
+
+function addOffset (offsets: types.LogOffset[], offset: types.LogOffset): void {
+  if (offsets.at(-1) !== offset) offsets.push(offset)
+}
+
+export class Heads {
+  private readonly chains = new Map<types.ProgramId, HeadChain>()
+  private sweptAt: types.EpochMs | undefined
+
+  get size (): number {
+    return this.chains.size
+  }
+
+  apply (record: types.JournalRecord, position: types.Term, reading: programState.Reading): programState.Effect {
+    const known = this.chains.get(record.program)
+    const { chain, effect } = programState.applyToChain(known, record, position, reading, headRules)
+    if (known === undefined && chain !== undefined) this.chains.set(record.program, chain)
+    this.sweep(reading)
+    return effect
+  }
+
+  chainOf (program: types.ProgramId): HeadChain | undefined {
+    return this.chains.get(program)
+  }
+
+  clear (): void {
+    this.chains.clear()
+  }
+
+  /** Forgets programs whose ids are free again; every reader treats them as if they had never been. */
+  private sweep (reading: programState.Reading): void {
+    this.sweptAt ??= reading.at
+    if (reading.at - this.sweptAt < reading.rules.reuseMs / sweepsPerReuse) return
+    this.sweptAt = reading.at
+    for (const [program, chain] of this.chains) {
+      if (isForgotten(chain, reading)) this.chains.delete(program)
+    }
+  }
+}
+
+function isForgotten (chain: HeadChain, reading: programState.Reading): boolean {
+  if (chain.current !== undefined) return programState.mayBeginAgain(chain.current, reading)
+  return reading.at - (chain.seenAt ?? reading.at) >= reading.rules.idleMs
+}
--- a/packages/program-state/src/chain.ts
+++ b/packages/program-state/src/chain.ts
@@ -176,7 +176,7 @@
 function advance<P extends ChainPoint> (
   point: P, record: LaterRecord, position: types.Term, reading: Reading, rules: PointRules<P>
 ): effects.Effect {
-  const reason = isGone(point, reading) ? 'expired' : whyVoid(point, record)
+  const reason = isGone(point, reading) ? 'unknownProgram' : whyVoid(point, record)
   if (reason !== undefined) return effects.voided(reason)
   point.n = record.n
   point.lastAt = reading.at
--- a/packages/program-state/src/effect.ts
+++ b/packages/program-state/src/effect.ts
@@ -12,11 +12,9 @@
   | 'outOfOrder'
   /** Names a term that this reader never saw begin. */
   | 'unknownTerm'
-  /** Belongs to a program that never began. */
+  /** Belongs to a program that never began, or that had no record for so long that readers may have forgotten it. */
   | 'unknownProgram'
   | 'finished'
-  /** The program had no record for so long that readers may have forgotten it. */
-  | 'expired'
   /** A begin that the log took too long after it was written. */
   | 'staleBegin'
   /** The sequence number is not the next one of its branch. */
--- a/packages/program-state/src/state.ts
+++ b/packages/program-state/src/state.ts
@@ -57,6 +57,13 @@
   return { view: chain, effect }
 }
 
+/** What a reader knows that starts with a begin or snapshot which is known to have taken effect; undefined for other records. */
+export function viewFrom (record: types.JournalRecord, position: types.Term, at: types.EpochMs): ProgramView | undefined {
+  if (record.type !== 'begin' && record.type !== 'snapshot') return undefined
+  const state = record.type === 'begin' ? stateFromBegin(record, position, at) : stateFromSnapshot(record, position, at)
+  return { program: record.program, current: { ...state, complete: true }, candidates: [], seenAt: at }
+}
+
 /** The state, where the reader knows the whole of it. */
 export function completeState (view: ProgramView | undefined): ProgramState | undefined {
   return view?.current?.complete === true ? view.current : undefined
