A candidate that has been silent for the idle time is never confirmed

Cause: readers may forget programs whose ids are free, so a record of such a program must be void for those that have not forgotten it, too. Change: the chain takes no record of a program silent for the idle time; this covers the begin that replaces a candidate, so the rule for that goes.

--- a/packages/program-state/src/chain.ts
+++ b/packages/program-state/src/chain.ts
@@ -115,8 +115,6 @@
   const { current } = chain
   if (current !== undefined && !mayBeginAgain(current, reading)) return effects.voided(whyNoBegin(current, record))
   const point = rules.begin(record, position, reading.at)
-  // If one of these was the current place, this begin has replaced it.
-  chain.candidates = chain.candidates.filter((candidate) => !mayBeginAgain(candidate, reading))
   if (current === undefined && !nothingBefore(chain, reading)) {
     addCandidate(chain, point)
     return effects.incomplete
@@ -155,6 +153,7 @@
 function follow<P extends ChainPoint> (
   chain: Chain<P>, record: LaterRecord, position: types.Term, reading: Reading, rules: PointRules<P>
 ): effects.Effect {
+  // A begin may have replaced one that has been silent for so long.
   const confirmed = chain.candidates.find((point) => point.term === record.term && !isGone(point, reading))
   if (confirmed !== undefined) settleOn(chain, confirmed)
   if (chain.current !== undefined) return advance(chain.current, record, position, reading, rules)
--- a/packages/program-state/src/test-writers.ts
+++ b/packages/program-state/src/test-writers.ts
@@ -6,7 +6,7 @@
 
 export const programs = ['p1', 'p2'] as types.ProgramId[]
 export const branches = ['main', 'agent'] as types.BranchId[]
-const rules: programState.FoldRules = { idleMs: 120, reuseMs: 48 }
+export const rules: programState.FoldRules = { idleMs: 100, reuseMs: 48 }
 
 export interface LogEntry {
   readonly batch: readonly types.JournalRecord[]
@@ -47,7 +47,7 @@
 type Step = typeof step extends fc.Arbitrary<infer T> ? T : never
 
 /** What the scheduler does, step by step. */
-export const schedule = fc.array(step, { minLength: 40, maxLength: 200, size: 'max' })
+export const schedule = fc.array(step, { minLength: 40, maxLength: 250, size: 'max' })
 
 /** Folds entries of the log into views. */
 export function readOn (views: Views, log: readonly LogEntry[], from: number, to: number, since: types.EpochMs | undefined, observe?: Observe): void {
@@ -104,7 +104,7 @@
       world.writers[chosen.writer] = startWriter(world, writer.home.host, pick % 2 * pick % (world.log.length + 1))
       return
     case 'wait':
-      world.now += pick % 100
+      world.now += pick % 70
   }
 }
 
