Property over journals with faults: what is told is what readers find

Cause: lost answers, late copies, refusals and stalls of appends and reads, over three journals on one log, must never make an append say what readers do not find. Found: an own begin that lost its race was told as applied, because the local state was folded from nothing while the head knew of the other begin. Mended: a local state starts only from a begin that the head has taken.

--- a/packages/append-journal/src/journal.ts
+++ b/packages/append-journal/src/journal.ts
@@ -73,8 +73,8 @@
 }
 
 const hourMs = 3_600_000
-const defaultRetentionMs = 24 * hourMs
-const defaultFinishedMs = hourMs
+export const defaultRetentionMs = 24 * hourMs
+export const defaultFinishedMs = hourMs
 /** Share of the retention after which a program without any record counts as gone. */
 const idleShare = 0.75
 /** Share of the retention after which a program gets a snapshot. */
--- a/packages/append-journal/src/shard-fold.ts
+++ b/packages/append-journal/src/shard-fold.ts
@@ -87,7 +87,9 @@
   private foldRecord (record: types.JournalRecord, position: types.Term, reading: programState.Reading): void {
     const chainEffect = this.heads.apply(record, position, reading)
     const own = this.matchExpected(record)
-    const effect = this.foldLocal(record, position, reading, own !== undefined) ?? chainEffect
+    const isLocal = this.locals.has(record.program)
+    const effect = isLocal ? this.foldLocal(record, position, reading, own !== undefined) : chainEffect
+    if (own !== undefined && !isLocal && effect.type === 'applied') this.keepBegun(record, position, reading.at)
     if (own !== undefined) pendings.noteCopy(own, position, effect)
   }
 
@@ -97,19 +99,22 @@
     return pending.text === programState.encodeRecord(record) ? pending : undefined
   }
 
-  /** The effect on a local program, which judges the content too; undefined for the programs of others. */
-  private foldLocal (record: types.JournalRecord, position: types.Term, reading: programState.Reading, own: boolean): programState.Effect | undefined {
+  /** The effect on a local program, which judges the content too. */
+  private foldLocal (record: types.JournalRecord, position: types.Term, reading: programState.Reading, own: boolean): programState.Effect {
     const { program } = record
     const known = this.locals.get(program)
-    if (known === undefined && !(own && record.type === 'begin')) return undefined
-    const { view, effect } = programState.applyRecord(known, record, position, reading)
-    if (known === undefined && view !== undefined && effect.type === 'applied') this.keep(program, view)
+    const { effect } = programState.applyRecord(known, record, position, reading)
     if (effect.type === 'incomplete') this.options.logger.error({ program, position }, 'a record contradicts the state of its program')
     const taken = effect.type === 'applied' && (record.type === 'claim' || record.type === 'begin') && !own
-    if (taken || (known !== undefined && effect.type === 'incomplete')) this.drop(program)
+    if (taken || effect.type === 'incomplete') this.drop(program)
     return effect
   }
 
+  private keepBegun (record: types.JournalRecord, position: types.Term, at: types.EpochMs): void {
+    const view = record.type === 'begin' ? programState.viewFrom(record, position, at) : undefined
+    if (view !== undefined) this.keep(record.program, view)
+  }
+
   private drop (program: types.ProgramId): void {
     this.locals.delete(program)
     this.options.onSuperseded(program)
