--- a/packages/append-journal/src/journal.test.ts
+++ b/packages/append-journal/src/journal.test.ts
@@ -83,6 +83,17 @@
   t.ok(journal.counters().appends >= 20 && journal.counters().appends <= 24, `${journal.counters().appends} appends in 2 s`)
 })
 
+tap.test('a head is as new as the question', async (t) => {
+  const world = createWorld()
+  const journal = await world.open()
+  const early = journal.catchUp(0)
+  await world.timers.advanceAsync(1)
+  world.log.put(stream, programState.encodeBatch([records.begin(p1, homeA, world.timers.now())]))
+  const head = journal.head(p1)
+  valueOf(await settled(world, early))
+  t.match(valueOf(await settled(world, head)), { n: 1, home: homeA })
+})
+
 tap.test('records of other writers are read before an effect is told', async (t) => {
   const world = createWorld()
   const [a, b] = [await world.open(), await world.open()]
--- a/packages/append-journal/src/pending-record.ts
+++ b/packages/append-journal/src/pending-record.ts
@@ -55,9 +55,8 @@
 
 /** Notes a copy of the record that was read from the log. */
 export function noteCopy (pending: PendingRecord, position: types.Term, effect: programState.Effect): void {
-  if (pending.seen?.applied === true) return
   const applied = effect.type === 'applied'
-  if (pending.seen === undefined || applied) pending.seen = { position, applied, effect }
+  if (pending.seen === undefined || (applied && !pending.seen.applied)) pending.seen = { position, applied, effect }
 }
 
 /** Whether two records stand for the same place in a program's chain. */
--- a/packages/append-journal/src/shard-writer.ts
+++ b/packages/append-journal/src/shard-writer.ts
@@ -127,7 +127,7 @@
       const sent = await this.attempt(batch, text, deadline)
       if (sent !== undefined) return sent
       if (this.isOver(deadline)) return errors.fail(failures.logUnavailable('notRun'))
-      await this.pause(attempt)
+      await this.pause(attempt, deadline)
       if (await this.hasLanded(batch)) return errors.ok(undefined)
       await new Promise<void>((resolve) => { this.options.bucket.take(resolve) })
     }
@@ -158,7 +158,7 @@
       this.noteAttempt(landed.ok)
       if (landed.ok || reader.failure() !== undefined) return landed
       if (this.isOver(deadline)) return errors.fail(failures.logUnavailable('mayHaveRun'))
-      await this.pause(attempt)
+      await this.pause(attempt, deadline)
     }
   }
 
@@ -239,8 +239,11 @@
     })
   }
 
-  private async pause (attempt: number): Promise<void> {
-    await timerService.sleep(this.options.timers, backoff.backoffMs(attempt, this.options.random))
+  /** Waits before the next attempt; the last one comes when the time is over. */
+  private async pause (attempt: number, deadline: number): Promise<void> {
+    const { timers, random } = this.options
+    const leftMs = Math.max(0, deadline - timers.monotonic())
+    await timerService.sleep(timers, Math.min(leftMs, backoff.backoffMs(attempt, random)))
   }
 }
 
