--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -1,2 +1,3 @@
 /** Metrics by hot-shots over UDP. */
-export {}
+export * from './metric-table.js'
+export * from './metrics.js'
--- /dev/null
+++ b/packages/metrics/src/metric-table.ts
@@ -0,0 +1,65 @@
+/** Every metric that the system sends: its kind, its unit and what it means. docs/metrics.md shows the same table. */
+
+interface Metric {
+  readonly type: 'counter' | 'gauge' | 'timing'
+  readonly unit: string
+  readonly meaning: string
+}
+
+/** The closed list of metrics; names are sent behind the configured prefix. */
+export const metricTable = {
+  'program.started': { type: 'counter', unit: 'programs', meaning: 'Programs whose start was confirmed by the log.' },
+  'program.refused': { type: 'counter', unit: 'programs', meaning: 'Starts refused, not run; tag reason.' },
+  'program.finished': { type: 'counter', unit: 'programs', meaning: 'Programs that ended; tags kind and result.' },
+  'program.in_time': { type: 'counter', unit: 'programs', meaning: 'Programs that were done by their deadline; tag kind.' },
+  'program.late': { type: 'counter', unit: 'programs', meaning: 'Programs that were done after their deadline, or not at all; tag kind.' },
+  'program.latency': { type: 'timing', unit: 'ms', meaning: 'Time from the start of a program to its finish; tag kind.' },
+  'program.open': { type: 'gauge', unit: 'programs', meaning: 'Programs whose home is this process.' },
+  'program.takeover': { type: 'counter', unit: 'programs', meaning: 'Programs taken over from another home; tag reason.' },
+  'program.history_incomplete': { type: 'counter', unit: 'programs', meaning: 'Programs whose records expired before a snapshot was read. Must stay 0.' },
+  'call.finished': { type: 'counter', unit: 'calls', meaning: 'Calls that ended; tags target and result.' },
+  'call.failed': { type: 'counter', unit: 'calls', meaning: 'Calls that failed; tags reason and verdict.' },
+  'call.retried': { type: 'counter', unit: 'calls', meaning: 'Attempts after the first one; tag reason.' },
+  'call.repeated': { type: 'counter', unit: 'calls', meaning: 'Calls answered from the history because their key was asked before.' },
+  'call.latency': { type: 'timing', unit: 'ms', meaning: 'Time from the arrival of a call at its home to its end; tag target.' },
+  'call.wait': { type: 'timing', unit: 'ms', meaning: 'Time that a call waited for an upstream.' },
+  'call.first_token': { type: 'timing', unit: 'ms', meaning: 'Time from the arrival of a model call to its first token.' },
+  'budget.refused': { type: 'counter', unit: 'calls', meaning: 'Calls refused because the budget of their program is used up.' },
+  'client.limited': { type: 'counter', unit: 'requests', meaning: 'Requests refused by the limit of their client.' },
+  'queue.length': { type: 'gauge', unit: 'calls', meaning: 'Calls that wait for an upstream.' },
+  'upstream.running': { type: 'gauge', unit: 'calls', meaning: 'Calls that run on the upstream beside this process.' },
+  'upstream.refused': { type: 'counter', unit: 'calls', meaning: 'Calls that an upstream refused; tag upstream.' },
+  'cache.reused_tokens': { type: 'counter', unit: 'tokens', meaning: 'Prompt tokens found in the prefix cache.' },
+  'cache.wasted_tokens': { type: 'counter', unit: 'tokens', meaning: 'Prompt tokens computed again that an engine had computed before.' },
+  'cache.held_tokens': { type: 'gauge', unit: 'tokens', meaning: 'Tokens of prefixes that are held on the engine beside this process.' },
+  'cache.released': { type: 'counter', unit: 'holds', meaning: 'Holds that ended; tag reason.' },
+  'log.append': { type: 'timing', unit: 'ms', meaning: 'Time of an append that was confirmed.' },
+  'log.append_failed': { type: 'counter', unit: 'appends', meaning: 'Appends that failed; tag verdict.' },
+  'log.batch_records': { type: 'gauge', unit: 'records', meaning: 'Records in the last batch appended.' },
+  'log.pending_records': { type: 'gauge', unit: 'records', meaning: 'Records that are not confirmed yet.' },
+  'log.unavailable': { type: 'gauge', unit: '0 or 1', meaning: '1 while the log does not answer or refuses.' },
+  'config.version': { type: 'gauge', unit: 'version', meaning: 'Version of the configuration in force here.' },
+  'config.rejected': { type: 'counter', unit: 'changes', meaning: 'Published changes that were not accepted; tag reason.' },
+  'host.live': { type: 'gauge', unit: 'hosts', meaning: 'Hosts that this process takes for live.' },
+  'host.suspect': { type: 'counter', unit: 'hosts', meaning: 'Hosts that became suspect.' },
+  'process.cpu': { type: 'gauge', unit: '% of a core', meaning: 'Processor time of this process over the last period.' },
+  'process.memory': { type: 'gauge', unit: 'bytes', meaning: 'Resident memory of this process.' },
+  'process.loop_delay': { type: 'gauge', unit: 'ms', meaning: 'Longest delay of the event loop over the last period.' }
+} as const satisfies Readonly<Record<string, Metric>>
+
+type Table = typeof metricTable
+type NamesOf<Type extends Metric['type']> = { [Name in keyof Table]: Table[Name]['type'] extends Type ? Name : never }[keyof Table]
+
+export type CounterName = NamesOf<'counter'>
+export type GaugeName = NamesOf<'gauge'>
+export type TimingName = NamesOf<'timing'>
+
+/** Tags that a value may carry; each has few different values. */
+export interface MetricTags {
+  readonly kind?: string
+  readonly target?: string
+  readonly result?: string
+  readonly reason?: string
+  readonly verdict?: string
+  readonly upstream?: string
+}
--- a/packages/tracing/src/index.ts
+++ b/packages/tracing/src/index.ts
@@ -1,2 +1,3 @@
 /** One span for each hop, with W3C trace context. */
-export {}
+export * from './traceparent.js'
+export * from './tracing.js'
