--- a/packages/stand-ins/src/engine-batch.ts
+++ b/packages/stand-ins/src/engine-batch.ts
@@ -47,6 +47,7 @@
   let running: Running[] = []
   let timer: timerService.Subscription | null = null
   let due = 0
+  let idle = true
   let stepping = false
 
   function add (sequence: Sequence): void {
@@ -95,6 +96,7 @@
     stepping = true
     while (timer === null) {
       admit()
+      idle ||= running.length === 0
       if (running.length === 0) break
       const decoding = running.filter((one) => one.prefillLeft === 0)
       const durationMs = stepMs(decoding, prefill())
@@ -106,8 +108,9 @@
 
   function wait (decoding: readonly Running[], durationMs: number): void {
     const now = timers.monotonic()
-    // A late timer is made up for by a shorter next step.
-    due = Math.max(due, now - durationMs) + durationMs
+    // A late timer is made up for by a shorter next step; time without work is not.
+    due = idle ? now + durationMs : Math.max(due, now - durationMs) + durationMs
+    idle = false
     timer = timers.after(due - now, () => {
       timer = null
       stepping = true
--- a/packages/tracing/src/traceparent.ts
+++ b/packages/tracing/src/traceparent.ts
@@ -40,7 +40,7 @@
   }
   const hex = pool.toString('hex', used, used + bytes)
   used += bytes
-  return /[1-9a-f]/.test(hex) ? hex : randomHex(bytes)
+  return hex.startsWith('0') && /^0+$/.test(hex) ? randomHex(bytes) : hex
 }
 
 export function newTraceId (): string {
