--- a/packages/service-client/src/service-client.test.ts
+++ b/packages/service-client/src/service-client.test.ts
@@ -1,3 +1,4 @@
+import * as net from 'node:net'
 import * as fc from 'fast-check'
 import tap from 'tap'
 import type * as errors from '@eelgrasswind/errors'
@@ -128,3 +129,47 @@
   }), { seed: 1, numRuns: 60 })
   t.ok(round >= 60)
 })
+
+interface Cut {
+  /** Bytes of the answer that are sent. */
+  readonly bytes: number
+  readonly then: 'end' | 'reset' | 'close'
+}
+
+/** A server that answers each request and then cuts the connection as told; counts the requests that it reads. */
+async function cuttingServer (t: TestScope, cutOf: () => Cut): Promise<{ address: string, seen: Map<string, number> }> {
+  const seen = new Map<string, number>()
+  const server = net.createServer((socket) => {
+    socket.on('error', () => {})
+    socket.on('data', (data) => {
+      const id = /x-request-id: (\S+)/.exec(data.toString())?.[1] ?? 'none'
+      seen.set(id, (seen.get(id) ?? 0) + 1)
+      const { bytes, then } = cutOf()
+      const whole = `HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx-request-id: ${id}\r\n\r\n{}`
+      socket.write(whole.slice(0, bytes), () => {
+        if (then === 'end') socket.end()
+        else if (then === 'reset') socket.resetAndDestroy()
+        else socket.destroy()
+      })
+    })
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  t.teardown(() => server.close())
+  return { address: `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`, seen }
+}
+
+tap.test('a connection that is cut anywhere never makes a request go out twice', async (t) => {
+  let cut: Cut = { bytes: 0, then: 'end' }
+  const { address, seen } = await cuttingServer(t, () => cut)
+  const client = serviceClient.createServiceClient({ upstream, address, maxAnswerBytes })
+  t.teardown(() => client.close())
+  let calls = 0
+  await fc.assert(fc.asyncProperty(fc.record({ bytes: fc.nat(90), then: fc.constantFrom('end' as const, 'reset' as const, 'close' as const) }), async (next) => {
+    cut = next
+    const ids = [0, 1, 2].map(() => `c${calls++}`)
+    const results = await Promise.all(ids.map((requestId) => client.call({ requestId, path: 'orders', body: {} }, { signal: never })))
+    return ids.every((id, i) => (seen.get(id) ?? 0) <= 1 && (verdictOf(results[i]!) !== 'notRun' || !seen.has(id)))
+  }), { seed: 1, numRuns: 200 })
+  t.ok(calls >= 600)
+  t.equal(seen.get('none'), undefined)
+})
--- a/packages/test-utils/src/test-utils.test.ts
+++ b/packages/test-utils/src/test-utils.test.ts
@@ -1,6 +1,11 @@
 import tap from 'tap'
+import * as engineClient from '@eelgrasswind/engine-client'
+import * as serviceClient from '@eelgrasswind/service-client'
+import type * as types from '@eelgrasswind/types'
 import * as testUtils from './index.js'
 
+const upstream = 'u1' as types.UpstreamId
+
 tap.test('eventually waits for a check and gives its value', async (t) => {
   let tries = 0
   t.equal(await testUtils.eventually(() => { tries += 1; return tries === 3 && 'done' }), 'done')
@@ -37,3 +42,38 @@
   t.equal((await fetch(`${log.address}/v1/streams/s/records`, { method: 'POST', body: 'x' })).status, 201)
   t.equal(engines.length, 2)
 })
+
+tap.test('a service that is paused may have run a call, one that is gone has not', async (t) => {
+  const standIn = await testUtils.spawnStandIn(t, { kind: 'service' })
+  const client = serviceClient.createServiceClient({ upstream, address: standIn.address, maxAnswerBytes: 1000 })
+  t.teardown(() => client.close())
+  const call = (requestId: string): ReturnType<typeof client.call> => client.call({ requestId, path: 'orders', body: {} }, { signal: AbortSignal.timeout(200) })
+  t.match(await call('r1'), { ok: true })
+  standIn.pause()
+  t.match(await call('r2'), { ok: false, failure: { tag: 'timeout', verdict: 'mayHaveRun' } })
+  standIn.resume()
+  t.match(await testUtils.eventually(standIn.counters), { executions: { r1: 1 } })
+  await standIn.kill()
+  // An idle connection may not have been seen to break yet; the one after it has.
+  await call('r3')
+  t.match(await call('r4'), { ok: false, failure: { tag: 'upstreamUnavailable', verdict: 'notRun' } })
+})
+
+tap.test('an engine that dies while it generates did run', async (t) => {
+  const standIn = await testUtils.spawnStandIn(t, { kind: 'engine', tokenMs: 5 })
+  const client = engineClient.createEngineClient({ upstream, address: standIn.address, timeoutMs: 1000 })
+  t.teardown(() => client.close())
+  let killed: Promise<void> | undefined
+  const onDelta = (): void => { killed ??= standIn.kill() }
+  const answer = await client.complete({
+    requestId: 'r1',
+    model: 'm' as types.ModelId,
+    messages: [{ role: 'user', content: 'hello' }],
+    maxTokens: 5000,
+    options: { ignore_eos: true },
+    priority: 0,
+    session: 'p1' as types.ProgramId
+  }, { signal: new AbortController().signal, onDelta })
+  await killed
+  t.match(answer, { ok: false, failure: { tag: 'answerBroken', verdict: 'ran', detail: 'lost' } })
+})
