Service client test: a call given up while it waits must not go out later either

A trial that took the guard out of the exchange left the test green: it looked before the waiting request could have gone out. It now looks after 20 more calls, and the same trial makes it fail.

--- a/packages/service-client/src/service-client.test.ts
+++ b/packages/service-client/src/service-client.test.ts
@@ -105,6 +105,7 @@
   t.match(await call('waiting', AbortSignal.timeout(300)), { ok: false, failure: { tag: 'timeout', verdict: 'notRun' } })
   service.faults.clear()
   t.ok((await Promise.all(busy)).every((result) => result.ok))
+  for (let i = 0; i < 20; i += 1) await call(`after${i}`)
   t.same(service.counters().requests['waiting'], undefined)
 })
 
