--- a/packages/admit-program/src/admit-program.test.ts
+++ b/packages/admit-program/src/admit-program.test.ts
@@ -1,9 +1,10 @@
 import tap from 'tap'
 import * as fc from 'fast-check'
 import * as decideAdmission from './decide-admission.js'
+import * as meanUse from './mean-use.js'
 import * as usableSlots from './usable-slots.js'
 
-const inTime: decideAdmission.AdmissionRule = { type: 'inTime', minLikelihood: 0.5, maxUse: 0.9, worthUse: 0.05 }
+const inTime: decideAdmission.AdmissionRule = { type: 'inTime', minLikelihood: 0.5, peakUse: 0.9, sustainedUse: 0.8, worthUse: 0.05 }
 
 function input (over: Partial<decideAdmission.AdmissionInput> = {}): decideAdmission.AdmissionInput {
   return {
@@ -13,6 +14,7 @@
     slots: 8,
     waiting: 0,
     demand: 0,
+    meanUse: 0,
     runMs: 8_000,
     usualWorth: 1 / 8_000,
     expectedMs: 20_000,
@@ -68,3 +70,11 @@
   t.equal(usableSlots.usableSlots({ slots: 16, cacheTokens: 100_000, meanCallTokens: 1_000 }), 16)
   t.equal(usableSlots.usableSlots({ slots: 16, cacheTokens: 100_000, meanCallTokens: 7_000 }), 10)
 })
+
+tap.test('less room when demand has been high for minutes', async (t) => {
+  t.match(decideAdmission.decideAdmission(inTime, input({ demand: 6.6, meanUse: 0.5 })), { type: 'admit' })
+  t.match(decideAdmission.decideAdmission(inTime, input({ demand: 6.6, meanUse: 0.8 })), { type: 'refuse', reason: { mostUse: 0.8 } })
+  const mean = meanUse.createMeanUse(0, 100_000)
+  for (let now = 1_000; now <= 100_000; now += 1_000) mean.observe(1, now)
+  t.ok(Math.abs(mean.mean() - (1 - Math.exp(-1))) < 1e-6)
+})
--- a/packages/admit-program/src/decide-admission.ts
+++ b/packages/admit-program/src/decide-admission.ts
@@ -7,10 +7,11 @@
   | { readonly type: 'queueBound', readonly waitingPerSlot: number }
   /**
    * Refuses a program whose likelihood of finishing in time is below `minLikelihood`, and any while admitted
-   * programs would run more than `maxUse` calls for each slot; `worthUse` more for each doubling of the program's
+   * programs would run too many calls for each slot: `peakUse` for a short time, `sustainedUse` when it has been
+   * near that for minutes. `worthUse` more for each doubling of the program's
    * worth (its weight for each second that it is expected to run) above the usual one, and as much less below.
    */
-  | { readonly type: 'inTime', readonly minLikelihood: number, readonly maxUse: number, readonly worthUse: number }
+  | { readonly type: 'inTime', readonly minLikelihood: number, readonly peakUse: number, readonly sustainedUse: number, readonly worthUse: number }
 
 /** What admission is decided from; times in milliseconds. */
 export interface AdmissionInput {
@@ -28,6 +29,8 @@
    * for longer than `silentMs` does not count: its caller has probably gone away.
    */
   readonly demand: number
+  /** `demand` for each slot, as a mean over the last minutes; from `createMeanUse`. */
+  readonly meanUse: number
   /** Time that the new program's calls are expected to run. */
   readonly runMs: number
   /** Expected time from start to finish if nothing waits, pauses included. */
@@ -52,12 +55,14 @@
   | { readonly type: 'admit', readonly reason: AdmissionReason }
   | { readonly type: 'refuse', readonly retryAfterMs: number, readonly reason: AdmissionReason }
 
-export const defaultAdmissionRule: AdmissionRule = { type: 'inTime', minLikelihood: 0.05, maxUse: 0.9, worthUse: 0.1 }
+export const defaultAdmissionRule: AdmissionRule = { type: 'inTime', minLikelihood: 0.05, peakUse: 0.95, sustainedUse: 0.8, worthUse: 0.1 }
 
 /** Silence after which an admitted program no longer counts as demand, until its next call. */
 export const silentMs = 30_000
 /** Shortest time to come back that is worth naming. */
 const shortestRetryAfterMs = 1_000
+/** Part of the sustained use from which on the room shrinks. */
+const sustainedFrom = 0.8
 /** Bounds what worth may do to a program's room. */
 const mostDoublings = 2
 /** Standard deviation of a normal distribution, in mean absolute deviations. */
@@ -94,12 +99,19 @@
   }
   const likelihood = likelihoodOf(input, Math.max(1, input.stretch))
   const use = (input.demand + input.runMs / Math.max(1, input.expectedMs)) / Math.max(1, input.slots)
-  const mostUse = rule.maxUse + rule.worthUse * worthOf(input)
+  const mostUse = roomOf(rule, input) + rule.worthUse * worthOf(input)
   const reason: AdmissionReason = { type: 'likelihood', likelihood, use, mostUse }
   if (likelihood >= rule.minLikelihood && use <= mostUse) return { type: 'admit', reason }
   return { type: 'refuse', retryAfterMs: freeAgainMs(input, use, mostUse), reason }
 }
 
+/** Calls for each slot that may run: falls from the peak to the sustained figure as the mean approaches the latter. */
+function roomOf (rule: Extract<AdmissionRule, { type: 'inTime' }>, input: AdmissionInput): number {
+  const nearness = (input.meanUse / rule.sustainedUse - sustainedFrom) / (1 - sustainedFrom)
+  const part = Math.max(0, Math.min(1, nearness))
+  return rule.peakUse - (rule.peakUse - rule.sustainedUse) * part
+}
+
 /** Doublings of the usual worth, within bounds. */
 function worthOf (input: AdmissionInput): number {
   const worth = input.weight / Math.max(1, input.runMs)
--- a/packages/admit-program/src/index.ts
+++ b/packages/admit-program/src/index.ts
@@ -1,3 +1,4 @@
 /** Decides whether a new program is admitted. */
 export * from './decide-admission.js'
 export * from './usable-slots.js'
+export * from './mean-use.js'
--- a/packages/model-engines/src/home.ts
+++ b/packages/model-engines/src/home.ts
@@ -57,6 +57,7 @@
 export class Home {
   readonly holds: holdBook.HoldBook
   readonly prefixes: prefixBook.PrefixBook
+  readonly meanUse = admitProgram.createMeanUse(0)
   readonly remaining = orderQueue.createRemainingEstimator()
   /** Calls that the programs that live here are expected to run at once. */
   demand = 0
@@ -83,16 +84,17 @@
   }
 
   decideAdmission (script: workload.Script): admitProgram.AdmissionDecision {
-    const live = this.#world.upstreams.filter((upstream) => upstream.listed === 'live')
+    const live = this.#live()
     const work = this.remaining.expect(script.profile.kind, 0)
     this.#worth += worthShare * (script.profile.weight / Math.max(1, work.runMs) - this.#worth)
     return admitProgram.decideAdmission(this.#world.rules.admit, {
       now: this.#world.timers.now(),
       deadline: script.deadline,
       weight: script.profile.weight,
-      slots: live.length * admitProgram.usableSlots({ ...this.#world.engine, meanCallTokens: this.#meanCallTokens }),
+      slots: this.#slots(),
       waiting: live.reduce((sum, upstream) => sum + (upstream.reported?.waiting ?? 0), 0),
-      demand: this.demand + this.#world.demandOfOthers(this),
+      demand: this.#allDemand(),
+      meanUse: this.meanUse.mean(),
       runMs: work.runMs,
       usualWorth: this.#worth,
       expectedMs: work.ms,
@@ -101,6 +103,23 @@
     })
   }
 
+  /** Takes a sample of the demand; to be called with every load report. */
+  sampleUse (): void {
+    this.meanUse.observe(this.#allDemand() / this.#slots(), this.#world.timers.now())
+  }
+
+  #allDemand (): number {
+    return this.demand + this.#world.demandOfOthers(this)
+  }
+
+  #slots (): number {
+    return this.#live().length * admitProgram.usableSlots({ ...this.#world.engine, meanCallTokens: this.#meanCallTokens })
+  }
+
+  #live (): readonly upstreams.Upstream[] {
+    return this.#world.upstreams.filter((upstream) => upstream.listed === 'live')
+  }
+
   dispatch (call: HomeCall): RunningCall {
     this.holds.returned(call.prefix)
     this.#processRetries = limitClient.earnRetry(this.#processRetries)
--- a/packages/model-engines/src/scenario.ts
+++ b/packages/model-engines/src/scenario.ts
@@ -84,6 +84,7 @@
   world.timers.every(upstreams.reportEveryMs, () => {
     all.forEach((home, at) => {
       const reported = home.demand
+      home.sampleUse()
       world.timers.after(world.upstreams[at]!.reportLagMs, () => demand.set(home, reported))
     })
   })
