--- a/packages/cli/src/base/base-command.ts
+++ b/packages/cli/src/base/base-command.ts
@@ -37,8 +37,8 @@
   }
 
   private printOutcome (found: outcome.Outcome): number {
-    if (this.json) this.print(JSON.stringify(found.json, null, 2))
-    else if (found.text !== '') this.print(found.text)
+    const text = this.json ? JSON.stringify(found.json, null, 2) as string | undefined : found.text
+    if (text !== undefined && text !== '') this.print(text)
     return exitCodes.exitCode.ok
   }
 
--- a/packages/cli/src/base/format-difference.ts
+++ b/packages/cli/src/base/format-difference.ts
@@ -35,3 +35,13 @@
 export function formatDifferences (differences: readonly configState.ConfigDifference[]): string {
   return differences.flatMap(formatDifference).join('\n')
 }
+
+/** Lines of a summary. */
+const maxSummaryLines = 20
+
+/** As formatDifferences, but cut where there is much. */
+export function summarizeDifferences (differences: readonly configState.ConfigDifference[]): string {
+  const lines = differences.flatMap(formatDifference)
+  if (lines.length <= maxSummaryLines) return lines.join('\n')
+  return [...lines.slice(0, maxSummaryLines), `and ${lines.length - maxSummaryLines} more`].join('\n')
+}
--- a/packages/cli/src/base/outcome.ts
+++ b/packages/cli/src/base/outcome.ts
@@ -6,7 +6,7 @@
 /** What a command prints at its end. */
 export interface Outcome {
   readonly text: string
-  /** The same for programs, printed with --json. */
+  /** The same for programs, printed with --json; undefined where the command has printed all by then. */
   readonly json: unknown
 }
 
--- a/packages/cli/src/commands/config-publish/call.ts
+++ b/packages/cli/src/commands/config-publish/call.ts
@@ -55,7 +55,7 @@
     const differences = configState.listDifferences(inForce, req.config)
     if (differences.length === 0) return errors.ok({ text: `version ${from} is the same; nothing to publish`, json: { result: 'unchanged', version: from } })
     if (req.dryRun) return errors.ok({ text: `would change version ${from}:\n${formatDifference.formatDifferences(differences)}`, json: { result: 'dryRun', version: from, differences } })
-    progress(formatDifference.formatDifferences(differences))
+    progress(formatDifference.summarizeDifferences(differences))
     const author = { id: crypto.randomUUID() as string as configState.ChangeId, by: req.by, at: timers.now() as types.EpochMs }
     const change = configState.makeChange(configState.diffConfig(inForce, req.config), from, author)
     const result = await publishChange.publishChange({ log, stream, timers, limitMs: req.settings.publishLimitMs, progress }, change)
--- a/packages/cli/src/commands/programs-watch/call.ts
+++ b/packages/cli/src/commands/programs-watch/call.ts
@@ -15,6 +15,9 @@
   readonly progress: (line: string) => void
 }
 
+/** Every line has been printed on the way. */
+const nothingLeft: outcome.Outcome = { text: '', json: undefined }
+
 /** Looks in a row that a program may be missing, as while its home moves. */
 const maxMissing = 3
 
@@ -30,7 +33,7 @@
     const watched = list.programs.filter(({ summary }) => program === undefined || summary.program === program)
     for (const { summary } of watched) this.note(summary, now)
     if (program === undefined) return undefined
-    if (watched[0]?.summary.state === 'finished') return errors.ok({ text: '', json: watched[0].summary })
+    if (watched[0]?.summary.state === 'finished') return errors.ok(nothingLeft)
     this.missing = watched.length === 0 ? this.missing + 1 : 0
     return this.missing >= maxMissing ? errors.fail(programId.notListed(program, list.silent)) : undefined
   }
@@ -54,7 +57,7 @@
       if (!list.ok) output.progress(`${list.failure.tag === 'unavailable' ? list.failure.message : list.failure.tag}; trying again`)
       const end = list.ok ? watch.look(list.value, timers.now()) : undefined
       if (end !== undefined) return end
-      if (looks >= req.looks) return errors.ok({ text: '', json: { looks } })
+      if (looks >= req.looks) return errors.ok(nothingLeft)
       await timerService.sleep(timers, req.intervalMs)
     }
   })
--- a/packages/config-state/src/schema.ts
+++ b/packages/config-state/src/schema.ts
@@ -1,12 +1,15 @@
 /** Schema of the published configuration, as an operator writes it: one JSON document with six sections. */
 import * as net from 'node:net'
+import type * as admitProgram from '@eelgrasswind/admit-program'
+import type * as orderQueue from '@eelgrasswind/order-queue'
+import type * as retainPrefix from '@eelgrasswind/retain-prefix'
 import * as types from '@eelgrasswind/types'
 import * as z from 'zod'
 
-/** Rules that `limits` chooses between, by name. */
-export const queueRules = ['arrival', 'deadline', 'leastAttained', 'slack'] as const
-export const admissionRules = ['always', 'concurrency', 'finishInTime'] as const
-export const holdRules = ['never', 'fixed', 'learned'] as const
+/** Rules that `limits` chooses between, by the names that the packages of the rules give them. */
+export const queueRules = ['fifo', 'earliestDeadline', 'leastAttained', 'weightedSlack'] as const satisfies orderQueue.OrderRule['type'][]
+export const admissionRules = ['none', 'queueBound', 'inTime'] as const satisfies admitProgram.AdmissionRule['type'][]
+export const holdRules = ['always', 'never', 'fixed', 'learnt'] as const satisfies retainPrefix.HoldRule['type'][]
 
 const maxTimeMs = 30 * 24 * 60 * 60 * 1000
 const maxCount = 1_000_000_000
@@ -124,11 +127,11 @@
 
 export const limitsSchema = z.strictObject({
   logAppendsPerSecond: rate('appends/s', 'Appends to the log of all processes together.').default(300),
-  queueRule: z.enum(queueRules).default('slack')
+  queueRule: z.enum(queueRules).default('weightedSlack')
     .meta({ description: 'Rule that orders the queue before an upstream.' }),
-  admissionRule: z.enum(admissionRules).default('finishInTime')
+  admissionRule: z.enum(admissionRules).default('inTime')
     .meta({ description: 'Rule that admits or refuses the start of a program.' }),
-  holdRule: z.enum(holdRules).default('learned')
+  holdRule: z.enum(holdRules).default('learnt')
     .meta({ description: 'Rule for how long a cached prefix is held over a tool pause.' }),
   retryBudget: countOrZero('retries', 'Retries of one program over its whole life.').default(10),
   maxBodyBytes: count('bytes', 'Longest body of a request of a caller.').default(1_048_576),
