--- a/packages/stand-ins/src/log-stand-in.ts
+++ b/packages/stand-ins/src/log-stand-in.ts
@@ -7,6 +7,7 @@
 import * as httpHost from './http-host.js'
 import * as lateAppends from './late-appends.js'
 import * as logStreams from './log-streams.js'
+import * as pausing from './pauses.js'
 import * as tokenBucket from './token-bucket.js'
 
 const requestKind = zod.enum(['append', 'read']).optional()
@@ -17,7 +18,7 @@
   zod.object({ type: zod.literal('refuse'), on: requestKind, retryAfterMs: zod.number().optional() }),
   /** The connection is reset before anything happens. */
   zod.object({ type: zod.literal('reset'), on: requestKind }),
-  /** Held without effect until the faults are cleared, then dropped where the asker has gone. */
+  /** Held without effect until the faults are cleared, then reset. */
   zod.object({ type: zod.literal('stall'), on: requestKind }),
   /** Served after a delay. */
   zod.object({ type: zod.literal('slow'), on: requestKind, delayMs: zod.number() }),
@@ -67,6 +68,7 @@
 
 export async function createLogStandIn (settings: LogSettings): Promise<LogStandIn> {
   const timers = settings.timers ?? timerService.createRealTimers()
+  const pauses = pausing.createPauses(timers)
   const faults = faultPlan.createFaults<LogFault>()
   const streams = logStreams.createLogStreams(timers.now, { ms: settings.retentionMs, records: settings.retentionRecords })
   const late = lateAppends.createLateAppends(timers, store)
@@ -121,10 +123,9 @@
         return httpHost.resetConnection(exchange.res)
       case 'stall':
         await faults.cleared()
-        if (!exchange.req.socket.destroyed) serve(exchange, stream)
-        return
+        return httpHost.resetConnection(exchange.res)
       case 'slow':
-        await timerService.sleep(timers, fault.delayMs)
+        await pauses.pause(fault.delayMs)
         return serve(exchange, stream)
       case 'loseAnswer':
         if (isAppend) store(stream, exchange.body)
@@ -178,6 +179,7 @@
 
   async function close (): Promise<void> {
     late.close()
+    pauses.close()
     await host.close()
     faults.clear()
   }
