--- a/packages/program-state/src/effect.ts
+++ b/packages/program-state/src/effect.ts
@@ -12,7 +12,7 @@
   | 'outOfOrder'
   /** Names a term that this reader never saw begin. */
   | 'unknownTerm'
-  /** Belongs to a program that never began. */
+  /** Belongs to a program that never began, or that had no record for so long that readers may have forgotten it. */
   | 'unknownProgram'
   | 'finished'
   /** A begin that the log took too long after it was written. */
