Intents of unknown fate are settled, never dispatched

A home that gave up on an intent told its caller notRun and would then have been refused every further record of the program. Now the caller is answered at once and the intent's fate is found out behind: where it took effect it is settled as notRun, and it is never dispatched.

--- a/packages/program-home/src/call-runner.ts
+++ b/packages/program-home/src/call-runner.ts
@@ -209,19 +209,42 @@
   private async writeIntent (attempt: Attempt, upstream: types.UpstreamId, dispatchTo: types.ProcessRef, at: types.EpochMs): Promise<errors.Result<types.Term>> {
     const { program, running, need } = attempt
     const { key, branch, seq, target } = running.call
-    return await journalWriter.writeRecord(this.deps.journal, program, {
+    const intent: journalWriter.UnplacedRecord = {
       type: 'intent', key, branch, seq, digest: running.digest, target, upstream, dispatchTo, reserved: need.usage, at
-    })
+    }
+    const written = await journalWriter.writeRecord(this.deps.journal, program, intent)
+    if (written.ok || written.failure.verdict === 'notRun') return written
+    await this.abandonIntent(attempt, intent, written.failure)
+    return written
   }
 
-  private async endOfIntent (attempt: Attempt, placed: { readonly upstream: types.UpstreamId, readonly host: types.HostId }, dispatchTo: types.ProcessRef, position: types.Term, startedAt: types.EpochMs, result: errors.Result<types.DispatchAnswer>): Promise<AttemptEnd> {
+  /**
+   * An intent of unknown fate: its caller is told notRun at once, so it must never be dispatched. Its place in the
+   * chain stays taken until its fate is known; where it took effect after all, it is settled.
+   */
+  private async abandonIntent (attempt: Attempt, intent: journalWriter.UnplacedRecord, failure: errors.Failure): Promise<void> {
     const { program, running } = attempt
+    running.answerForNow({ ...failure, verdict: 'notRun' })
+    const landed = await this.writeUntilKnown(program, intent)
+    if (landed.ok) await this.writeUntilKnown(program, { type: 'settle', key: running.call.key, verdict: 'notRun' })
+  }
+
+  /** Writes a record until its fate is known. */
+  private async writeUntilKnown (program: local.LocalProgram, record: journalWriter.UnplacedRecord): Promise<errors.Result<types.Term>> {
+    for (;;) {
+      const written = await journalWriter.writeRecord(this.deps.journal, program, record)
+      if (written.ok || written.failure.tag !== 'logUnavailable') return written
+      await timerService.sleep(this.deps.timers, logRetryMs)
+    }
+  }
+
+  private async endOfIntent (attempt: Attempt, placed: { readonly upstream: types.UpstreamId, readonly host: types.HostId }, dispatchTo: types.ProcessRef, position: types.Term, startedAt: types.EpochMs, result: errors.Result<types.DispatchAnswer>): Promise<AttemptEnd> {
     const known = await this.knownEnd(attempt, { upstream: placed.upstream, dispatchTo, position, at: startedAt }, result)
     switch (known.type) {
       case 'answered': return { type: 'answered', answer: known.answer, upstream: placed.upstream, host: placed.host, startedAt }
       case 'failed': return { type: 'recordFailure', outcome: known, upstream: placed.upstream, startedAt }
       case 'notRun': {
-        const settled = await journalWriter.writeRecord(this.deps.journal, program, { type: 'settle', key: running.call.key, verdict: 'notRun' })
+        const settled = await this.settleNotRun(attempt, result)
         const failure = result.ok ? logUnavailable('notRun') : { ...result.failure, verdict: 'notRun' as const }
         return { type: 'failed', decided: settled.ok ? 'mayRetry' : 'final', failure }
       }
@@ -229,6 +252,16 @@
     }
   }
 
+  /** The caller of a call that did not run is not kept waiting for a log that is down. */
+  private async settleNotRun (attempt: Attempt, result: errors.Result<types.DispatchAnswer>): Promise<errors.Result<types.Term>> {
+    const { program, running } = attempt
+    const failure = result.ok ? logUnavailable('notRun') : { ...result.failure, verdict: 'notRun' as const }
+    const patience = this.deps.timers.after(recordPatienceMs, () => running.answerForNow(failure))
+    const written = await this.writeUntilKnown(program, { type: 'settle', key: running.call.key, verdict: 'notRun' })
+    patience.cancel()
+    return written
+  }
+
   private async knownEnd (attempt: Attempt, intent: Pick<resolving.IntentRef, 'upstream' | 'dispatchTo' | 'position' | 'at'>, result: errors.Result<types.DispatchAnswer>): Promise<resolving.IntentEnd> {
     if (result.ok) return { type: 'answered', answer: result.value }
     const { failure } = result
@@ -317,18 +350,13 @@
   private async recordTurn (attempt: Attempt, parts: Pick<types.Turn, 'outcome' | 'usage' | 'tokens' | 'upstream' | 'startedAt'>): Promise<runningCalls.CallResult> {
     const { program, running } = attempt
     const { key, branch, seq, target } = running.call
-    const { timers, journal } = this.deps
+    const { timers } = this.deps
     const turn: types.Turn = { key, branch, seq, digest: running.digest, target, ...parts, endedAt: timers.now() as types.EpochMs }
     const patience = timers.after(recordPatienceMs, () => running.answerForNow(logUnavailable('ran')))
     this.unconfirmed += 1
     try {
-      for (;;) {
-        const written = await journalWriter.writeRecord(journal, program, { type: 'turn', turn })
-        if (written.ok) return errors.ok(checkCall.endOfTurn(turn, false))
-        if (written.failure.tag !== 'logUnavailable') return errors.fail({ ...written.failure, verdict: 'ran' })
-        running.answerForNow(logUnavailable('ran'))
-        await timerService.sleep(timers, logRetryMs)
-      }
+      const written = await this.writeUntilKnown(program, { type: 'turn', turn })
+      return written.ok ? errors.ok(checkCall.endOfTurn(turn, false)) : errors.fail({ ...written.failure, verdict: 'ran' })
     } finally {
       patience.cancel()
       this.unconfirmed -= 1
--- a/packages/program-home/src/learning.ts
+++ b/packages/program-home/src/learning.ts
@@ -31,10 +31,13 @@
   private readonly remaining = orderQueue.createRemainingEstimator()
   private readonly pauses = retainPrefix.createPauseLearner()
   private stretch = 1
+  private readonly meanUse: admitProgram.MeanUse
   /** Mean of weight divided by run time, over the programs offered. */
   private worth: number | undefined
 
-  constructor (private readonly deps: LearningDeps) {}
+  constructor (private readonly deps: LearningDeps) {
+    this.meanUse = admitProgram.createMeanUse(deps.timers.now())
+  }
 
   /** The end of a tool pause. */
   noteCallStart (program: local.LocalProgram, now: number): void {
@@ -65,6 +68,8 @@
     const whole = this.remaining.expect(start.kind, 0)
     const weight = cfg.kinds.get(start.kind)?.weight ?? ordinaryWeight
     this.noteWorth(weight / Math.max(1, whole.runMs))
+    const demand = this.demandOf(programs)
+    this.meanUse.observe(demand / Math.max(1, slots), this.deps.timers.now())
     return {
       now: this.deps.timers.now(),
       deadline: start.deadline,
@@ -72,7 +77,8 @@
       usualWorth: this.worth ?? 1,
       slots,
       waiting,
-      demand: this.demandOf(programs),
+      demand,
+      meanUse: this.meanUse.mean(),
       runMs: whole.runMs,
       expectedMs: whole.ms,
       expectedMsDeviation: whole.msDeviation,
