--- a/packages/append-journal/src/journal.ts
+++ b/packages/append-journal/src/journal.ts
@@ -29,6 +29,8 @@
   readonly patienceMs: number
   /** How long the log keeps records, or less, in milliseconds; the same in every process. */
   readonly retentionMs?: number
+  /** Age of a program's oldest record at which it needs a snapshot, in milliseconds; at most half of the retention. */
+  readonly snapshotMs?: number
   /** How long a finished program's id stays taken, in milliseconds; the same in every process. */
   readonly finishedMs?: number
   /** Another process has become the home of a local program, or its state can't be known any more: it is released. */
@@ -156,7 +158,7 @@
   }
 
   planSnapshots (now: types.EpochMs): types.ProgramId[] {
-    const dueBefore = now - this.retentionMs * snapshotShare
+    const dueBefore = now - (this.options.snapshotMs ?? this.retentionMs * snapshotShare)
     return this.shards
       .flatMap(({ fold }) => [...fold.locals.keys()].map((program) => ({ program, head: fold.heads.chainOf(program)?.current })))
       .filter(({ head }) => head !== undefined && head.finished === null && head.baseAt <= dueBefore)
--- a/packages/choose-home/src/home-chooser.ts
+++ b/packages/choose-home/src/home-chooser.ts
@@ -13,6 +13,8 @@
   /** Appends the records of a shard of the journal. */
   | { readonly type: 'journalShard', readonly shard: number }
   /** Collects the load reports of an availability zone. */
+  /** Writes a copy of the configuration before its records expire; another process in each round. */
+  | { readonly type: 'configCopy', readonly round: number }
   | { readonly type: 'loadReporter', readonly availabilityZone: types.AvailabilityZoneId }
 
 /**
@@ -33,6 +35,7 @@
   switch (task.type) {
     case 'clientLimit': return `client:${task.client}`
     case 'journalShard': return `shard:${task.shard}`
+    case 'configCopy': return `config:${task.round}`
     case 'loadReporter': return `reporter:${task.availabilityZone}`
     default: return errors.unreachable(task)
   }
--- a/packages/config-state/src/schema.ts
+++ b/packages/config-state/src/schema.ts
@@ -104,7 +104,6 @@
   tokenSha256: z.string().regex(/^[0-9a-f]{64}$/, 'a SHA-256 digest of 64 hexadecimal digits in lower case')
     .meta({ description: 'SHA-256 digest of the token that the client shows.' }),
   startsPerMinute: rate('programs/min', 'Programs that the client may start.').default(60),
-  concurrentPrograms: count('programs', 'Programs of the client that may run at the same time.').default(100),
   callsPerSecond: rate('calls/s', 'Calls that the client may make.').default(20)
 })
 
@@ -136,10 +135,8 @@
   retryBudget: countOrZero('retries', 'Retries of one program over its whole life.').default(10),
   maxBodyBytes: count('bytes', 'Longest body of a request of a caller.').default(1_048_576),
   callTimeoutMs: time('Time that a call to a model may take unless the caller says less.').default(60_000),
-  suspicionMs: time('Time without an answer after which a host is taken for dead.').default(3000),
-  retentionMs: time('Time for which the log keeps a record; at most what the platform promises.').default(dayMs),
-  snapshotMs: time('Age of the oldest record of a living program at which a snapshot is written; at most half of retentionMs.').default(dayMs / 4),
-  dispatchPieces: count('pieces', 'Pieces of one streamed answer that may wait for a slow reader.').default(256)
+  retentionMs: time('Time for which the log keeps a record; at most what the platform promises. A process takes a change at its next start.').default(dayMs),
+  snapshotMs: time('Age of the oldest record of a living program at which a snapshot is written; at most half of retentionMs. A process takes a change at its next start.').default(dayMs / 4)
 })
 
 function section<Id extends string, Value extends z.ZodType> (key: z.ZodType<Id, string>, value: Value, description: string) {
--- a/packages/guard-upstream/src/upstream-guard.ts
+++ b/packages/guard-upstream/src/upstream-guard.ts
@@ -30,9 +30,11 @@
   private readonly doors = new Map<types.UpstreamId, doorOf.Door>()
   private readonly records: dispatchRecords.DispatchRecords
   private readonly subscriptions: readonly timerService.Subscription[]
+  private orderRule: orderQueue.OrderRule
 
   constructor (private readonly settings: UpstreamGuardSettings) {
     const { self, timers } = settings
+    this.orderRule = settings.orderRule
     this.records = dispatchRecords.createDispatchRecords(self.incarnation, timers.now)
     this.subscriptions = [
       timers.every(loadPeriodMs, () => { void this.askLoads() }),
@@ -49,12 +51,19 @@
     for (const [id, target] of wanted) this.setUpstream(id, target)
   }
 
+  /** Orders the queues by another rule, those that wait included. */
+  setOrderRule (rule: orderQueue.OrderRule): void {
+    if (rule.type === this.orderRule.type) return
+    this.orderRule = rule
+    for (const door of this.doors.values()) door.slots.setRule(rule)
+  }
+
   private setUpstream (id: types.UpstreamId, target: doorOf.GuardedUpstream): void {
     const door = this.doors.get(id)
     if (door !== undefined && door.target.client === target.client) return door.slots.resize(target.slots)
     if (door !== undefined) this.closeDoor(id, door)
-    const { orderRule, timers, logger } = this.settings
-    this.doors.set(id, doorOf.openDoor(target, orderRule, timers, (upstream, released) => logger.warn({ upstream, released }, 'released sessions that nobody holds')))
+    const { timers, logger } = this.settings
+    this.doors.set(id, doorOf.openDoor(target, this.orderRule, timers, (upstream, released) => logger.warn({ upstream, released }, 'released sessions that nobody holds')))
   }
 
   private closeDoor (id: types.UpstreamId, door: doorOf.Door): void {
--- a/packages/guard-upstream/src/upstream-slots.ts
+++ b/packages/guard-upstream/src/upstream-slots.ts
@@ -15,10 +15,12 @@
   /** A call that had started has ended. */
   leave: () => void
   resize: (slots: number) => void
+  /** Orders those that wait by another rule. */
+  setRule: (rule: orderQueue.OrderRule) => void
 }
 
 export function createUpstreamSlots (slots: number, rule: orderQueue.OrderRule, now: () => number): UpstreamSlots {
-  const queue = orderQueue.createOrderQueue<() => void>(rule)
+  let queue = orderQueue.createOrderQueue<() => void>(rule)
   let limit = slots
   let running = 0
 
@@ -61,11 +63,18 @@
     startNext()
   }
 
+  function setRule (next: orderQueue.OrderRule): void {
+    const waiting = [...queue.items()]
+    queue = orderQueue.createOrderQueue<() => void>(next)
+    for (const item of waiting) queue.push(item)
+  }
+
   return {
     get running () { return running },
     get waiting () { return queue.size },
     enter,
     leave,
-    resize
+    resize,
+    setRule
   }
 }
--- a/packages/process-base/src/process-base.ts
+++ b/packages/process-base/src/process-base.ts
@@ -28,6 +28,8 @@
   readonly close: () => Promise<void>
 }
 
+/** A copy that is due and was not written falls to another process after this time, in milliseconds. */
+const copyRoundMs = 10 * 60_000
 /** Peers asked for a newer configuration at once. */
 const configPeers = 2
 
@@ -52,7 +54,8 @@
     timers,
     logger: log,
     pollMs: settings.configPollMs,
-    fetchFromPeers: (have) => askPeersForConfig(directory, host, have)
+    fetchFromPeers: (have) => askPeersForConfig(directory, host, have),
+    copies: { by: host, isMine: () => directory.ownerOf({ type: 'configCopy', round: Math.floor(timers.now() / copyRoundMs) }) === host }
   })
   await directory.readHostList()
   directory.settle()
--- a/packages/program-home/src/journal-writer.ts
+++ b/packages/program-home/src/journal-writer.ts
@@ -21,10 +21,11 @@
   return { tag: 'internal', verdict: 'mayHaveRun', message: `the ${record.type} record had no effect: ${reason}` }
 }
 
-/** Ok once the record is confirmed and has taken effect; its position. */
-export async function writeRecord (journal: appendJournal.Journal, program: local.LocalProgram, unplaced: UnplacedRecord): Promise<errors.Result<types.Term>> {
+/** Ok once the record is confirmed and has taken effect; its position. A function makes its content when its turn comes. */
+export async function writeRecord (journal: appendJournal.Journal, program: local.LocalProgram, content: UnplacedRecord | (() => UnplacedRecord)): Promise<errors.Result<types.Term>> {
   return await program.inOrder(async () => {
     const { state } = program
+    const unplaced = typeof content === 'function' ? content() : content
     const record = { ...unplaced, program: program.id, n: state.n + 1, term: state.term } as types.JournalRecord
     const appended = await journal.append(record)
     if (!appended.ok) return appended
--- a/packages/program-home/src/learning.ts
+++ b/packages/program-home/src/learning.ts
@@ -14,7 +14,7 @@
   readonly timers: timerService.TimerService
   readonly logger: logger.Logger
   readonly dispatchPort: Pick<ports.DispatchPort, 'hold' | 'drop'>
-  readonly holdRule: retainPrefix.HoldRule
+  readonly holdRule: () => retainPrefix.HoldRule
   /** Share of the cache of an upstream that is in use, 0 to 1. */
   readonly cacheUsed: (upstream: types.UpstreamId) => number
 }
@@ -59,16 +59,16 @@
       deadline: start.deadline,
       weight: cfg.kinds.get(start.kind)?.weight ?? ordinaryWeight,
       attainedTokens: programState.spent(program.state).tokens,
-      expectedRemainingMs: this.remaining.expect(start.kind, turns.length).ms
+      expectedRemainingMs: this.expect(cfg, start.kind, turns.length).ms
     }
   }
 
   /** What admission weighs, from the programs at home here. */
   admissionInput (cfg: configState.Config, start: types.ProgramStart, programs: Iterable<local.LocalProgram>, slots: number, waiting: number): admitProgram.AdmissionInput {
-    const whole = this.remaining.expect(start.kind, 0)
+    const whole = this.expect(cfg, start.kind, 0)
     const weight = cfg.kinds.get(start.kind)?.weight ?? ordinaryWeight
     this.noteWorth(weight / Math.max(1, whole.runMs))
-    const demand = this.demandOf(programs)
+    const demand = this.demandOf(cfg, programs)
     this.meanUse.observe(demand / Math.max(1, slots), this.deps.timers.now())
     return {
       now: this.deps.timers.now(),
@@ -86,17 +86,33 @@
     }
   }
 
+  /** What remains of a program; until one of its kind has finished, the turns that the configuration expects decide. */
+  private expect (cfg: configState.Config, kind: types.KindId, turns: number): orderQueue.RemainingWork {
+    const learnt = this.remaining.expect(kind, turns)
+    const expectedTurns = cfg.kinds.get(kind)?.expectedTurns
+    if (learnt.samples > 0 || expectedTurns === undefined) return learnt
+    const part = Math.max(1, expectedTurns - turns) / learnt.calls
+    return {
+      calls: learnt.calls * part,
+      tokens: learnt.tokens * part,
+      runMs: learnt.runMs * part,
+      ms: learnt.ms * part,
+      msDeviation: learnt.msDeviation * part,
+      samples: 0
+    }
+  }
+
   private noteWorth (worth: number): void {
     this.worth = this.worth === undefined ? worth : this.worth + newestShare * (worth - this.worth)
   }
 
   /** Calls that these programs are expected to run at once; silent ones are not counted. */
-  private demandOf (programs: Iterable<local.LocalProgram>): number {
+  private demandOf (cfg: configState.Config, programs: Iterable<local.LocalProgram>): number {
     const now = this.deps.timers.now()
     let demand = 0
     for (const program of programs) {
       if (program.running.size === 0 && now - (program.lastEndedAt ?? program.state.at) > admitProgram.silentMs) continue
-      const rest = this.remaining.expect(program.state.start.kind, program.state.turns.length)
+      const rest = this.expect(cfg, program.state.start.kind, program.state.turns.length)
       demand += rest.ms > 0 ? rest.runMs / rest.ms : 0
     }
     return demand
@@ -113,7 +129,7 @@
     const { lastHost: host, lastUpstream: upstream } = program
     if (host === undefined || upstream === undefined) return
     const { start, term } = program.state
-    const decision = retainPrefix.decideHold(this.deps.holdRule, {
+    const decision = retainPrefix.decideHold(this.deps.holdRule(), {
       prefixTokens: program.cachedTokens,
       pauses: this.pauses.stats(start.kind),
       leftMs: start.deadline - this.deps.timers.now(),
--- a/packages/program-home/src/program-home.ts
+++ b/packages/program-home/src/program-home.ts
@@ -15,8 +15,8 @@
 import * as takeOvers from './take-over.js'
 
 export interface ProgramHomeDeps extends Omit<callRunner.CallRunnerDeps, 'learning'> {
-  readonly holdRule: retainPrefix.HoldRule
-  readonly admissionRule: admitProgram.AdmissionRule
+  readonly holdRule: () => retainPrefix.HoldRule
+  readonly admissionRule: () => admitProgram.AdmissionRule
   readonly cacheUsed: (upstream: types.UpstreamId) => number
   /** Slots of the engines beside this process, and the calls that wait for them. */
   readonly ownSlots: () => { readonly slots: number, readonly waiting: number }
@@ -72,7 +72,7 @@
   private admit (start: types.ProgramStart): errors.Result<void> {
     const { slots, waiting } = this.deps.ownSlots()
     const input = this.learning.admissionInput(this.deps.config(), start, this.programs.values(), slots, waiting)
-    const decision = admitProgram.decideAdmission(this.deps.admissionRule, input)
+    const decision = admitProgram.decideAdmission(this.deps.admissionRule(), input)
     if (decision.type === 'admit') return errors.ok(undefined)
     this.deps.logger.info({ program: start.program, reason: decision.reason }, 'start refused')
     return errors.fail({ tag: 'notAdmitted', verdict: 'notRun', message: `unlikely to finish in time: ${describe(decision.reason)}`, retryAfterMs: decision.retryAfterMs })
@@ -106,7 +106,7 @@
   private async openNow (program: types.ProgramId): Promise<errors.Result<local.LocalProgram>> {
     const state = await takeOvers.takeOver(this.deps, program)
     if (!state.ok) return state
-    const opened = new local.LocalProgram(state.value, limitClient.createRetryBudget(limitClient.programRetrySettings))
+    const opened = new local.LocalProgram(state.value, this.retryBudget())
     if (state.value.finished !== null) {
       this.deps.journal.release(program)
       return errors.ok(opened)
@@ -117,6 +117,12 @@
     return errors.ok(opened)
   }
 
+  /** The configuration gives a program's retries for its whole life. */
+  private retryBudget (): limitClient.RetryBudget {
+    const { retryBudget } = this.deps.config().limits
+    return limitClient.createRetryBudget({ ratio: 0, reserve: retryBudget, most: retryBudget })
+  }
+
   private limitWallTime (program: local.LocalProgram): void {
     const leftMs = Math.max(0, reserve.wallLeftMs(program.state, this.deps.timers.now()))
     program.wallLimit = this.deps.timers.after(leftMs, () => { void this.expire(program) })
@@ -248,6 +254,18 @@
     }
   }
 
+  // ---- snapshots
+
+  /** Writes a snapshot of each program whose first record would expire before long. */
+  async writeSnapshots (): Promise<void> {
+    for (const id of this.deps.journal.planSnapshots(this.deps.timers.now() as types.EpochMs)) {
+      const program = this.programs.get(id)
+      if (program === undefined) continue
+      const written = await journalWriter.writeRecord(this.deps.journal, program, () => ({ type: 'snapshot', state: programState.snapshotOf(program.state) }))
+      if (!written.ok) this.deps.logger.warn({ program: id, failure: written.failure }, 'snapshot not written')
+    }
+  }
+
   // ---- leaving
 
   /** Lets go of a program: no new calls, those under way end and are written. False where it was not at home here. */
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,16 +1,16 @@
 /** The process beside an upstream host: the door to its upstreams, and the home of a share of the programs. */
-import * as admitProgram from '@eelgrasswind/admit-program'
 import * as appendJournal from '@eelgrasswind/append-journal'
+import type * as configState from '@eelgrasswind/config-state'
 import * as guardUpstream from '@eelgrasswind/guard-upstream'
 import * as orderQueue from '@eelgrasswind/order-queue'
 import * as placeCall from '@eelgrasswind/place-call'
 import * as processBase from '@eelgrasswind/process-base'
 import * as programHome from '@eelgrasswind/program-home'
-import * as retainPrefix from '@eelgrasswind/retain-prefix'
 import * as sidecarClient from '@eelgrasswind/sidecar-client'
 import type * as types from '@eelgrasswind/types'
 import * as ownUpstreams from './own-upstreams.js'
 import * as ports from './ports.js'
+import * as rules from './rules.js'
 import type * as settings from './settings.js'
 import * as shareLender from './share-lender.js'
 import * as upstreamDirectory from './upstream-directory.js'
@@ -24,11 +24,14 @@
   const guard = new guardUpstream.UpstreamGuard({ self, timers, logger, orderRule: orderQueue.defaultOrderRule })
   const upstreams = new ownUpstreams.OwnUpstreams(self.host, guard, cfg)
   const known = new upstreamDirectory.UpstreamDirectory({ self: self.host, region: cfg.region as types.RegionId, directory, config, timers, random: Math.random })
+  const { config: first } = await base.follower.waitForFirst()
   const journal = await appendJournal.createJournal({
     log: base.log,
     timers,
     logger,
     ...cfg.journal,
+    retentionMs: first.limits.retentionMs,
+    snapshotMs: first.limits.snapshotMs,
     onSuperseded: (program) => home.superseded(program)
   })
   const home: programHome.ProgramHome = new programHome.ProgramHome({
@@ -41,8 +44,8 @@
     upstreams: known,
     dispatchPort: ports.createDispatchPort(self.host, guard, directory),
     placeRule: placeCall.defaultPlaceRule,
-    holdRule: retainPrefix.defaultHoldRule,
-    admissionRule: admitProgram.defaultAdmissionRule,
+    holdRule: () => rules.holdRuleOf(config().limits.holdRule),
+    admissionRule: () => rules.admissionRuleOf(config().limits.admissionRule),
     cacheUsed: (upstream) => known.cacheUsed(upstream),
     ownSlots: () => slotsOf(self.host, base, guard),
     random: Math.random
@@ -50,7 +53,13 @@
 
   const lender = new shareLender.ShareLender(base.config, timers)
 
-  base.follower.subscribe(({ config: next }) => upstreams.apply(next))
+  const applyConfig = (next: configState.Config): void => {
+    guard.setOrderRule(rules.orderRuleOf(next.limits.queueRule))
+    upstreams.apply(next)
+  }
+  base.follower.subscribe(({ config: next }) => applyConfig(next))
+  applyConfig(config())
+  const snapshots = timers.every(snapshotPeriodMs, () => { void home.writeSnapshots() })
   const server = await sidecarClient.startPeerServer({
     bindAddress: cfg.bindAddress,
     port: cfg.peerPort,
@@ -64,8 +73,6 @@
     upstream: guard,
     limits: lender
   })
-  const first = await base.follower.waitForFirst()
-  upstreams.apply(first.config)
 
   async function drain (): Promise<void> {
     leaving = true
@@ -74,6 +81,7 @@
   }
 
   async function close (): Promise<void> {
+    snapshots.cancel()
     await server.close()
     await journal.close()
     guard.close()
@@ -85,6 +93,8 @@
   return { ready: { ready: true as const, binary: 'eelgrasswind-sidecar', peerAddress: `http://${cfg.bindAddress}:${server.port}` }, drain, close, logger }
 }
 
+/** How often programs are looked through for snapshots that are due, in milliseconds. */
+const snapshotPeriodMs = 60_000
 const noConfigVersion = 0 as types.ConfigVersion
 
 /** Requests come only after the first configuration; a home asked earlier is a fault of this file. */
--- a/packages/slopes/src/slopes/clients.ts
+++ b/packages/slopes/src/slopes/clients.ts
@@ -12,7 +12,7 @@
 function documentOf (count: number): string {
   const clients = Object.fromEntries(Array.from({ length: count }, (_, index) => [
     `client-${index}`,
-    { tokenSha256: index.toString(16).padStart(64, '0'), startsPerMinute: 60, concurrentPrograms: 100, callsPerSecond: 20 }
+    { tokenSha256: index.toString(16).padStart(64, '0'), startsPerMinute: 60, callsPerSecond: 20 }
   ]))
   return JSON.stringify({ clients })
 }
--- a/packages/test-utils/src/start-system.ts
+++ b/packages/test-utils/src/start-system.ts
@@ -166,7 +166,7 @@
     hosts,
     models: { [plan.model]: { version: '1', microCostPerPromptToken: 1, microCostPerGeneratedToken: 3 } },
     services,
-    clients: { coach: { tokenSha256: crypto.createHash('sha256').update(plan.token).digest('hex'), startsPerMinute: 1_000_000, concurrentPrograms: 1_000_000, callsPerSecond: 1_000_000 } },
+    clients: { coach: { tokenSha256: crypto.createHash('sha256').update(plan.token).digest('hex'), startsPerMinute: 1_000_000, callsPerSecond: 1_000_000 } },
     kinds: { 'roster-walk': { weight: 1, budget: { tokens: 2_000_000, calls: 10_000, microCost: 1_000_000_000, wallMs: 3_600_000 }, expectedTurns: 6, deadlineSlackMs: 3_600_000, maxTokens: 256 } },
     limits: {},
     ...plan.config
