Client tests wait for what they need instead of for a time

The test now waits for the first piece of text; other tests that had a time limit wait for the fault to have struck (faults.active) and use manual timers. Pool settings now stand once, beside the exchange whose promises rest on them.

--- a/packages/engine-client/src/create-engine-client.ts
+++ b/packages/engine-client/src/create-engine-client.ts
@@ -9,8 +9,6 @@
 import type * as engineClient from './engine-client.js'
 import * as eventStream from './event-stream.js'
 
-const connectTimeoutMs = 2000
-const keepAliveTimeoutMs = 30_000
 const maxConnections = 256
 const defaultMaxAnswerBytes = 64 * 1024 * 1024
 
@@ -54,23 +52,12 @@
   return headers
 }
 
-function createPool (settings: engineClient.EngineSettings): undici.Pool {
-  return new undici.Pool(settings.address, {
-    connections: maxConnections,
-    pipelining: 1,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    keepAliveTimeout: keepAliveTimeoutMs,
-    connect: { timeout: connectTimeoutMs }
-  })
-}
-
 /** Connects on the first request and keeps connections for the next ones. Never sends a request twice. */
 export function createEngineClient (settings: engineClient.EngineSettings): engineClient.EngineClient & engineClient.EngineCacheTransfer {
   const timers = settings.timers ?? timerService.createRealTimers()
   const timeout = { after: timers.after, ms: settings.timeoutMs }
   const maxBytes = settings.maxAnswerBytes ?? defaultMaxAnswerBytes
-  const pool = createPool(settings)
+  const pool = new undici.Pool(settings.address, { ...errors.poolOptions, connections: maxConnections })
 
   async function complete (req: engineClient.EngineRequest, options: engineClient.CallOptions): Promise<errors.Result<engineClient.EngineAnswer>> {
     const { requestId } = req
--- a/packages/engine-client/src/engine-client.test.ts
+++ b/packages/engine-client/src/engine-client.test.ts
@@ -2,6 +2,7 @@
 import tap from 'tap'
 import type * as errors from '@eelgrasswind/errors'
 import * as standIns from '@eelgrasswind/stand-ins'
+import * as timerService from '@eelgrasswind/timer-service'
 import type * as types from '@eelgrasswind/types'
 import * as assembleAnswer from './assemble-answer.js'
 import * as eventStream from './event-stream.js'
@@ -92,11 +93,16 @@
 
 for (const { fault, expected, executions } of cases) {
   tap.test(`${JSON.stringify(fault)} gives its verdict`, async (t) => {
-    const { engine, call } = await bench(t)
+    const { engine, call, deltas } = await bench(t)
     await call('before')
     engine.faults.set(fault, { scope: session, times: 1 })
-    const signal = fault.type === 'neverEnd' ? AbortSignal.timeout(150) : never
-    t.match(await call('struck', { signal }), { ok: false, failure: expected })
+    const asker = new AbortController()
+    const struck = call('struck', { signal: asker.signal })
+    if (fault.type === 'neverEnd') {
+      await until(() => deltas.join('').endsWith(expectedText('struck')))
+      asker.abort(new DOMException('too late', 'TimeoutError'))
+    }
+    t.match(await struck, { ok: false, failure: expected })
     t.equal(engine.executions('struck'), executions)
     t.match(await call('after'), { ok: true, value: { message: { content: expectedText('after') } } })
   })
@@ -126,10 +132,10 @@
 })
 
 tap.test('a cancelled generation stops on the engine and frees its memory', async (t) => {
-  const { engine, call } = await bench(t, { tokenMs: 5 })
+  const { engine, call, deltas } = await bench(t, { tokenMs: 5 })
   const asker = new AbortController()
   const running = call('r1', { signal: asker.signal })
-  await until(() => engine.executions('r1') === 1)
+  await until(() => deltas.length > 0)
   asker.abort()
   t.match(await running, { ok: false, failure: { tag: 'cancelled', verdict: 'ran' } })
   await until(() => engine.counters().cancelled === 1)
@@ -198,8 +204,12 @@
     t.equal(engine.counters().orders.length, orders)
   }
   engine.faults.set({ type: 'control', on: 'state', how: 'hang' }, { times: 1 })
-  const hurried = engineClient.createEngineClient({ upstream, address: engine.address, timeoutMs: 50 })
-  t.match(await hurried.state(), { ok: false, failure: { tag: 'timeout', afterMs: 50, verdict: 'mayHaveRun' } })
+  const timers = timerService.createManualTimers()
+  const hurried = engineClient.createEngineClient({ upstream, address: engine.address, timeoutMs: 50, timers })
+  const state = hurried.state()
+  await until(() => engine.faults.active() === 0)
+  timers.advance(50)
+  t.match(await state, { ok: false, failure: { tag: 'timeout', afterMs: 50, verdict: 'mayHaveRun' } })
   await hurried.close()
 })
 
--- a/packages/errors/src/http-exchange.ts
+++ b/packages/errors/src/http-exchange.ts
@@ -39,6 +39,20 @@
   readonly onData?: (chunk: Buffer) => boolean
 }
 
+/**
+ * Settings of an undici pool whose requests go through `exchange`. One request at a time on a connection, so that
+ * none is sent again when the one before it fails; time limits are the exchange's own.
+ */
+export const poolOptions = {
+  pipelining: 1,
+  headersTimeout: 0,
+  bodyTimeout: 0,
+  /** How long an idle connection is kept, in milliseconds. */
+  keepAliveTimeout: 30_000,
+  /** Time limit of connecting, in milliseconds. */
+  connect: { timeout: 2000 }
+}
+
 /** The callbacks that undici's `dispatch` takes. */
 export interface ExchangeHandler {
   onConnect: (abort: (err?: Error) => void) => void
--- a/packages/host-list-client/src/create-host-list-client.ts
+++ b/packages/host-list-client/src/create-host-list-client.ts
@@ -6,8 +6,6 @@
 import * as types from '@eelgrasswind/types'
 import type * as hostListClient from './host-list-client.js'
 
-const connectTimeoutMs = 2000
-const keepAliveTimeoutMs = 30_000
 const maxAnswerBytes = 8 * 1024 * 1024
 
 function isHostEntry (value: unknown): value is types.HostEntry {
@@ -41,13 +39,7 @@
 export function createHostListClient (settings: hostListClient.HostListSettings): hostListClient.HostListClient {
   const timers = settings.timers ?? timerService.createRealTimers()
   const timeout = { after: timers.after, ms: settings.timeoutMs }
-  const client = new undici.Pool(settings.address, {
-    connections: 1,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    keepAliveTimeout: keepAliveTimeoutMs,
-    connect: { timeout: connectTimeoutMs }
-  })
+  const client = new undici.Pool(settings.address, { ...errors.poolOptions, connections: 1 })
 
   async function read (): Promise<errors.Result<types.HostList>> {
     const requestId = crypto.randomUUID()
--- a/packages/host-list-client/src/host-list-client.test.ts
+++ b/packages/host-list-client/src/host-list-client.test.ts
@@ -1,5 +1,6 @@
 import tap from 'tap'
 import * as standIns from '@eelgrasswind/stand-ins'
+import * as timerService from '@eelgrasswind/timer-service'
 import type * as types from '@eelgrasswind/types'
 import * as hostListClient from './index.js'
 
@@ -16,11 +17,21 @@
   state: 'live'
 }
 
-async function bench (t: TestScope): Promise<{ list: standIns.HostListStandIn, client: hostListClient.HostListClient }> {
+const timeoutMs = 150
+
+interface Bench {
+  readonly list: standIns.HostListStandIn
+  readonly client: hostListClient.HostListClient
+  readonly timers: timerService.ManualTimers
+}
+
+/** The client's time limit is on manual timers. */
+async function bench (t: TestScope): Promise<Bench> {
+  const timers = timerService.createManualTimers()
   const list = await standIns.createHostListStandIn({ port: 0, hosts: [first] })
-  const client = hostListClient.createHostListClient({ address: list.address, timeoutMs: 150 })
+  const client = hostListClient.createHostListClient({ address: list.address, timeoutMs, timers })
   t.teardown(async () => { await list.close(); await client.close() })
-  return { list, client }
+  return { list, client, timers }
 }
 
 tap.test('reads the list as it changes', async (t) => {
@@ -42,13 +53,21 @@
   t.match(await client.read(), { value: { version: 2, hosts: [] } })
 })
 
+tap.test('a list that does not answer in time is unavailable', async (t) => {
+  const { list, client, timers } = await bench(t)
+  list.faults.set({ type: 'hang' }, { times: 1 })
+  const read = client.read()
+  while (list.faults.active() > 0) await new Promise((resolve) => { setTimeout(resolve, 2) })
+  timers.advance(timeoutMs)
+  t.match(await read, { ok: false, failure: { tag: 'peerUnavailable', verdict: 'mayHaveRun', message: /150 ms/ } })
+})
+
 tap.test('failures are told from an empty list', async (t) => {
   const { list, client } = await bench(t)
   const failures: readonly [standIns.HostListFault, object][] = [
     [{ type: 'empty' }, { ok: true, value: { hosts: [] } }],
     [{ type: 'down', retryAfterMs: 300 }, { ok: false, failure: { tag: 'peerUnavailable', verdict: 'notRun', retryAfterMs: 300 } }],
     [{ type: 'reset' }, { ok: false, failure: { tag: 'peerUnavailable', verdict: 'mayHaveRun' } }],
-    [{ type: 'hang' }, { ok: false, failure: { tag: 'peerUnavailable', message: /150 ms/ } }],
     [{ type: 'truncate' }, { ok: false, failure: { tag: 'peerUnavailable', verdict: 'ran' } }]
   ]
   for (const [fault, expected] of failures) {
--- a/packages/log-client/src/create-log-client.ts
+++ b/packages/log-client/src/create-log-client.ts
@@ -7,8 +7,6 @@
 import * as answers from './log-answers.js'
 import type * as logClient from './log-client.js'
 
-const connectTimeoutMs = 2000
-const keepAliveTimeoutMs = 30_000
 const maxConnections = 64
 const maxAnswerBytes = 64 * 1024 * 1024
 
@@ -38,14 +36,7 @@
   const timers = settings.timers ?? timerService.createRealTimers()
   const timeout = { after: timers.after, ms: settings.timeoutMs }
   const prefix = crypto.randomUUID()
-  const pool = new undici.Pool(settings.address, {
-    connections: maxConnections,
-    pipelining: 1,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    keepAliveTimeout: keepAliveTimeoutMs,
-    connect: { timeout: connectTimeoutMs }
-  })
+  const pool = new undici.Pool(settings.address, { ...errors.poolOptions, connections: maxConnections })
   let requests = 0
 
   function nextRequestId (): string {
--- a/packages/log-client/src/log-client.test.ts
+++ b/packages/log-client/src/log-client.test.ts
@@ -2,6 +2,7 @@
 import tap from 'tap'
 import * as errors from '@eelgrasswind/errors'
 import * as standIns from '@eelgrasswind/stand-ins'
+import * as timerService from '@eelgrasswind/timer-service'
 import type * as types from '@eelgrasswind/types'
 import * as logClient from './index.js'
 import * as logAnswers from './log-answers.js'
@@ -16,13 +17,18 @@
 interface Bench {
   readonly log: standIns.LogStandIn
   readonly client: logClient.LogClient
+  readonly timers: timerService.ManualTimers
 }
 
-async function bench (t: TestScope, settings: Partial<standIns.LogSettings> = {}, timeoutMs = 5000): Promise<Bench> {
+const timeoutMs = 100
+
+/** The client's time limit is on manual timers. */
+async function bench (t: TestScope, settings: Partial<standIns.LogSettings> = {}): Promise<Bench> {
+  const timers = timerService.createManualTimers()
   const log = await standIns.createLogStandIn({ ...settings, port: 0 })
-  const client = logClient.createLogClient({ address: log.address, timeoutMs })
+  const client = logClient.createLogClient({ address: log.address, timeoutMs, timers })
   t.teardown(async () => { await log.close(); await client.close() })
-  return { log, client }
+  return { log, client, timers }
 }
 
 function dataOf (log: standIns.LogStandIn, name: string = stream): string[] {
@@ -82,11 +88,14 @@
 })
 
 tap.test('a reset or a stall without effect may have run', async (t) => {
-  const { log, client } = await bench(t, {}, 100)
+  const { log, client, timers } = await bench(t)
   log.faults.set({ type: 'reset' }, { times: 1 })
   t.match(await client.append(stream, 'a'), { ok: false, failure: { verdict: 'mayHaveRun' } })
   log.faults.set({ type: 'stall', on: 'append' }, { times: 1 })
-  t.match(await client.append(stream, 'b'), { ok: false, failure: { verdict: 'mayHaveRun', message: /100 ms/ } })
+  const stalled = client.append(stream, 'b')
+  while (log.faults.active() > 0) await new Promise((resolve) => { setTimeout(resolve, 2) })
+  timers.advance(timeoutMs)
+  t.match(await stalled, { ok: false, failure: { verdict: 'mayHaveRun', message: /100 ms/ } })
   log.faults.clear()
   t.match(await client.append(stream, 'c'), { ok: true, value: { offset: 0 } })
   t.same(dataOf(log), ['c'])
--- a/packages/service-client/src/create-service-client.ts
+++ b/packages/service-client/src/create-service-client.ts
@@ -3,8 +3,6 @@
 import * as errors from '@eelgrasswind/errors'
 import type * as serviceClient from './service-client.js'
 
-const connectTimeoutMs = 2000
-const keepAliveTimeoutMs = 30_000
 const maxConnections = 256
 
 function parseBody (body: Buffer): { readonly value: unknown } | undefined {
@@ -34,14 +32,7 @@
 
 /** Connects on the first call and keeps connections for the next ones. Never sends a request twice. */
 export function createServiceClient (settings: serviceClient.ServiceSettings): serviceClient.ServiceClient {
-  const pool = new undici.Pool(settings.address, {
-    connections: maxConnections,
-    pipelining: 1,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    keepAliveTimeout: keepAliveTimeoutMs,
-    connect: { timeout: connectTimeoutMs }
-  })
+  const pool = new undici.Pool(settings.address, { ...errors.poolOptions, connections: maxConnections })
 
   async function call (req: serviceClient.ServiceRequest, options: serviceClient.CallOptions): Promise<errors.Result<serviceClient.ServiceAnswer>> {
     const { requestId } = req
--- a/packages/service-client/src/service-client.test.ts
+++ b/packages/service-client/src/service-client.test.ts
@@ -28,6 +28,10 @@
   return { service, client, call }
 }
 
+async function until (check: () => boolean): Promise<void> {
+  while (!check()) await new Promise((resolve) => { setTimeout(resolve, 2) })
+}
+
 function verdictOf (result: errors.Result<unknown>): string {
   return result.ok ? 'ok' : result.failure.verdict
 }
@@ -66,9 +70,13 @@
     const { service, call } = await bench(t)
     await call('before')
     service.faults.set(fault, { times: 1 })
-    const limited = fault.type === 'hang' || fault.type === 'delay'
-    const failed = await call('struck', limited ? AbortSignal.timeout(100) : never)
-    t.match(failed, { ok: false, failure: expected })
+    const asker = new AbortController()
+    const struck = call('struck', asker.signal)
+    if (fault.type === 'hang' || fault.type === 'delay') {
+      await until(() => service.faults.active() === 0)
+      asker.abort(new DOMException('too late', 'TimeoutError'))
+    }
+    t.match(await struck, { ok: false, failure: expected })
     t.equal(service.executions('struck'), executions)
     t.match(await call('after'), { ok: true, value: { body: { echo: { of: 'after' } } } })
   })
--- a/packages/stand-ins/src/faults.ts
+++ b/packages/stand-ins/src/faults.ts
@@ -14,6 +14,8 @@
   clear: () => void
   /** The first fault for a request of that scope that `strikes`; uses up one of its times. */
   take: (scope: string, strikes?: (fault: Fault) => boolean) => Fault | undefined
+  /** How many faults are set and have not used up their times. */
+  active: () => number
   /** Resolves at the next clear. */
   cleared: () => Promise<void>
 }
@@ -51,5 +53,5 @@
     return new Promise((resolve) => { waiting.push(resolve) })
   }
 
-  return { set, clear, take, cleared }
+  return { set, clear, take, active: () => rules.length, cleared }
 }
--- a/packages/weight-store-client/src/create-weight-store-client.ts
+++ b/packages/weight-store-client/src/create-weight-store-client.ts
@@ -6,7 +6,6 @@
 import * as pacing from './pacer.js'
 import type * as weightStoreClient from './weight-store-client.js'
 
-const connectTimeoutMs = 2000
 const maxConnections = 4
 /** Refusals in a row after which the wait no longer doubles. */
 const maxDoublings = 5
@@ -33,13 +32,7 @@
   const random = settings.random ?? Math.random
   const timeout = { after: timers.after, ms: settings.timeoutMs }
   const pacer = pacing.createPacer(timers, settings.requestsPerSecond * settings.share)
-  const pool = new undici.Pool(settings.address, {
-    connections: maxConnections,
-    pipelining: 1,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    connect: { timeout: connectTimeoutMs }
-  })
+  const pool = new undici.Pool(settings.address, { ...errors.poolOptions, connections: maxConnections })
 
   async function attempt (path: string, options: weightStoreClient.FetchOptions): Promise<errors.Result<weightStoreClient.Weights>> {
     const requestId = crypto.randomUUID()
