--- a/packages/slopes/src/all-slopes.ts
+++ b/packages/slopes/src/all-slopes.ts
@@ -2,9 +2,11 @@
 import type * as series from './series.js'
 import * as clients from './slopes/clients.js'
 import * as compression from './slopes/compression.js'
+import * as config from './slopes/config.js'
 import * as homes from './slopes/homes.js'
 import * as hosts from './slopes/hosts.js'
 import * as journal from './slopes/journal.js'
+import * as journalReader from './slopes/journal-reader.js'
 import * as loadReports from './slopes/load-reports.js'
 import * as programs from './slopes/programs.js'
 import * as sessions from './slopes/sessions.js'
@@ -14,9 +16,11 @@
   homes.homes,
   loadReports.loadReports,
   clients.clients,
+  config.config,
   programs.programs,
   journal.journal,
   journal.takeover,
+  journalReader.journalReader,
   compression.compression,
   sessions.sessions
 ]
--- a/packages/slopes/src/slopes/sessions.ts
+++ b/packages/slopes/src/slopes/sessions.ts
@@ -7,6 +7,7 @@
 import * as series from '../series.js'
 
 const sessionSizes = [10, 50, 150]
+const residentSizes = [100, 500, 1_500]
 const pieceSizes = [100, 1_000, 4_000]
 const requestSizes = [50, 200, 400]
 const repetitions = 3
@@ -147,11 +148,26 @@
   for (let nth = 0; nth < times; nth += 1) await ask(client)
 }
 
+/** Opens sessions one after the other, each for one request. */
+async function openingCost (count: number): Promise<number> {
+  const server = await startServer()
+  const cost = await measures.cpuUsAsync(async () => {
+    for (let nth = 0; nth < count; nth += 1) {
+      const client = connectTo(server.port)
+      await ask(client)
+      client.close()
+    }
+  })
+  await server.close()
+  return cost
+}
+
 export const sessions: series.Slope = {
   name: 'session',
   measure: async () => [
     { name: 'heap and buffers, both ends', per: 'session', unit: 'bytes', runs: await series.repeatAsync(repetitions, sessionSizes, (count) => sessionBytes(count, heapBytes)) },
-    { name: 'resident memory, both ends', per: 'session', unit: 'bytes', runs: await series.repeatAsync(1, sessionSizes, (count) => sessionBytes(count, measures.residentBytes)) },
+    { name: 'resident memory, both ends', per: 'session', unit: 'bytes', runs: await series.repeatAsync(1, residentSizes, (count) => sessionBytes(count, measures.residentBytes)) },
+    { name: 'opening, one request, closing, both ends', per: 'session', unit: 'us', runs: await series.repeatAsync(repetitions, sessionSizes, openingCost) },
     { name: 'unary requests, both ends', per: 'request', unit: 'us', runs: await series.repeatAsync(repetitions, requestSizes, (count) => withClient((client) => measures.cpuUsAsync(() => askTimes(client, count)))) },
     { name: 'unary requests on the wire', per: 'request', unit: 'bytes', runs: await series.repeatAsync(1, requestSizes, (count) => wireBytes((client) => askTimes(client, count))) },
     { name: 'pieces of a streamed answer, both ends', per: 'piece', unit: 'us', runs: await series.repeatAsync(repetitions, pieceSizes, (count) => withClient((client) => measures.cpuUsAsync(() => stream(client, count)))) },
