Order by weighted slack without setting late programs aside; starvation bound of 180 s

Cause, seen without admission at load 1.3: programs that were set aside as late kept their memory, then expired with their work lost, and the estimate of what remains marks many as late that are not; and under a lasting overload a bound of 60 s makes any rule first come first served.

--- a/packages/model-engines/src/rules.ts
+++ b/packages/model-engines/src/rules.ts
@@ -35,7 +35,7 @@
   return { type: 'homeFirst', costs: { ...measuredCosts, importMsPerToken }, spillMarginMs }
 }
 
-const starvationMs = 60_000
+const starvationMs = 180_000
 
 const orders: Readonly<Record<string, orderQueue.OrderRule>> = {
   fifo: { type: 'fifo' },
@@ -106,7 +106,7 @@
   if (rule === undefined) throw new Error(`unknown rule "${name}": one of ${Object.keys(table).join(', ')}`)
   const changed = Object.fromEntries(numbers.map((one) => {
     const [field = '', value = ''] = split(one, '=')
-    return [field, Number(value)]
+    return [field, value === 'yes' ? true : value === 'no' ? false : Number(value)]
   }))
   return { ...rule, ...changed }
 }
--- a/packages/order-queue/src/order-queue.test.ts
+++ b/packages/order-queue/src/order-queue.test.ts
@@ -39,7 +39,7 @@
     [{ type: 'fifo' }, ['a', 'b', 'c']],
     [{ type: 'earliestDeadline', starvationMs }, ['b', 'c', 'a']],
     [{ type: 'leastAttained', starvationMs }, ['c', 'b', 'a']],
-    [{ type: 'weightedSlack', weightMs: 0, starvationMs }, ['c', 'b', 'a']]
+    [{ type: 'weightedSlack', weightMs: 0, lateLast: true, starvationMs }, ['c', 'b', 'a']]
   ]
   for (const [rule, order] of orders) {
     const queue = orderQueue.createOrderQueue<string>(rule)
@@ -49,7 +49,7 @@
 })
 
 tap.test('weight counts as less slack, and late programs come last', async (t) => {
-  const queue = orderQueue.createOrderQueue<string>({ type: 'weightedSlack', weightMs: 5_000, starvationMs })
+  const queue = orderQueue.createOrderQueue<string>({ type: 'weightedSlack', weightMs: 5_000, lateLast: true, starvationMs })
   queue.push(item('light', { deadline: 40_000 }))
   queue.push(item('heavy', { deadline: 48_000, weight: 4 }))
   queue.push(item('late', { deadline: 500 }))
@@ -61,6 +61,13 @@
   t.equal(queue.pop(100)?.item.value, 'late')
 })
 
+tap.test('without lateLast a late program keeps its place', async (t) => {
+  const queue = orderQueue.createOrderQueue<string>({ type: 'weightedSlack', weightMs: 0, lateLast: false, starvationMs })
+  queue.push(item('in time', { deadline: 40_000 }))
+  queue.push(item('late', { deadline: 500 }))
+  t.match(queue.pop(100), { item: { value: 'late' }, reason: { type: 'leastSlack', slackMs: -600 } })
+})
+
 tap.test('a call that waited past the bound goes before all that have not', async (t) => {
   const call = fc.record({
     deadline: fc.integer({ min: 0, max: 200_000 }),
@@ -71,7 +78,7 @@
   const rule = fc.constantFrom<orderRule.OrderRule>(
     { type: 'earliestDeadline', starvationMs },
     { type: 'leastAttained', starvationMs },
-    { type: 'weightedSlack', weightMs: 3_000, starvationMs }
+    { type: 'weightedSlack', weightMs: 3_000, lateLast: true, starvationMs }
   )
   fc.assert(fc.property(rule, fc.array(call, { minLength: 1, maxLength: 40 }), (chosen, calls) => {
     const queue = orderQueue.createOrderQueue<string>(chosen)
@@ -91,7 +98,7 @@
     fc.record({ type: fc.constant('remove' as const), pick: fc.nat(500) })
   )
   fc.assert(fc.property(fc.array(step, { maxLength: 400 }), (steps) => {
-    const queue = orderQueue.createOrderQueue<string>({ type: 'weightedSlack', weightMs: 0, starvationMs })
+    const queue = orderQueue.createOrderQueue<string>({ type: 'weightedSlack', weightMs: 0, lateLast: true, starvationMs })
     const waiting = new Set<orderQueue.WaitingItem<string>>()
     let now = 0
     for (const one of steps) {
--- a/packages/order-queue/src/order-queue.ts
+++ b/packages/order-queue/src/order-queue.ts
@@ -84,7 +84,7 @@
   }
 
   function next (now: number): TakenItem<T> | undefined {
-    if (rule.type === 'weightedSlack') setLateAside(now)
+    if (rule.type === 'weightedSlack' && rule.lateLast) setLateAside(now)
     const item = inTime.peek()?.item ?? late.peek()?.item
     if (item === undefined) return undefined
     return { item, reason: reasonOf(rule, item, now) }
@@ -135,7 +135,7 @@
     case 'leastAttained': return { type: 'leastAttained', attainedTokens: call.attainedTokens }
     case 'weightedSlack': {
       const slackMs = orderRule.slackMs(call, now)
-      return { type: slackMs < 0 ? 'late' : 'leastSlack', slackMs, weight: call.weight }
+      return { type: rule.lateLast && slackMs < 0 ? 'late' : 'leastSlack', slackMs, weight: call.weight }
     }
     default: return errors.unreachable(rule)
   }
--- a/packages/order-queue/src/order-rule.ts
+++ b/packages/order-queue/src/order-rule.ts
@@ -31,9 +31,9 @@
   | { readonly type: 'leastAttained' } & StarvationBound
   /**
    * Least slack (deadline less expected remaining time) first, where each doubling of the weight counts as
-   * `weightMs` less slack. Programs that can no longer finish in time come after all that can.
+   * `weightMs` less slack. With `lateLast`, programs that can no longer finish in time come after all that can.
    */
-  | { readonly type: 'weightedSlack', readonly weightMs: number } & StarvationBound
+  | { readonly type: 'weightedSlack', readonly weightMs: number, readonly lateLast: boolean } & StarvationBound
 
 /** Why a call was taken from the queue. */
 export type OrderReason =
@@ -46,7 +46,7 @@
   | { readonly type: 'late', readonly slackMs: number, readonly weight: number }
 
 /** The rule in force where the configuration names none. */
-export const defaultOrderRule: OrderRule = { type: 'weightedSlack', weightMs: 5_000, starvationMs: 60_000 }
+export const defaultOrderRule: OrderRule = { type: 'weightedSlack', weightMs: 20_000, lateLast: false, starvationMs: 180_000 }
 
 /** Time by which a program may still wait and finish in time, in milliseconds; negative when it is late already. */
 export function slackMs (call: WaitingCall, now: number): number {
