--- a/packages/admit-program/src/decide-admission.ts
+++ b/packages/admit-program/src/decide-admission.ts
@@ -55,7 +55,7 @@
   | { readonly type: 'admit', readonly reason: AdmissionReason }
   | { readonly type: 'refuse', readonly retryAfterMs: number, readonly reason: AdmissionReason }
 
-export const defaultAdmissionRule: AdmissionRule = { type: 'inTime', minLikelihood: 0.05, peakUse: 0.95, sustainedUse: 0.8, worthUse: 0.1 }
+export const defaultAdmissionRule: AdmissionRule = { type: 'inTime', minLikelihood: 0.05, peakUse: 1, sustainedUse: 0.9, worthUse: 0.1 }
 
 /** Silence after which an admitted program no longer counts as demand, until its next call. */
 export const silentMs = 30_000
