--- a/packages/program-home/src/call-runner.ts
+++ b/packages/program-home/src/call-runner.ts
@@ -9,6 +9,7 @@
 import * as programState from '@eelgrasswind/program-state'
 import * as timerService from '@eelgrasswind/timer-service'
 import type * as types from '@eelgrasswind/types'
+import * as allowances from './allowance.js'
 import * as checkCall from './check-call.js'
 import * as journalWriter from './journal-writer.js'
 import type * as learning from './learning.js'
@@ -186,11 +187,20 @@
   }
 
   private async dispatchIdempotent (attempt: Attempt, placed: Extract<placeCall.Placement, { type: 'placed' }>, startedAt: types.EpochMs): Promise<AttemptEnd> {
+    const covered = await this.coverCall(attempt)
+    if (!covered.ok) return { type: 'failed', decided: 'final', failure: { ...covered.failure, verdict: 'notRun' } }
     const result = await this.send(attempt, placed, null)
     if (result.ok) return { type: 'answered', answer: result.value, upstream: placed.upstream, host: placed.host, startedAt }
     return { type: 'failed', decided: 'mayRetry', failure: result.failure }
   }
 
+  /** What the call may use is in the journal before it is sent. */
+  private async coverCall (attempt: Attempt): Promise<errors.Result<unknown>> {
+    const { program, need } = attempt
+    if (allowances.isCovered(program)) return errors.ok(undefined)
+    return await journalWriter.writeRecord(this.deps.journal, program, () => ({ type: 'allow', allowance: allowances.nextAllowance(program, need.usage) }))
+  }
+
   /** Intent, confirmed; one dispatch; and where its answer is missing, the seal. */
   private async dispatchOnce (attempt: Attempt, placed: Extract<placeCall.Placement, { type: 'placed' }>, startedAt: types.EpochMs): Promise<AttemptEnd> {
     const incarnation = await this.incarnationOf(placed.host)
@@ -355,7 +365,7 @@
     const patience = timers.after(recordPatienceMs, () => running.answerForNow(logUnavailable('ran')))
     this.unconfirmed += 1
     try {
-      const written = await this.writeUntilKnown(program, { type: 'turn', turn })
+      const written = await this.writeUntilKnown(program, { type: 'turn', turn, allowance: allowances.nextAllowance(program, attempt.need.usage, attempt.need.usage) })
       return written.ok ? errors.ok(checkCall.endOfTurn(turn, false)) : errors.fail({ ...written.failure, verdict: 'ran' })
     } finally {
       patience.cancel()
--- a/packages/program-home/src/program-home.ts
+++ b/packages/program-home/src/program-home.ts
@@ -5,6 +5,7 @@
 import * as programState from '@eelgrasswind/program-state'
 import type * as retainPrefix from '@eelgrasswind/retain-prefix'
 import type * as types from '@eelgrasswind/types'
+import * as allowances from './allowance.js'
 import * as callRunner from './call-runner.js'
 import * as journalWriter from './journal-writer.js'
 import * as learnings from './learning.js'
@@ -80,7 +81,7 @@
 
   private async begin (start: types.ProgramStart, req: types.StartRequest): Promise<errors.Result<types.ProgramDocument>> {
     const { self, journal, timers } = this.deps
-    const record: types.BeginRecord = { type: 'begin', program: start.program, n: 1, term: 0 as types.Term, start, home: self, at: timers.now() as types.EpochMs }
+    const record: types.BeginRecord = { type: 'begin', program: start.program, n: 1, term: 0 as types.Term, start, home: self, at: timers.now() as types.EpochMs, allowance: allowances.firstAllowance(this.deps.config(), start) }
     const appended = await journal.append(record)
     if (!appended.ok) return appended
     const effect = journalWriter.checkEffect(record, appended.value)
--- /dev/null
+++ b/packages/program-state/src/allowance.test.ts
@@ -0,0 +1,58 @@
+import tap from 'tap'
+import * as fc from 'fast-check'
+import type * as types from '@eelgrasswind/types'
+import * as queries from './queries.js'
+import * as states from './state.js'
+import * as records from './test-records.js'
+
+const allowance: types.Usage = { tokens: 30, calls: 2, microCost: 6 }
+
+function fold (all: readonly types.JournalRecord[]): states.ProgramState {
+  let view: states.ProgramView | undefined
+  all.forEach((record, index) => { view = states.applyRecord(view, record, records.term(index + 1)).view })
+  return states.completeState(view)!
+}
+
+tap.test('a claim counts the allowance of the home before it as spent, once', async (t) => {
+  const begun = { ...records.begin(), allowance }
+  const state = fold([begun, records.claim(2, 1)])
+  t.same(queries.spent(state), allowance)
+  t.same(state.allowance, { tokens: 0, calls: 0, microCost: 0 })
+  t.same(queries.spent(fold([begun, records.claim(2, 1), records.claim(3, 2, records.homeA)])), allowance)
+})
+
+tap.test('a turn may change the allowance, an allow record replaces it', async (t) => {
+  const allow: types.AllowRecord = { type: 'allow', program: records.program, n: 2, term: records.term(1), allowance }
+  const plain = fold([records.begin(), allow, records.turn(3, 1, records.turnOf(1, 'a'))])
+  t.same(plain.allowance, allowance)
+  const less = { tokens: 1, calls: 1, microCost: 1 }
+  const changed = fold([records.begin(), allow, { ...records.turn(3, 1, records.turnOf(1, 'a')), allowance: less }])
+  t.same(changed.allowance, less)
+})
+
+tap.test('whatever homes use within their allowances, spent is never less than what was used', async (t) => {
+  const step = fc.record({ allow: fc.nat(50), use: fc.nat(50), lost: fc.boolean(), recorded: fc.boolean() })
+  fc.assert(fc.property(fc.array(step, { maxLength: 30, size: 'max' }), (steps) => {
+    const all: types.JournalRecord[] = [records.begin()]
+    let term = 1
+    let used = 0
+    let seq = 1
+    for (const { allow, use, lost, recorded } of steps) {
+      const place = { program: records.program, n: all.length + 1, term: records.term(term) }
+      all.push({ ...place, type: 'allow', allowance: { tokens: allow, calls: 1, microCost: 0 } })
+      const tokens = Math.min(use, allow)
+      used += tokens
+      const next = all.length + 1
+      if (recorded) {
+        all.push({ ...records.turn(next, term, records.turnOf(seq, `k${seq}`, { usage: { tokens, calls: 1, microCost: 0 } })), allowance: { tokens: 0, calls: 0, microCost: 0 } })
+        seq += 1
+      }
+      if (!lost && recorded) continue
+      all.push(records.claim(all.length + 1, term))
+      term = all.length
+    }
+    const spent = queries.spent(fold(all)).tokens
+    if (spent < used) throw new Error(`${spent} counted as spent, ${used} used`)
+  }), { seed: 7, numRuns: 500 })
+  t.pass('500 histories')
+})
--- a/packages/program-state/src/queries.ts
+++ b/packages/program-state/src/queries.ts
@@ -35,9 +35,9 @@
   return messages
 }
 
-/** What counts against the budget: finished calls, and the reservations of open intents as if they were spent. */
+/** What counts against the budget: finished calls, and as if spent the reservations of open intents and the allowances of earlier homes. */
 export function spent (state: states.ProgramState): types.Usage {
-  return usages.add(state.used, state.reserved)
+  return usages.add(usages.add(state.used, state.reserved), state.forfeited)
 }
 
 /**
--- a/packages/program-state/src/record-schema.ts
+++ b/packages/program-state/src/record-schema.ts
@@ -89,7 +89,9 @@
   at: epochMs,
   turns: zod.array(turn),
   intents: zod.array(zod.strictObject(intent)),
-  finished: finishResult.nullable()
+  finished: finishResult.nullable(),
+  allowance: usage,
+  forfeited: usage
 })
 
 const later = { program, n: zod.int().min(2), term }
@@ -100,11 +102,12 @@
 
 export const record: zod.ZodType<types.JournalRecord> = zod.discriminatedUnion('type', [
   zod.strictObject({
-    type: zod.literal('begin'), program, n: zod.literal(1), term: branded<types.Term>(zod.literal(0)), start, home: process, at: epochMs
+    type: zod.literal('begin'), program, n: zod.literal(1), term: branded<types.Term>(zod.literal(0)), start, home: process, at: epochMs, allowance: zod.exactOptional(usage)
   }).refine((begin) => begin.start.program === begin.program, sameProgram),
   zod.strictObject({ type: zod.literal('claim'), ...later, home: process, at: epochMs }),
   zod.strictObject({ type: zod.literal('intent'), ...later, ...intent }),
-  zod.strictObject({ type: zod.literal('turn'), ...later, turn }),
+  zod.strictObject({ type: zod.literal('turn'), ...later, turn, allowance: zod.exactOptional(usage) }),
+  zod.strictObject({ type: zod.literal('allow'), ...later, allowance: usage }),
   zod.strictObject({ type: zod.literal('settle'), ...later, key, verdict: zod.literal('notRun') }),
   zod.strictObject({ type: zod.literal('finish'), ...later, result: finishResult, at: epochMs }),
   zod.strictObject({ type: zod.literal('snapshot'), ...later, state })
--- a/packages/program-state/src/state.ts
+++ b/packages/program-state/src/state.ts
@@ -35,6 +35,10 @@
   used: types.Usage
   /** What the open intents reserve. */
   reserved: types.Usage
+  /** What the home may use on calls that have no record yet. */
+  allowance: types.Usage
+  /** Allowances of earlier homes, counted as spent. */
+  forfeited: types.Usage
 }
 
 /** What a reader knows of a program: its state, or that it can't know it yet. */
@@ -78,19 +82,21 @@
     at: state.at,
     turns: [...state.turns],
     intents: [...state.intents.values()],
-    finished: state.finished
+    finished: state.finished,
+    allowance: state.allowance,
+    forfeited: state.forfeited
   }
 }
 
 /** The state that a program's first record, taken as such, makes. */
 export function stateFromBegin (record: types.BeginRecord, position: types.Term, at: types.EpochMs): ProgramState {
-  return { ...chains.firstPoint(record, position, at), ...emptyContent(), start: record.start, at: record.at }
+  return { ...chains.firstPoint(record, position, at), ...emptyContent(), start: record.start, at: record.at, allowance: record.allowance ?? usages.none }
 }
 
 /** The state that a snapshot, taken as true, makes. */
 export function stateFromSnapshot (record: types.SnapshotRecord, position: types.Term, at: types.EpochMs): ProgramState {
-  const { start, at: startedAt, turns, intents } = record.state
-  const state = { ...chains.restoredPoint(record, position, at), ...emptyContent(), start, at: startedAt }
+  const { start, at: startedAt, turns, intents, allowance, forfeited } = record.state
+  const state = { ...chains.restoredPoint(record, position, at), ...emptyContent(), start, at: startedAt, allowance, forfeited }
   for (const turn of turns) addTurn(state, turn)
   for (const intent of intents) addIntent(state, intent)
   return state
@@ -105,19 +111,25 @@
     intents: new Map(),
     branches: new Map(),
     used: usages.none,
-    reserved: usages.none
+    reserved: usages.none,
+    allowance: usages.none,
+    forfeited: usages.none
   }
 }
 
 function applyContent (state: ProgramState, record: chains.LaterRecord): effects.Effect {
   switch (record.type) {
-    case 'claim':
     case 'finish':
       return effects.applied
+    case 'claim':
+      return forfeitAllowance(state)
+    case 'allow':
+      state.allowance = record.allowance
+      return effects.applied
     case 'intent':
       return applyIntent(state, record)
     case 'turn':
-      return applyTurn(state, record.turn)
+      return applyTurn(state, record.turn, record.allowance)
     case 'settle':
       return applySettle(state, record)
     case 'snapshot':
@@ -136,13 +148,21 @@
   return effects.applied
 }
 
-function applyTurn (state: ProgramState, turn: types.Turn): effects.Effect {
+/** Nobody can know what the earlier home used of its allowance, so all of it counts as spent. */
+function forfeitAllowance (state: ProgramState): effects.Effect {
+  state.forfeited = usages.add(state.forfeited, state.allowance)
+  state.allowance = usages.none
+  return effects.applied
+}
+
+function applyTurn (state: ProgramState, turn: types.Turn, allowance: types.Usage | undefined): effects.Effect {
   if (state.turnsByKey.has(turn.key)) return effects.voided('keyUsed')
   const intent = state.intents.get(turn.key)
   const reason = intent === undefined ? whyNoTurn(branchOf(state, turn.branch), turn) : whyNoMatch(intent, turn)
   if (reason !== undefined) return effects.voided(reason)
   if (intent !== undefined) removeIntent(state, intent)
   addTurn(state, turn)
+  state.allowance = allowance ?? state.allowance
   return effects.applied
 }
 
--- a/packages/types/src/journal.ts
+++ b/packages/types/src/journal.ts
@@ -25,6 +25,8 @@
   readonly start: program.ProgramStart
   readonly home: ProcessRef
   readonly at: ids.EpochMs
+  /** As of an allow record. */
+  readonly allowance?: program.Usage
 }
 
 /** Makes its writer the home; the record's own position becomes the term. */
@@ -52,6 +54,17 @@
 export interface TurnRecord extends RecordBase {
   readonly type: 'turn'
   readonly turn: program.Turn
+  /** As of an allow record; unchanged where left out. */
+  readonly allowance?: program.Usage
+}
+
+/**
+ * What the home may use on calls that have no record yet. Replaces the allowance before it. A claim counts the
+ * allowance of the home that it supersedes as spent, since nobody can know what that home used of it.
+ */
+export interface AllowRecord extends RecordBase {
+  readonly type: 'allow'
+  readonly allowance: program.Usage
 }
 
 /** Ends an intent that did not run: its reservation is returned and its place in the branch is free again. */
@@ -84,9 +97,12 @@
   readonly turns: readonly program.Turn[]
   readonly intents: readonly Omit<IntentRecord, 'type' | 'program' | 'n' | 'term'>[]
   readonly finished: FinishResult | null
+  readonly allowance: program.Usage
+  /** Allowances of earlier homes, counted as spent. */
+  readonly forfeited: program.Usage
 }
 
-export type JournalRecord = BeginRecord | ClaimRecord | IntentRecord | TurnRecord | SettleRecord | FinishRecord | SnapshotRecord
+export type JournalRecord = BeginRecord | ClaimRecord | IntentRecord | AllowRecord | TurnRecord | SettleRecord | FinishRecord | SnapshotRecord
 
 /** One append to a journal stream. */
 export interface JournalBatch {
