Engine stand-in: eviction in order of use without a scan of the whole cache

Ruled out: the client (its processor time a call did not grow alike) and the batch. Each eviction scanned every node. Nodes now stand in order of use and are indexed by session. No test holds this, since tests assert no wall-clock time.

--- a/packages/stand-ins/src/engine-cache.ts
+++ b/packages/stand-ins/src/engine-cache.ts
@@ -93,14 +93,15 @@
 
   function release (session: string): void {
     tree.unpin(session)
-    const own = tree.ofSession(session).reverse()
+    const own = tree.ofSession(session)
     for (const node of own) if (node.uses === 0 && node.children === 0) tree.remove(node)
   }
 
   function sessions (): SessionMemory[] {
-    const tokens = new Map<string, number>()
-    for (const node of tree.all()) tokens.set(node.session, (tokens.get(node.session) ?? 0) + node.tokens)
-    return [...tokens].map(([session, sum]) => ({ session, tokens: sum, held: tree.isPinned(session) }))
+    return [...tree.sessions()].map((session) => {
+      const tokens = tree.ofSession(session).reduce((sum, node) => sum + node.tokens, 0)
+      return { session, tokens, held: tree.isPinned(session) }
+    })
   }
 
   function importChain (session: string, chain: readonly prefixTree.ChainLink[]): boolean {
@@ -114,10 +115,8 @@
   }
 
   function exportChain (session: string): prefixTree.ChainLink[] {
-    const own = tree.ofSession(session).filter((node) => node.children === 0)
-    own.sort((a, b) => b.lastUsed - a.lastUsed)
     const chain: prefixTree.ChainLink[] = []
-    for (let node = own[0]; node !== undefined; node = node.parent) chain.unshift({ digest: node.digest, tokens: node.tokens })
+    for (let node = tree.lastLeaf(session); node !== undefined; node = node.parent) chain.unshift({ digest: node.digest, tokens: node.tokens })
     return chain
   }
 
--- a/packages/stand-ins/src/prefix-tree.ts
+++ b/packages/stand-ins/src/prefix-tree.ts
@@ -15,10 +15,10 @@
 export interface Node extends ChainLink {
   readonly session: string
   readonly parent: Node | undefined
+  readonly depth: number
   children: number
   /** Running requests that need it. */
   uses: number
-  lastUsed: number
 }
 
 export interface PrefixTree {
@@ -38,21 +38,36 @@
   pin: (session: string) => void
   unpin: (session: string) => void
   isPinned: (session: string) => boolean
-  /** Nodes of a session, parents first. */
+  /** Nodes of a session, parents after their children. */
   ofSession: (session: string) => Node[]
-  all: () => Iterable<Node>
+  /** The leaf of a session that was used last. */
+  lastLeaf: (session: string) => Node | undefined
+  sessions: () => Iterable<string>
   usedTokens: () => number
 }
 
 export function createPrefixTree (capacity: number, changed: (change: CacheChange) => void): PrefixTree {
+  /** The least recently used first. */
   const nodes = new Map<string, Node>()
+  const bySession = new Map<string, Set<Node>>()
   const pinned = new Set<string>()
   let used = 0
-  let clock = 0
+
+  function index (node: Node): void {
+    const own = bySession.get(node.session) ?? new Set()
+    bySession.set(node.session, own.add(node))
+  }
+
+  function unindex (node: Node): void {
+    const own = bySession.get(node.session)
+    own?.delete(node)
+    if (own?.size === 0) bySession.delete(node.session)
+  }
 
   function add (session: string, parent: Node | undefined, link: ChainLink): Node {
-    const node = { ...link, session, parent, children: 0, uses: 0, lastUsed: clock++ }
+    const node = { ...link, session, parent, depth: (parent?.depth ?? 0) + 1, children: 0, uses: 0 }
     nodes.set(link.digest, node)
+    index(node)
     if (parent !== undefined) parent.children += 1
     used += link.tokens
     changed({ type: 'stored', session, tokens: link.tokens })
@@ -61,18 +76,17 @@
 
   function remove (node: Node): void {
     nodes.delete(node.digest)
+    unindex(node)
     if (node.parent !== undefined) node.parent.children -= 1
     used -= node.tokens
     changed({ type: 'evicted', session: node.session, tokens: node.tokens })
   }
 
   function oldestFree (): Node | undefined {
-    let oldest: Node | undefined
     for (const node of nodes.values()) {
-      if (node.children > 0 || node.uses > 0 || pinned.has(node.session)) continue
-      if (oldest === undefined || node.lastUsed < oldest.lastUsed) oldest = node
+      if (node.children === 0 && node.uses === 0 && !pinned.has(node.session)) return node
     }
-    return oldest
+    return undefined
   }
 
   function makeRoom (tokens: number): boolean {
@@ -96,7 +110,10 @@
 
   function use (node: Node): void {
     node.uses += 1
-    node.lastUsed = clock++
+    nodes.delete(node.digest)
+    nodes.set(node.digest, node)
+    unindex(node)
+    index(node)
   }
 
   function extend (session: string, found: readonly Node[], chain: readonly ChainLink[]): Node[] {
@@ -121,8 +138,9 @@
     pin: (session) => { pinned.add(session) },
     unpin: (session) => { pinned.delete(session) },
     isPinned: (session) => pinned.has(session),
-    ofSession: (session) => [...nodes.values()].filter((node) => node.session === session),
-    all: () => nodes.values(),
+    ofSession: (session) => [...bySession.get(session) ?? []].sort((a, b) => b.depth - a.depth),
+    lastLeaf: (session) => [...bySession.get(session) ?? []].reverse().find((node) => node.children === 0),
+    sessions: () => bySession.keys(),
     usedTokens: () => used
   }
 }
