Engine stand-in: the pieces of one turn of the loop go out in one write

Cause: without delay between tokens each piece of an answer was a write of its own, which made the stand-in the bottleneck of an overhead measurement.

--- a/packages/stand-ins/src/engine-answer.ts
+++ b/packages/stand-ins/src/engine-answer.ts
@@ -77,6 +77,18 @@
   const { tokens, finishReason } = source.text
   const sent: string[] = []
   let isCut = false
+  let isCorked = false
+
+  /** Sends what is written in one turn of the loop as one piece. */
+  function cork (): void {
+    if (isCorked) return
+    isCorked = true
+    res.cork()
+    process.nextTick(() => {
+      isCorked = false
+      res.uncork()
+    })
+  }
 
   function event (choices: readonly object[], more: object = {}): string {
     const chunk = { id: source.requestId, object: 'chat.completion.chunk', created: plan.createdSeconds, model: request.model, choices, ...more }
@@ -90,6 +102,7 @@
   function write (text: string): void {
     if (isCut || res.destroyed) return
     if (fault?.type === 'duplicate') sent.push(text)
+    cork()
     res.write(text)
   }
 
