--- a/packages/membership/src/membership.test.ts
+++ b/packages/membership/src/membership.test.ts
@@ -4,6 +4,7 @@
 import * as chooseHome from '@eelgrasswind/choose-home'
 import type * as types from '@eelgrasswind/types'
 import * as membership from './membership.js'
+import * as pollInterval from './poll-interval.js'
 import * as selectHosts from './select-hosts.js'
 import * as config from './settings.js'
 
@@ -79,11 +80,15 @@
   t.equal(table.view(), before)
 })
 
-tap.test('a list that starts its versions anew is taken after a while', async (t) => {
+tap.test('a list that starts its versions anew is taken after a while, one late list is not', async (t) => {
   const table = start(2)
-  const later = settings.staleListMs
-  table.applyHostList(listOf(0, [entry(h0, 'leaving'), entry('h1' as types.HostId)]), later)
-  table.tick(later)
+  const restarted = listOf(0, [entry(h0, 'leaving'), entry('h1' as types.HostId)])
+  let now = settings.staleListMs
+  for (let read = 1; read <= settings.staleListReads; read += 1) {
+    t.equal(stateOf(table, h0), 'live')
+    table.applyHostList(restarted, now)
+    table.tick(now += settings.staleListMs)
+  }
   t.equal(stateOf(table, h0), 'leaving')
 })
 
@@ -149,6 +154,15 @@
   t.equal(select(table.view()).length, 8, 'all but the leaving one')
 })
 
+tap.test('reading the host list costs no more bytes a second in a large fleet', async (t) => {
+  t.equal(pollInterval.hostListPollMs(29, 1_000), 1_000)
+  for (const hosts of [30, 370, 2_000]) {
+    const bytes = JSON.stringify(listOf(1, hostNames(hosts).map((host) => entry(host)))).length
+    const bytesPerSecond = bytes / (pollInterval.hostListPollMs(hosts, 1_000) / 1_000)
+    t.ok(bytesPerSecond <= 4_400, `${hosts} hosts: ${bytesPerSecond} bytes/s`)
+  }
+})
+
 type Event =
   | { readonly type: 'answer', readonly host: number, readonly run: number, readonly leaving: boolean }
   | { readonly type: 'failure', readonly host: number }
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -65,6 +65,8 @@
   const unsettled = new Set<members.Member>()
   let listVersion: number | undefined
   let takenAt: number | undefined
+  /** Lists of a lower version since the last one taken. */
+  let lowerLists = 0
   let batchAt = startedAt
   let entriesChanged = false
   let view: MembershipView = { version: 0, hosts: [] }
@@ -81,7 +83,9 @@
   function isUsable (list: types.HostList, now: number): boolean {
     if (list.hosts.length === 0) return false
     if (listVersion === undefined || takenAt === undefined) return true
-    return list.version >= listVersion || now - takenAt >= settings.staleListMs
+    if (list.version >= listVersion) return true
+    lowerLists += 1
+    return lowerLists >= settings.staleListReads && now - takenAt >= settings.staleListMs
   }
 
   function takeEntry (entry: types.HostEntry): void {
@@ -116,6 +120,7 @@
     const isFirst = takenAt === undefined
     const isKnown = !isFirst && list.version === listVersion
     takenAt = now
+    lowerLists = 0
     listVersion = list.version
     if (isKnown) return
     for (const entry of list.hosts) takeEntry(entry)
--- a/packages/membership/src/settings.ts
+++ b/packages/membership/src/settings.ts
@@ -11,8 +11,10 @@
   readonly massLossFraction: number
   /** A host that a doubted list no longer names, and that has not failed, is gone after this many milliseconds. */
   readonly massLossMs: number
-  /** A list of a lower version is taken only if none was taken for this many milliseconds. */
+  /** A list of a lower version is taken only if no other was taken for this many milliseconds. */
   readonly staleListMs: number
+  /** And only if this many lists in a row were of a lower version, as readers of the platform lag differently. */
+  readonly staleListReads: number
   /** Window of the bound on returns of one host, in milliseconds; a gone host is remembered as long. */
   readonly flapWindowMs: number
   /** Times that one host may become live again within the window. */
@@ -33,6 +35,7 @@
   massLossFraction: 0.5,
   massLossMs: 60_000,
   staleListMs: 30_000,
+  staleListReads: 3,
   flapWindowMs: 600_000,
   maxReturns: 3,
   leavingMs: 900_000,
