--- a/packages/slopes/src/all-slopes.ts
+++ b/packages/slopes/src/all-slopes.ts
@@ -9,6 +9,7 @@
 import * as journalReader from './slopes/journal-reader.js'
 import * as loadReports from './slopes/load-reports.js'
 import * as programs from './slopes/programs.js'
+import * as restingFleet from './slopes/resting-fleet.js'
 import * as sessions from './slopes/sessions.js'
 
 export const allSlopes: readonly series.Slope[] = [
@@ -22,5 +23,6 @@
   journal.takeover,
   journalReader.journalReader,
   compression.compression,
-  sessions.sessions
+  sessions.sessions,
+  restingFleet.restingFleet
 ]
