A refused program is asked back after a third of its spare time

Cause: the time to come back was 1 to 3 s under a lasting load, when nothing has changed yet; three in five second tries failed at load 1.

--- a/packages/admit-program/src/admit-program.test.ts
+++ b/packages/admit-program/src/admit-program.test.ts
@@ -42,10 +42,10 @@
 tap.test('programs admitted before count, and worth gets more room', async (t) => {
   t.match(decideAdmission.decideAdmission(inTime, input({ demand: 6.7 })), { type: 'admit' })
   const busy = input({ demand: 7 })
-  t.match(decideAdmission.decideAdmission(inTime, busy), { type: 'refuse', retryAfterMs: 1_000, reason: { type: 'likelihood', use: 0.925 } })
+  t.match(decideAdmission.decideAdmission(inTime, busy), { type: 'refuse', retryAfterMs: 13_333, reason: { type: 'likelihood', use: 0.925 } })
   t.match(decideAdmission.decideAdmission(inTime, { ...busy, weight: 2 }), { type: 'admit' })
   t.match(decideAdmission.decideAdmission(inTime, input({ demand: 6.5, usualWorth: 1 / 2_000 })), { type: 'refuse', reason: { mostUse: 0.8 } })
-  t.match(decideAdmission.decideAdmission(inTime, input({ demand: 16 })), { type: 'refuse', retryAfterMs: 11_220 })
+  t.match(decideAdmission.decideAdmission(inTime, input({ demand: 80 })), { type: 'refuse', retryAfterMs: 18_209 })
   t.match(decideAdmission.decideAdmission(inTime, input({ stretch: 8 })), { type: 'refuse', reason: { type: 'likelihood' } })
 })
 
--- a/packages/admit-program/src/decide-admission.ts
+++ b/packages/admit-program/src/decide-admission.ts
@@ -8,8 +8,8 @@
   /**
    * Refuses a program whose likelihood of finishing in time is below `minLikelihood`, and any while admitted
    * programs would run too many calls for each slot: `peakUse` for a short time, `sustainedUse` when it has been
-   * near that for minutes. `worthUse` more for each doubling of the program's
-   * worth (its weight for each second that it is expected to run) above the usual one, and as much less below.
+   * near that for minutes. `worthUse` more for each doubling of the program's worth (its weight for each second
+   * that it is expected to run) above the usual one, and as much less below.
    */
   | { readonly type: 'inTime', readonly minLikelihood: number, readonly peakUse: number, readonly sustainedUse: number, readonly worthUse: number }
 
@@ -25,8 +25,8 @@
   readonly waiting: number
   /**
    * Calls that admitted programs are expected to run at once: the sum over them of expected run time divided by
-   * expected time, both of what remains. Known at once for one's own programs and late for others'. A program that has been silent
-   * for longer than `silentMs` does not count: its caller has probably gone away.
+   * expected time, both of what remains. Known at once for one's own programs and late for others'. A program that
+   * has been silent for longer than `silentMs` does not count: its caller has probably gone away.
    */
   readonly demand: number
   /** `demand` for each slot, as a mean over the last minutes; from `createMeanUse`. */
@@ -69,8 +69,8 @@
 const deviationsOfMean = 1.25
 /** Least standard deviation that is believed, as a part of the mean. */
 const smallestVariation = 0.1
-/** Part of the programs that has to end before another try is worth it. */
-const shortestExcess = 0.05
+/** Part of its spare time that a refused program is asked to wait. */
+const sparePart = 1 / 3
 /** Longest one: the estimate does not reach further. */
 const longestRetryAfterMs = 300_000
 
@@ -125,10 +125,14 @@
   return logNormalShare(input.deadline - input.now - waitMs, input.expectedMs, input.expectedMsDeviation)
 }
 
-/** Time until so many admitted programs have ended that the program would fit, if no other is admitted. */
+/**
+ * When another try is worth it: when so many admitted programs have ended that this one would fit, or else after a
+ * part of the time that it can spare, in which the load may have changed.
+ */
 function freeAgainMs (input: AdmissionInput, use: number, mostUse: number): number {
   const excess = Math.max(0, use - mostUse) / Math.max(use, Number.EPSILON)
-  return clampRetryAfter(input.expectedMs * Math.max(excess, shortestExcess))
+  const spareMs = input.deadline - input.now - input.expectedMs
+  return clampRetryAfter(Math.max(input.expectedMs * excess, spareMs * sparePart))
 }
 
 function clampRetryAfter (ms: number): number {
--- a/packages/retain-prefix/src/decide-hold.ts
+++ b/packages/retain-prefix/src/decide-hold.ts
@@ -12,8 +12,6 @@
 
 /** What a hold is decided from. */
 export interface HoldInput {
-  /** Tokens of the prefix. */
-  readonly prefixTokens: number
   readonly pauses: learnPauses.PauseStats
   /** Time to the program's deadline, in milliseconds; no hold is longer. */
   readonly leftMs: number
--- a/packages/retain-prefix/src/retain-prefix.test.ts
+++ b/packages/retain-prefix/src/retain-prefix.test.ts
@@ -8,7 +8,7 @@
 const learnt: decideHold.HoldRule = { type: 'learnt', fallbackMs: 7_000, minSamples: 20, maxMs: 600_000 }
 
 function input (pauses: learnPauses.PauseStats, over: Partial<decideHold.HoldInput> = {}): decideHold.HoldInput {
-  return { prefixTokens: 1_000, pauses, leftMs: 100_000, survivalMs: 700, ...over }
+  return { pauses, leftMs: 100_000, survivalMs: 700, ...over }
 }
 
 function statsOf (ends: readonly learnPauses.PauseEnd[]): learnPauses.PauseStats {
