--- /dev/null
+++ b/packages/service-client/src/service-client.test.ts
@@ -0,0 +1,184 @@
+import * as net from 'node:net'
+import * as fc from 'fast-check'
+import tap from 'tap'
+import type * as errors from '@eelgrasswind/errors'
+import * as standIns from '@eelgrasswind/stand-ins'
+import type * as types from '@eelgrasswind/types'
+import * as serviceClient from './index.js'
+
+interface TestScope {
+  teardown: (run: () => unknown) => void
+}
+
+const upstream = 'orders-1' as types.UpstreamId
+const maxAnswerBytes = 4096
+const never = new AbortController().signal
+
+interface Bench {
+  readonly service: standIns.ServiceStandIn
+  readonly client: serviceClient.ServiceClient
+  call: (requestId: string, signal?: AbortSignal) => Promise<errors.Result<serviceClient.ServiceAnswer>>
+}
+
+async function bench (t: TestScope): Promise<Bench> {
+  const service = await standIns.createServiceStandIn({ port: 0 })
+  const client = serviceClient.createServiceClient({ upstream, address: service.address, maxAnswerBytes })
+  t.teardown(async () => { await service.close(); await client.close() })
+  const call: Bench['call'] = (requestId, signal = never) => client.call({ requestId, path: 'orders', body: { of: requestId } }, { signal })
+  return { service, client, call }
+}
+
+async function until (check: () => boolean): Promise<void> {
+  while (!check()) await new Promise((resolve) => { setTimeout(resolve, 2) })
+}
+
+function verdictOf (result: errors.Result<unknown>): string {
+  return result.ok ? 'ok' : result.failure.verdict
+}
+
+tap.test('an answer is the one to its own request', async (t) => {
+  const { service, call } = await bench(t)
+  const answers = await Promise.all(Array.from({ length: 50 }, (_, i) => call(`r${i}`)))
+  answers.forEach((answer, i) => t.match(answer, { ok: true, value: { status: 200, body: { path: 'orders', echo: { of: `r${i}` } } } }))
+  t.equal(service.executions('r7'), 1)
+})
+
+interface FaultCase {
+  readonly fault: standIns.ServiceFault
+  readonly expected: object
+  readonly executions: number
+}
+
+const cases: readonly FaultCase[] = [
+  { fault: { type: 'refuse', retryAfterMs: 250 }, expected: { tag: 'upstreamUnavailable', verdict: 'notRun', retryAfterMs: 250 }, executions: 0 },
+  { fault: { type: 'reset' }, expected: { tag: 'answerBroken', verdict: 'mayHaveRun' }, executions: 0 },
+  { fault: { type: 'loseAnswer' }, expected: { tag: 'answerBroken', verdict: 'mayHaveRun' }, executions: 1 },
+  { fault: { type: 'hang', run: true }, expected: { tag: 'timeout', verdict: 'mayHaveRun' }, executions: 1 },
+  { fault: { type: 'hang', run: false }, expected: { tag: 'timeout', verdict: 'mayHaveRun' }, executions: 0 },
+  { fault: { type: 'delay', delayMs: 600_000 }, expected: { tag: 'timeout', verdict: 'mayHaveRun' }, executions: 1 },
+  { fault: { type: 'error', run: false }, expected: { tag: 'upstreamFailed', verdict: 'mayHaveRun', status: 500 }, executions: 0 },
+  { fault: { type: 'error', run: true, status: 502 }, expected: { tag: 'upstreamFailed', verdict: 'mayHaveRun', status: 502 }, executions: 1 },
+  { fault: { type: 'truncate' }, expected: { tag: 'answerBroken', verdict: 'ran', detail: 'lost' }, executions: 1 },
+  { fault: { type: 'wrongId' }, expected: { tag: 'answerBroken', verdict: 'mayHaveRun', detail: 'foreign' }, executions: 1 },
+  { fault: { type: 'crossed' }, expected: { tag: 'answerBroken', verdict: 'mayHaveRun', detail: 'foreign' }, executions: 1 },
+  { fault: { type: 'invalidJson' }, expected: { tag: 'answerBroken', verdict: 'ran', detail: 'invalid' }, executions: 1 },
+  { fault: { type: 'oversize', bytes: 2 * maxAnswerBytes }, expected: { tag: 'answerBroken', verdict: 'ran', detail: 'tooLong' }, executions: 1 }
+]
+
+for (const { fault, expected, executions } of cases) {
+  tap.test(`${JSON.stringify(fault)} gives its verdict`, async (t) => {
+    const { service, call } = await bench(t)
+    await call('before')
+    service.faults.set(fault, { times: 1 })
+    const asker = new AbortController()
+    const struck = call('struck', asker.signal)
+    if (fault.type === 'hang' || fault.type === 'delay') {
+      await until(() => service.faults.active() === 0)
+      asker.abort(new DOMException('too late', 'TimeoutError'))
+    }
+    t.match(await struck, { ok: false, failure: expected })
+    t.equal(service.executions('struck'), executions)
+    t.match(await call('after'), { ok: true, value: { body: { echo: { of: 'after' } } } })
+  })
+}
+
+tap.test('a status below 500 is an answer', async (t) => {
+  const { service, call } = await bench(t)
+  service.faults.set({ type: 'error', run: true, status: 409 }, { times: 1 })
+  t.match(await call('r1'), { ok: true, value: { status: 409, body: { error: {} } } })
+})
+
+tap.test('an answer that comes twice is not taken for the next one', async (t) => {
+  const { service, call } = await bench(t)
+  service.faults.set({ type: 'duplicate' })
+  const seen = []
+  for (let i = 0; i < 20; i += 1) seen.push({ id: `r${i}`, result: await call(`r${i}`) })
+  const answered = seen.filter((one) => one.result.ok)
+  for (const { id, result } of answered) t.match(result, { value: { body: { echo: { of: id } } } })
+  for (const { id, result } of seen) if (verdictOf(result) === 'notRun') t.equal(service.executions(id), 0)
+  t.ok(answered.length > 0)
+})
+
+tap.test('no connection means not run', async (t) => {
+  const { service, call } = await bench(t)
+  await service.close()
+  t.match(await call('r1'), { ok: false, failure: { tag: 'upstreamUnavailable', verdict: 'notRun' } })
+})
+
+tap.test('a call that is given up before it is sent has not run', async (t) => {
+  const { service, call } = await bench(t)
+  t.match(await call('early', AbortSignal.abort()), { ok: false, failure: { tag: 'cancelled', verdict: 'notRun' } })
+  service.faults.set({ type: 'hang', run: true })
+  const busy = Array.from({ length: 256 }, (_, i) => call(`busy${i}`))
+  t.match(await call('waiting', AbortSignal.timeout(300)), { ok: false, failure: { tag: 'timeout', verdict: 'notRun' } })
+  service.faults.clear()
+  t.ok((await Promise.all(busy)).every((result) => result.ok))
+  for (let i = 0; i < 20; i += 1) await call(`after${i}`)
+  t.same(service.counters().requests['waiting'], undefined)
+})
+
+const anyFault = fc.constantFrom<standIns.ServiceFault | null>(null, ...cases.map((one) => one.fault), { type: 'duplicate' })
+
+tap.test('any faults, in any order, side by side: verdicts hold and nothing runs twice', async (t) => {
+  const { service, call } = await bench(t)
+  let round = 0
+  await fc.assert(fc.asyncProperty(fc.array(anyFault, { minLength: 1, maxLength: 8 }), async (faults) => {
+    round += 1
+    for (const fault of faults) if (fault !== null) service.faults.set(fault, { times: 1 })
+    const results = await Promise.all(faults.map(async (_, i) => {
+      const id = `p${round}-${i}`
+      return { id, result: await call(id, AbortSignal.timeout(50)) }
+    }))
+    service.faults.clear()
+    return results.every(({ id, result }) => {
+      const executions = service.executions(id)
+      if (result.ok) return executions <= 1 && (result.value.status !== 200 || JSON.stringify(result.value.body).includes(`"of":"${id}"`))
+      return executions <= 1 && (result.failure.verdict !== 'notRun' || executions === 0) && (result.failure.verdict !== 'ran' || executions === 1)
+    })
+  }), { seed: 1, numRuns: 60 })
+  t.ok(round >= 60)
+})
+
+interface Cut {
+  /** Bytes of the answer that are sent. */
+  readonly bytes: number
+  readonly then: 'end' | 'reset' | 'close'
+}
+
+/** A server that answers each request and then cuts the connection as told; counts the requests that it reads. */
+async function cuttingServer (t: TestScope, cutOf: () => Cut): Promise<{ address: string, seen: Map<string, number> }> {
+  const seen = new Map<string, number>()
+  const server = net.createServer((socket) => {
+    socket.on('error', () => {})
+    socket.on('data', (data) => {
+      const id = /x-request-id: (\S+)/.exec(data.toString())?.[1] ?? 'none'
+      seen.set(id, (seen.get(id) ?? 0) + 1)
+      const { bytes, then } = cutOf()
+      const whole = `HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx-request-id: ${id}\r\n\r\n{}`
+      socket.write(whole.slice(0, bytes), () => {
+        if (then === 'end') socket.end()
+        else if (then === 'reset') socket.resetAndDestroy()
+        else socket.destroy()
+      })
+    })
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  t.teardown(() => server.close())
+  return { address: `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`, seen }
+}
+
+tap.test('a connection that is cut anywhere never makes a request go out twice', async (t) => {
+  let cut: Cut = { bytes: 0, then: 'end' }
+  const { address, seen } = await cuttingServer(t, () => cut)
+  const client = serviceClient.createServiceClient({ upstream, address, maxAnswerBytes })
+  t.teardown(() => client.close())
+  let calls = 0
+  await fc.assert(fc.asyncProperty(fc.record({ bytes: fc.nat(90), then: fc.constantFrom('end' as const, 'reset' as const, 'close' as const) }), async (next) => {
+    cut = next
+    const ids = [0, 1, 2].map(() => `c${calls++}`)
+    const results = await Promise.all(ids.map((requestId) => client.call({ requestId, path: 'orders', body: {} }, { signal: never })))
+    return ids.every((id, i) => (seen.get(id) ?? 0) <= 1 && (verdictOf(results[i]!) !== 'notRun' || !seen.has(id)))
+  }), { seed: 1, numRuns: 200 })
+  t.ok(calls >= 600)
+  t.equal(seen.get('none'), undefined)
+})
