Client limits: requests that come while the owner is asked are not refused

Cause: of eight concurrent first calls of a client at a cold entry, three to six were refused with clientLimited, at a limit of a million calls a second. All but the first joined a question to the owner that had gone out before they were counted, and its grant was one credit. Ruled out: the owner's grant (it gave what was asked for) and the lease (fresh). Change: a request that joined a question asks a second time, and the wish names all that wait.

--- a/packages/entry/src/client-limits.ts
+++ b/packages/entry/src/client-limits.ts
@@ -18,10 +18,14 @@
 /** A holder unused for so long is forgotten once there are many, in milliseconds. */
 const idleMs = 60_000
 const manyHolders = 10_000
+/** Questions to the owner that one request waits for. */
+const maxQuestions = 2
 
 export class ClientLimits {
   private readonly holders = new Map<LimitKey, limitClient.ShareHolder>()
   private readonly renewals = new Map<LimitKey, Promise<void>>()
+  /** Requests that wait for an answer of the owner. */
+  private readonly waiting = new Map<LimitKey, number>()
 
   constructor (private readonly deps: ClientLimitsDeps) {}
 
@@ -33,10 +37,28 @@
       if (this.isDue(key)) void this.renew(key, client, limit)
       return errors.ok(undefined)
     }
-    await this.renew(key, client, limit)
-    const second = this.takeNow(key)
-    if (second.type === 'taken') return errors.ok(undefined)
-    return errors.fail({ tag: 'clientLimited', verdict: 'notRun', message: `client ${client} is over its limit of ${limit}`, retryAfterMs: second.retryAfterMs })
+    return await this.takeWithOwner(key, client, limit)
+  }
+
+  /** The question that a request joins may have gone out before the request came, so it asks a second time. */
+  private async takeWithOwner (key: LimitKey, client: types.ClientId, limit: types.LimitName): Promise<errors.Result<void>> {
+    this.waiting.set(key, (this.waiting.get(key) ?? 0) + 1)
+    try {
+      for (let questions = 1; ; questions += 1) {
+        await this.renew(key, client, limit)
+        const result = this.takeNow(key)
+        if (result.type === 'taken') return errors.ok(undefined)
+        if (questions === maxQuestions) return errors.fail({ tag: 'clientLimited', verdict: 'notRun', message: `client ${client} is over its limit of ${limit}`, retryAfterMs: result.retryAfterMs })
+      }
+    } finally {
+      this.stopWaiting(key)
+    }
+  }
+
+  private stopWaiting (key: LimitKey): void {
+    const left = (this.waiting.get(key) ?? 1) - 1
+    if (left > 0) this.waiting.set(key, left)
+    else this.waiting.delete(key)
   }
 
   private takeNow (key: LimitKey): limitClient.TakeResult {
@@ -73,7 +95,9 @@
     const { timers, directory, self } = this.deps
     const askedAt = timers.monotonic()
     const holder = this.holderOf(key, askedAt)
-    const wish = { client, limit, holder: self, ...limitClient.wantedShare(holder, askedAt) }
+    const wanted = limitClient.wantedShare(holder, askedAt)
+    const wantedCredit = Math.max(wanted.wantedCredit, this.waiting.get(key) ?? 0)
+    const wish = { client, limit, holder: self, ...wanted, wantedCredit }
     const owner = directory.ownerOf({ type: 'clientLimit', client })
     const lease = owner === undefined ? undefined : await directory.ask(owner, (peer) => peer.borrowShare(wish))
     const grant = lease?.ok === true ? lease.value : this.equalPart(client, limit)
