--- a/packages/system-tests/src/order.test.ts
+++ b/packages/system-tests/src/order.test.ts
@@ -1,18 +1,9 @@
 import tap from 'tap'
 import * as testUtils from '@eelgrasswind/test-utils'
 import * as recorders from './call-recorder.js'
+import * as shared from './shared-system.js'
 
-const scope: (() => unknown)[] = []
-tap.teardown(async () => { for (const run of scope.reverse()) await run() })
-const system = await testUtils.startSystem({ teardown: (run) => { scope.push(run) } }, testUtils.smallPlan)
-const recorder = new recorders.CallRecorder(system)
-scope.push(() => recorder.close())
-
-async function start (program: string): Promise<string> {
-  const started = await recorder.caller().start(program, { kind: recorders.kind })
-  if (!started.ok) throw new Error(JSON.stringify(started.failure))
-  return started.value.home
-}
+const { system, recorder, start } = await shared.startShared(tap, testUtils.smallPlan)
 
 async function orderOf (program: string): Promise<readonly string[]> {
   const read = await recorder.caller(1).history(program)
@@ -89,8 +80,4 @@
   await system.restartSidecar(home)
 })
 
-tap.test('nothing that callers were told is wrong', async (t) => {
-  recorder.checkCounts()
-  t.same(recorder.violations, [])
-  t.comment(JSON.stringify(recorder.counts))
-})
+shared.checkAtEnd(tap, recorder)
