Budget: prompts are estimated from all of a message, in bytes

Cause: a looping program with a budget of 2000 tokens ended at 2062. The estimate that is reserved before a call counted the characters of the content alone, so many short messages, and members such as tool calls, came out below what the engine counts. Ruled out: concurrent reservations (the test calls one after another) and over-reporting (off). Change: a third of the UTF-8 bytes of the whole message, and one.

--- a/packages/program-home/src/reserve-budget.ts
+++ b/packages/program-home/src/reserve-budget.ts
@@ -5,8 +5,8 @@
 import type * as types from '@eelgrasswind/types'
 import * as local from './local-program.js'
 
-/** Characters of a prompt for each token, on the low side so that estimates are high. */
-const charsPerToken = 3
+/** Bytes of a prompt for each token, on the low side so that estimates are high. */
+const bytesPerToken = 3
 
 /** What a call is expected to need at most, and what each token costs. */
 export interface CallNeed {
@@ -17,9 +17,9 @@
 
 /** An estimate from above for a prompt's tokens. */
 export function estimateTokens (messages: readonly types.ChatMessage[]): number {
-  let chars = 0
-  for (const message of messages) chars += typeof message.content === 'string' ? message.content.length : JSON.stringify(message).length
-  return Math.ceil(chars / charsPerToken) + messages.length
+  let tokens = 0
+  for (const message of messages) tokens += 1 + Math.ceil(Buffer.byteLength(JSON.stringify(message)) / bytesPerToken)
+  return tokens
 }
 
 export function needOf (cfg: configState.Config, state: programState.ProgramState, target: types.CallTarget, branch: types.BranchId): CallNeed {
