A home notices that another one took over before it answers from its own state

A process that is not told of a takeover (its host left out of the host list for a while, or a release that came while it was still loading the program) kept the program as its own: reads were stale, and the next call was refused with sequenceGap. Records were never at risk, as their places in the chain decide. A load behind a lost race also took the state of another home for its own. Before: 'a home that missed a takeover ...' gave [k1] of [k1, k2] and sequenceGap; after: whole, and answered.

--- a/packages/program-home/src/program-home.ts
+++ b/packages/program-home/src/program-home.ts
@@ -111,6 +111,8 @@
       this.deps.journal.release(program)
       return errors.ok(opened)
     }
+    // A claim that was read meanwhile found no local program to end.
+    if (!takeOvers.isHome(this.deps.self, state.value)) return errors.fail(movedAway(state.value))
     this.programs.set(program, opened)
     this.limitWallTime(opened)
     this.settleIntents(opened)
@@ -123,6 +125,15 @@
     return limitClient.createRetryBudget({ ratio: 0, reserve: retryBudget, most: retryBudget })
   }
 
+  /** As open, but another process that has become the home unnoticed is noticed: the journal is read first. */
+  private async openConfirmed (program: types.ProgramId): Promise<errors.Result<local.LocalProgram>> {
+    if (this.programs.has(program)) {
+      const head = await this.deps.journal.head(program)
+      if (!head.ok) return errors.fail({ ...head.failure, verdict: 'notRun' })
+    }
+    return await this.open(program)
+  }
+
   private limitWallTime (program: local.LocalProgram): void {
     const leftMs = Math.max(0, reserve.wallLeftMs(program.state, this.deps.timers.now()))
     program.wallLimit = this.deps.timers.after(leftMs, () => { void this.expire(program) })
@@ -167,7 +178,11 @@
   async call (call: types.Call, ctx: types.RequestContext, sink: types.CallSink): Promise<errors.Result<types.CallEnd>> {
     const opened = await this.openForCall(call)
     if (!opened.ok) return opened
-    return await this.runner.call(opened.value, call, ctx, sink)
+    const result = await this.runner.call(opened.value, call, ctx, sink)
+    if (result.ok || !concernsPlace(result.failure)) return result
+    const confirmed = await this.openConfirmed(call.program)
+    if (!confirmed.ok) return confirmed
+    return confirmed.value === opened.value ? result : await this.runner.call(confirmed.value, call, ctx, sink)
   }
 
   private async openForCall (call: types.Call): Promise<errors.Result<local.LocalProgram>> {
@@ -214,7 +229,7 @@
   }
 
   async read (program: types.ProgramId, history: boolean): Promise<errors.Result<types.ProgramDocument>> {
-    const opened = await this.open(program)
+    const opened = history ? await this.openConfirmed(program) : await this.open(program)
     return opened.ok ? errors.ok(this.documentOf(opened.value.state, history)) : opened
   }
 
@@ -270,6 +285,7 @@
 
   /** Lets go of a program: no new calls, those under way end and are written. False where it was not at home here. */
   async release (program: types.ProgramId, askedBy: types.HostId): Promise<errors.Result<boolean>> {
+    await this.opening.get(program)
     const known = this.programs.get(program)
     if (known === undefined) return errors.ok(false)
     known.releasing = true
@@ -287,6 +303,15 @@
   }
 }
 
+function movedAway ({ home, start }: programState.ProgramState): errors.Failure {
+  return { tag: 'notHome', verdict: 'notRun', message: `${home.host} became the home of ${start.program}`, home: home.host, retryAfterMs: retryMs }
+}
+
+/** Refusals that rest on the turns that this process knows of. */
+function concernsPlace (failure: errors.Failure): boolean {
+  return failure.tag === 'sequenceGap' || failure.tag === 'sequenceRepeat'
+}
+
 function describe (reason: admitProgram.AdmissionReason): string {
   switch (reason.type) {
     case 'rule': return 'the rule'
--- a/packages/program-home/src/take-over.ts
+++ b/packages/program-home/src/take-over.ts
@@ -42,14 +42,23 @@
     if (head.value.finished !== null) return await load(deps, program)
     const decision = await mayClaim(deps, program, head.value)
     if (decision.type === 'refuse') return errors.fail(decision.failure)
-    if (decision.type === 'own') return await load(deps, program)
-    const claimed = await claim(deps, program, head.value)
-    if (!claimed.ok) return claimed
-    if (claimed.value) return await load(deps, program)
+    if (decision.type === 'claim') {
+      const claimed = await claim(deps, program, head.value)
+      if (!claimed.ok) return claimed
+      if (!claimed.value) continue
+    }
+    const loaded = await load(deps, program)
+    // Another process may have claimed it, or ended it, before it was loaded.
+    if (!loaded.ok || loaded.value.finished !== null || isHome(deps.self, loaded.value)) return loaded
   }
   return errors.fail(notHome(null, 'other processes claimed the program first'))
 }
 
+/** Whether a process is the home that the journal names. */
+export function isHome (self: types.ProcessRef, { home }: programState.ProgramState): boolean {
+  return home.host === self.host && home.incarnation === self.incarnation
+}
+
 async function load (deps: TakeOverDeps, program: types.ProgramId): Promise<errors.Result<programState.ProgramState>> {
   const loaded = await deps.journal.load(program)
   if (!loaded.ok) return errors.fail({ ...loaded.failure, verdict: 'notRun' })
--- /dev/null
+++ b/packages/system-tests/src/paused-home.test.ts
@@ -0,0 +1,66 @@
+import tap from 'tap'
+import * as testUtils from '@eelgrasswind/test-utils'
+import type * as types from '@eelgrasswind/types'
+import * as recorders from './call-recorder.js'
+import * as shared from './shared-system.js'
+
+const { system, recorder, start } = await shared.startShared(tap, {
+  ...testUtils.smallPlan,
+  hosts: [
+    ...['makati-a', 'makati-b', 'pasig-a'].map((availabilityZone, at) => ({ type: 'engine' as const, host: `engine-${at}`, availabilityZone, engine: { tokenMs: 5, prefillTokensPerSecond: null } })),
+    { type: 'service', host: 'kit-a', availabilityZone: 'pasig-b', service: recorders.service }
+  ]
+})
+const kit = system.services.get('kit-a')!
+
+/** Programs in a row without the host as home, after which it is taken to be left out. */
+const manyProbes = 30
+let probes = 0
+
+/** Until entry 0 takes a host for the home of new programs, or no longer does. */
+async function untilAsked (host: string, isAsked: boolean): Promise<void> {
+  let inRow = 0
+  await testUtils.eventually(async () => {
+    const started = await recorder.caller(0).start(`probe-${probes++}`, { kind: recorders.kind })
+    const isHere = started.ok && started.value.home === host
+    inRow = isHere === isAsked ? inRow + 1 : 0
+    return inRow >= (isAsked ? 1 : manyProbes)
+  }, 20_000)
+}
+
+/** Leaves a living home out of the host list until another one has taken a turn of each program, and puts it back unawares. */
+async function takeTurnsElsewhere (home: string, calls: readonly recorders.CallRequest[]): Promise<readonly recorders.Answer[]> {
+  const entry = (await (await fetch(`${system.hostList.address}/v1/hosts`)).json() as types.HostList).hosts.find(({ host }) => host === home)!
+  system.hostList.removeHost(home)
+  await untilAsked(home, false)
+  const answers = await Promise.all(calls.map((call) => recorder.askUntilWhole(call, 15_000)))
+  system.hostList.setHost(entry)
+  await untilAsked(home, true)
+  return answers
+}
+
+/** Two programs with the same home, one turn each. */
+async function startTwo (): Promise<{ readonly home: string, readonly programs: readonly [string, string] }> {
+  const byHome = new Map<string, string>()
+  for (let at = 0; ; at += 1) {
+    const program = `missed-${at}`
+    const home = await start(program)
+    await recorder.ask(recorders.modelCall(program, 'k1', 1))
+    const other = byHome.get(home)
+    if (other !== undefined) return { home, programs: [other, program] }
+    byHome.set(home, program)
+  }
+}
+
+tap.test('a home that missed a takeover gives no shortened history and refuses no next call', async (t) => {
+  const { home, programs: [first, second] } = await startTwo()
+  const answers = await takeTurnsElsewhere(home, [recorders.modelCall(first, 'k2', 2), recorders.modelCall(second, 'k2', 2)])
+  t.ok(answers.every((answer) => answer.ok))
+  const read = await recorder.caller(0).history(first)
+  t.same(read.ok && read.value.history.map((turn) => turn.key), ['k1', 'k2'])
+  t.match(await recorder.ask(recorders.modelCall(second, 'k3', 3)), { ok: true })
+  t.match(await recorder.ask(recorders.modelCall(second, 'k2', 2), 1), { ok: true, value: { seal: { repeated: true } } })
+})
+
+shared.checkAtEnd(tap, recorder)
+void kit
--- a/packages/system-tests/src/shared-system.ts
+++ b/packages/system-tests/src/shared-system.ts
@@ -21,7 +21,7 @@
 export const otherToken = 'shagyl-token'
 
 function clientOf (token: string) {
-  return { tokenSha256: crypto.createHash('sha256').update(token).digest('hex'), startsPerMinute: 1_000_000, concurrentPrograms: 1_000_000, callsPerSecond: 1_000_000 }
+  return { tokenSha256: crypto.createHash('sha256').update(token).digest('hex'), startsPerMinute: 1_000_000, callsPerSecond: 1_000_000 }
 }
 
 export async function startShared (tap: Tap, plan: testUtils.SystemPlan): Promise<SharedSystem> {
