--- a/packages/config-state/src/schema.ts
+++ b/packages/config-state/src/schema.ts
@@ -1,12 +1,15 @@
 /** Schema of the published configuration, as an operator writes it: one JSON document with six sections. */
 import * as net from 'node:net'
+import type * as admitProgram from '@eelgrasswind/admit-program'
+import type * as orderQueue from '@eelgrasswind/order-queue'
+import type * as retainPrefix from '@eelgrasswind/retain-prefix'
 import * as types from '@eelgrasswind/types'
 import * as z from 'zod'
 
-/** Rules that `limits` chooses between, by name. */
-export const queueRules = ['arrival', 'deadline', 'leastAttained', 'slack'] as const
-export const admissionRules = ['always', 'concurrency', 'finishInTime'] as const
-export const holdRules = ['never', 'fixed', 'learned'] as const
+/** Rules that `limits` chooses between, by the names that the packages of the rules give them. */
+export const queueRules = ['fifo', 'earliestDeadline', 'leastAttained', 'weightedSlack'] as const satisfies orderQueue.OrderRule['type'][]
+export const admissionRules = ['none', 'queueBound', 'inTime'] as const satisfies admitProgram.AdmissionRule['type'][]
+export const holdRules = ['always', 'never', 'fixed', 'learnt'] as const satisfies retainPrefix.HoldRule['type'][]
 
 const maxTimeMs = 30 * 24 * 60 * 60 * 1000
 const maxCount = 1_000_000_000
@@ -101,7 +104,6 @@
   tokenSha256: z.string().regex(/^[0-9a-f]{64}$/, 'a SHA-256 digest of 64 hexadecimal digits in lower case')
     .meta({ description: 'SHA-256 digest of the token that the client shows.' }),
   startsPerMinute: rate('programs/min', 'Programs that the client may start.').default(60),
-  concurrentPrograms: count('programs', 'Programs of the client that may run at the same time.').default(100),
   callsPerSecond: rate('calls/s', 'Calls that the client may make.').default(20)
 })
 
@@ -124,19 +126,17 @@
 
 export const limitsSchema = z.strictObject({
   logAppendsPerSecond: rate('appends/s', 'Appends to the log of all processes together.').default(300),
-  queueRule: z.enum(queueRules).default('slack')
+  queueRule: z.enum(queueRules).default('weightedSlack')
     .meta({ description: 'Rule that orders the queue before an upstream.' }),
-  admissionRule: z.enum(admissionRules).default('finishInTime')
+  admissionRule: z.enum(admissionRules).default('inTime')
     .meta({ description: 'Rule that admits or refuses the start of a program.' }),
-  holdRule: z.enum(holdRules).default('learned')
+  holdRule: z.enum(holdRules).default('learnt')
     .meta({ description: 'Rule for how long a cached prefix is held over a tool pause.' }),
   retryBudget: countOrZero('retries', 'Retries of one program over its whole life.').default(10),
   maxBodyBytes: count('bytes', 'Longest body of a request of a caller.').default(1_048_576),
   callTimeoutMs: time('Time that a call to a model may take unless the caller says less.').default(60_000),
-  suspicionMs: time('Time without an answer after which a host is taken for dead.').default(3000),
-  retentionMs: time('Time for which the log keeps a record; at most what the platform promises.').default(dayMs),
-  snapshotMs: time('Age of the oldest record of a living program at which a snapshot is written; at most half of retentionMs.').default(dayMs / 4),
-  dispatchPieces: count('pieces', 'Pieces of one streamed answer that may wait for a slow reader.').default(256)
+  retentionMs: time('Time for which the log keeps a record; at most what the platform promises. A process takes a change at its next start.').default(dayMs),
+  snapshotMs: time('Age of the oldest record of a living program at which a snapshot is written; at most half of retentionMs. A process takes a change at its next start.').default(dayMs / 4)
 })
 
 function section<Id extends string, Value extends z.ZodType> (key: z.ZodType<Id, string>, value: Value, description: string) {
--- a/packages/program-home/src/call-runner.ts
+++ b/packages/program-home/src/call-runner.ts
@@ -9,6 +9,7 @@
 import * as programState from '@eelgrasswind/program-state'
 import * as timerService from '@eelgrasswind/timer-service'
 import type * as types from '@eelgrasswind/types'
+import * as allowances from './allowance.js'
 import * as checkCall from './check-call.js'
 import * as journalWriter from './journal-writer.js'
 import type * as learning from './learning.js'
@@ -186,11 +187,20 @@
   }
 
   private async dispatchIdempotent (attempt: Attempt, placed: Extract<placeCall.Placement, { type: 'placed' }>, startedAt: types.EpochMs): Promise<AttemptEnd> {
+    const covered = await this.coverCall(attempt)
+    if (!covered.ok) return { type: 'failed', decided: 'final', failure: { ...covered.failure, verdict: 'notRun' } }
     const result = await this.send(attempt, placed, null)
     if (result.ok) return { type: 'answered', answer: result.value, upstream: placed.upstream, host: placed.host, startedAt }
     return { type: 'failed', decided: 'mayRetry', failure: result.failure }
   }
 
+  /** What the call may use is in the journal before it is sent. */
+  private async coverCall (attempt: Attempt): Promise<errors.Result<unknown>> {
+    const { program, need } = attempt
+    if (allowances.isCovered(program)) return errors.ok(undefined)
+    return await journalWriter.writeRecord(this.deps.journal, program, () => ({ type: 'allow', allowance: allowances.nextAllowance(program, need.usage) }))
+  }
+
   /** Intent, confirmed; one dispatch; and where its answer is missing, the seal. */
   private async dispatchOnce (attempt: Attempt, placed: Extract<placeCall.Placement, { type: 'placed' }>, startedAt: types.EpochMs): Promise<AttemptEnd> {
     const incarnation = await this.incarnationOf(placed.host)
@@ -209,19 +219,42 @@
   private async writeIntent (attempt: Attempt, upstream: types.UpstreamId, dispatchTo: types.ProcessRef, at: types.EpochMs): Promise<errors.Result<types.Term>> {
     const { program, running, need } = attempt
     const { key, branch, seq, target } = running.call
-    return await journalWriter.writeRecord(this.deps.journal, program, {
+    const intent: journalWriter.UnplacedRecord = {
       type: 'intent', key, branch, seq, digest: running.digest, target, upstream, dispatchTo, reserved: need.usage, at
-    })
+    }
+    const written = await journalWriter.writeRecord(this.deps.journal, program, intent)
+    if (written.ok || written.failure.verdict === 'notRun') return written
+    await this.abandonIntent(attempt, intent, written.failure)
+    return written
   }
 
-  private async endOfIntent (attempt: Attempt, placed: { readonly upstream: types.UpstreamId, readonly host: types.HostId }, dispatchTo: types.ProcessRef, position: types.Term, startedAt: types.EpochMs, result: errors.Result<types.DispatchAnswer>): Promise<AttemptEnd> {
+  /**
+   * An intent of unknown fate: its caller is told notRun at once, so it must never be dispatched. Its place in the
+   * chain stays taken until its fate is known; where it took effect after all, it is settled.
+   */
+  private async abandonIntent (attempt: Attempt, intent: journalWriter.UnplacedRecord, failure: errors.Failure): Promise<void> {
     const { program, running } = attempt
+    running.answerForNow({ ...failure, verdict: 'notRun' })
+    const landed = await this.writeUntilKnown(program, intent)
+    if (landed.ok) await this.writeUntilKnown(program, { type: 'settle', key: running.call.key, verdict: 'notRun' })
+  }
+
+  /** Writes a record until its fate is known. */
+  private async writeUntilKnown (program: local.LocalProgram, record: journalWriter.UnplacedRecord): Promise<errors.Result<types.Term>> {
+    for (;;) {
+      const written = await journalWriter.writeRecord(this.deps.journal, program, record)
+      if (written.ok || written.failure.tag !== 'logUnavailable') return written
+      await timerService.sleep(this.deps.timers, logRetryMs)
+    }
+  }
+
+  private async endOfIntent (attempt: Attempt, placed: { readonly upstream: types.UpstreamId, readonly host: types.HostId }, dispatchTo: types.ProcessRef, position: types.Term, startedAt: types.EpochMs, result: errors.Result<types.DispatchAnswer>): Promise<AttemptEnd> {
     const known = await this.knownEnd(attempt, { upstream: placed.upstream, dispatchTo, position, at: startedAt }, result)
     switch (known.type) {
       case 'answered': return { type: 'answered', answer: known.answer, upstream: placed.upstream, host: placed.host, startedAt }
       case 'failed': return { type: 'recordFailure', outcome: known, upstream: placed.upstream, startedAt }
       case 'notRun': {
-        const settled = await journalWriter.writeRecord(this.deps.journal, program, { type: 'settle', key: running.call.key, verdict: 'notRun' })
+        const settled = await this.settleNotRun(attempt, result)
         const failure = result.ok ? logUnavailable('notRun') : { ...result.failure, verdict: 'notRun' as const }
         return { type: 'failed', decided: settled.ok ? 'mayRetry' : 'final', failure }
       }
@@ -229,6 +262,16 @@
     }
   }
 
+  /** The caller of a call that did not run is not kept waiting for a log that is down. */
+  private async settleNotRun (attempt: Attempt, result: errors.Result<types.DispatchAnswer>): Promise<errors.Result<types.Term>> {
+    const { program, running } = attempt
+    const failure = result.ok ? logUnavailable('notRun') : { ...result.failure, verdict: 'notRun' as const }
+    const patience = this.deps.timers.after(recordPatienceMs, () => running.answerForNow(failure))
+    const written = await this.writeUntilKnown(program, { type: 'settle', key: running.call.key, verdict: 'notRun' })
+    patience.cancel()
+    return written
+  }
+
   private async knownEnd (attempt: Attempt, intent: Pick<resolving.IntentRef, 'upstream' | 'dispatchTo' | 'position' | 'at'>, result: errors.Result<types.DispatchAnswer>): Promise<resolving.IntentEnd> {
     if (result.ok) return { type: 'answered', answer: result.value }
     const { failure } = result
@@ -317,18 +360,13 @@
   private async recordTurn (attempt: Attempt, parts: Pick<types.Turn, 'outcome' | 'usage' | 'tokens' | 'upstream' | 'startedAt'>): Promise<runningCalls.CallResult> {
     const { program, running } = attempt
     const { key, branch, seq, target } = running.call
-    const { timers, journal } = this.deps
+    const { timers } = this.deps
     const turn: types.Turn = { key, branch, seq, digest: running.digest, target, ...parts, endedAt: timers.now() as types.EpochMs }
     const patience = timers.after(recordPatienceMs, () => running.answerForNow(logUnavailable('ran')))
     this.unconfirmed += 1
     try {
-      for (;;) {
-        const written = await journalWriter.writeRecord(journal, program, { type: 'turn', turn })
-        if (written.ok) return errors.ok(checkCall.endOfTurn(turn, false))
-        if (written.failure.tag !== 'logUnavailable') return errors.fail({ ...written.failure, verdict: 'ran' })
-        running.answerForNow(logUnavailable('ran'))
-        await timerService.sleep(timers, logRetryMs)
-      }
+      const written = await this.writeUntilKnown(program, { type: 'turn', turn, allowance: allowances.nextAllowance(program, attempt.need.usage, attempt.need.usage) })
+      return written.ok ? errors.ok(checkCall.endOfTurn(turn, false)) : errors.fail({ ...written.failure, verdict: 'ran' })
     } finally {
       patience.cancel()
       this.unconfirmed -= 1
