--- a/packages/append-journal/src/counters.ts
+++ b/packages/append-journal/src/counters.ts
@@ -20,3 +20,11 @@
 export function createCounters (): JournalCounters {
   return { appends: 0, failedAppends: 0, records: 0, bytesWritten: 0, reads: 0, failedReads: 0, bytesRead: 0, recordsFolded: 0, foreignTexts: 0 }
 }
+
+/** What a journal holds now. */
+export interface JournalSizes {
+  /** Programs whose place in the journal is known. */
+  readonly heads: number
+  /** Programs whose whole state is kept. */
+  readonly localPrograms: number
+}
--- a/packages/append-journal/src/heads.ts
+++ b/packages/append-journal/src/heads.ts
@@ -14,8 +14,8 @@
 
 type HeadChain = programState.Chain<HeadPoint>
 
-/** Sweeps of forgotten programs in each reuse time. */
-const sweepsPerReuse = 4
+/** Programs looked at for each record, whether they may be forgotten: so that the cost does not grow with their number. */
+const sweptPerRecord = 2
 
 const headRules: programState.PointRules<HeadPoint> = {
   begin: (record, position, at) => baseOf(programState.firstPoint(record, position, at), position, at),
@@ -27,8 +27,9 @@
   }
 }
 
-function baseOf (point: programState.ChainPoint, position: types.Term, at: types.EpochMs): HeadPoint {
-  return { ...point, base: position, baseAt: at, offsets: [types.offsetOf(position)] }
+/** Member by member, as a spread makes objects that take half as much memory again. */
+function baseOf ({ term, n, home, finished, lastAt, complete }: programState.ChainPoint, position: types.Term, at: types.EpochMs): HeadPoint {
+  return { term, n, home, finished, lastAt, complete, base: position, baseAt: at, offsets: [types.offsetOf(position)] }
 }
 
 function addOffset (offsets: types.LogOffset[], offset: types.LogOffset): void {
@@ -37,7 +38,9 @@
 
 export class Heads {
   private readonly chains = new Map<types.ProgramId, HeadChain>()
-  private sweptAt: types.EpochMs | undefined
+  /** The latest home seen on each host. */
+  private readonly homes = new Map<types.HostId, types.ProcessRef>()
+  private unswept = this.chains.entries()
 
   get size (): number {
     return this.chains.size
@@ -47,6 +50,7 @@
     const known = this.chains.get(record.program)
     const { chain, effect } = programState.applyToChain(known, record, position, reading, headRules)
     if (known === undefined && chain !== undefined) this.chains.set(record.program, chain)
+    if (chain?.current !== undefined) chain.current.home = this.shareHome(chain.current.home)
     this.sweep(reading)
     return effect
   }
@@ -57,14 +61,26 @@
 
   clear (): void {
     this.chains.clear()
+    this.homes.clear()
   }
 
-  /** Forgets programs whose ids are free again; every reader treats them as if they had never been. */
+  /** One object for all programs of a home, as each record brings its own. */
+  private shareHome (home: types.ProcessRef): types.ProcessRef {
+    const known = this.homes.get(home.host)
+    if (known !== undefined && programState.sameProcess(known, home)) return known
+    this.homes.set(home.host, home)
+    return home
+  }
+
+  /** Forgets some of the programs whose ids are free again; every reader treats them as if they had never been. */
   private sweep (reading: programState.Reading): void {
-    this.sweptAt ??= reading.at
-    if (reading.at - this.sweptAt < reading.rules.reuseMs / sweepsPerReuse) return
-    this.sweptAt = reading.at
-    for (const [program, chain] of this.chains) {
+    for (let count = 0; count < sweptPerRecord; count += 1) {
+      const entry = this.unswept.next()
+      if (entry.done === true) {
+        this.unswept = this.chains.entries()
+        return
+      }
+      const [program, chain] = entry.value
       if (isForgotten(chain, reading)) this.chains.delete(program)
     }
   }
--- a/packages/append-journal/src/journal.test.ts
+++ b/packages/append-journal/src/journal.test.ts
@@ -3,7 +3,7 @@
 import * as logger from '@eelgrasswind/logger'
 import * as programState from '@eelgrasswind/program-state'
 import * as timerService from '@eelgrasswind/timer-service'
-import type * as types from '@eelgrasswind/types'
+import * as types from '@eelgrasswind/types'
 import * as appendJournal from './index.js'
 import * as records from './test-records.js'
 import * as testLog from './test-log.js'
@@ -197,6 +197,31 @@
   t.equal((await loaded(world, late, records.programId('p3'))).n, 1)
 })
 
+tap.test('a process reads no further back than the retention', async (t) => {
+  const world = createWorld()
+  const put = (name: string) => world.log.put(stream, programState.encodeBatch([records.begin(records.programId(name), homeA, world.timers.now())]))
+  for (let made = 0; made < 1000; made += 1) put(`old-${made}`)
+  world.timers.advance(2 * hourMs)
+  for (let made = 0; made < 10; made += 1) put(`new-${made}`)
+  const journal = await world.open({ retentionMs: hourMs })
+  t.equal(valueOf(await settled(world, journal.head(records.programId('old-999')))), undefined)
+  t.match(valueOf(await settled(world, journal.head(records.programId('new-0')))), { n: 1, term: types.positionOf(1000 as types.LogOffset, 0) })
+  t.match(journal.counters(), { recordsFolded: 10 })
+  t.ok(journal.counters().reads < 15, `${journal.counters().reads} reads`)
+})
+
+tap.test('a process that wrote from the first record on goes on from there', async (t) => {
+  const world = createWorld()
+  const journal = await world.open({ retentionMs: 2 * hourMs })
+  await beginAt(world, journal, p1)
+  for (let minutes = 0; minutes < 150; minutes += 50) {
+    world.timers.advance(50 * 60_000)
+    await beginAt(world, journal, records.programId(`q${minutes}`))
+  }
+  t.match(valueOf(await settled(world, journal.head(records.programId('q50')))), { n: 1 })
+  t.same(world.superseded, [])
+})
+
 tap.test('local programs need a snapshot before half of the retention', async (t) => {
   const world = createWorld()
   const journal = await world.open({ retentionMs: 10 * hourMs })
--- a/packages/append-journal/src/journal.ts
+++ b/packages/append-journal/src/journal.ts
@@ -63,7 +63,7 @@
   planSnapshots: (now: types.EpochMs) => types.ProgramId[]
   /** Whether the log has answered lately. */
   available: () => boolean
-  counters: () => Readonly<counters.JournalCounters>
+  counters: () => Readonly<counters.JournalCounters> & counters.JournalSizes
   /** Sends what is queued, within a bound; then appends fail. */
   close: () => Promise<void>
 }
@@ -170,8 +170,13 @@
     return this.shards.every(({ writer }) => writer.failingMs() < unavailableAfterMs)
   }
 
-  counters (): Readonly<counters.JournalCounters> {
-    return this.counted
+  counters (): Readonly<counters.JournalCounters> & counters.JournalSizes {
+    const folds = this.shards.map(({ fold }) => fold)
+    return {
+      ...this.counted,
+      heads: folds.reduce((sum, { heads }) => sum + heads.size, 0),
+      localPrograms: folds.reduce((sum, { locals }) => sum + locals.size, 0)
+    }
   }
 
   async close (): Promise<void> {
--- a/packages/append-journal/src/load-program.ts
+++ b/packages/append-journal/src/load-program.ts
@@ -22,7 +22,7 @@
 /** Log records between two of the program's that are read rather than starting another page. */
 const maxSkipped = 2
 /** Pages read at the same time. */
-const maxParallelReads = 4
+const maxParallelReads = 8
 
 /** Undefined where the program never began. The state is kept up to date by the fold from then on. */
 export async function loadProgram (
--- a/packages/append-journal/src/schedule.test.ts
+++ b/packages/append-journal/src/schedule.test.ts
@@ -184,7 +184,7 @@
       }
     }
   })
-  const result = await fc.check(property, { seed: 1, numRuns: 150, endOnFailure: true })
+  const result = await fc.check(property, { seed: 1, numRuns: 200, endOnFailure: true })
   t.notOk(result.failed, result.failed ? `${String(result.errorInstance)} ${fc.defaultReportMessage(result)}` : 'holds')
   t.comment(JSON.stringify(counts))
   t.ok(counts.applied > 500 && counts.void > 100 && counts.notRun > 100 && counts.mayHaveRun > 20 && counts.claims > 50, JSON.stringify(counts))
--- a/packages/append-journal/src/shard-reader.ts
+++ b/packages/append-journal/src/shard-reader.ts
@@ -6,6 +6,7 @@
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as types from '@eelgrasswind/types'
 import type * as counters from './counters.js'
+import * as startFinder from './find-start.js'
 import type * as shardFold from './shard-fold.js'
 
 export interface ShardReaderOptions {
@@ -34,6 +35,7 @@
   /** The last of the reads that follow one another. */
   private reading: Promise<unknown> = Promise.resolve()
   private isReading = false
+  private started = false
   /** A catch-up that has not begun to read yet, which later callers share. */
   private queued: Promise<errors.Result<void>> | undefined
 
@@ -106,16 +108,36 @@
     return errors.ok(undefined)
   }
 
+  /** Skips the records that are too old to matter, once. */
+  private async start (): Promise<errors.Result<void>> {
+    const { fold } = this.options
+    if (this.started || fold.next > 0) return errors.ok(undefined)
+    const oldest = this.oldest()
+    const found = await startFinder.findStart((from, limit) => this.readPage(from, limit), oldest)
+    if (!found.ok) return found
+    if (found.value > 0) fold.restartAt(found.value, oldest)
+    this.started = true
+    return errors.ok(undefined)
+  }
+
+  /** Log time before which records may have expired, or are as good as that. */
+  private oldest (): types.EpochMs {
+    const { timers, retentionMs } = this.options
+    return timers.now() - retentionMs as types.EpochMs
+  }
+
   /** Reads and folds one page from the next offset on. */
   private async readOn (limit: number): Promise<errors.Result<logClient.LogPage>> {
     if (this.blocked !== undefined) return errors.fail(this.blocked)
-    const { fold, logger, stream, timers, retentionMs } = this.options
+    const started = await this.start()
+    if (!started.ok) return started
+    const { fold, logger, stream } = this.options
     const page = await this.readPage(fold.next, limit)
     if (!page.ok) return page
     const { first, records, next } = page.value
     if (first > fold.next) {
-      if (fold.next > 0) logger.error({ stream, from: fold.next, first }, 'records expired before they were read')
-      fold.restartAt(first, timers.now() - retentionMs as types.EpochMs)
+      logger.error({ stream, from: fold.next, first }, 'records expired before they were read')
+      fold.restartAt(first, this.oldest())
     }
     for (const record of records) {
       const folded = this.foldText(record)
--- a/packages/program-state/src/chain.ts
+++ b/packages/program-state/src/chain.ts
@@ -40,6 +40,8 @@
 const beginDelayShare = 0.25
 /** Unconfirmed begins and snapshots kept for each program. */
 const maxCandidates = 16
+/** Shared by all programs that have no candidates, as most. */
+const none: readonly never[] = []
 
 /** A place in a program's chain. Owned by the fold, which changes it in place. */
 export interface ChainPoint {
@@ -61,7 +63,7 @@
   /** The current place; undefined while the reader can't know it. */
   current: P | undefined
   /** Begins and snapshots that no later record has confirmed, oldest first; empty once there is a current place. */
-  candidates: P[]
+  candidates: readonly P[]
   /** Log time of the last record seen of the program, with or without effect; undefined before the first. */
   seenAt: types.EpochMs | undefined
 }
@@ -98,7 +100,7 @@
   if (chain === undefined && record.type !== 'begin' && reading.since === undefined) {
     return { chain, effect: effects.voided('unknownProgram') }
   }
-  const seen = chain ?? { program: record.program, current: undefined, candidates: [], seenAt: undefined }
+  const seen = chain ?? { program: record.program, current: undefined, candidates: none, seenAt: undefined }
   if (seen.program !== record.program) throw new Error(`a record of ${record.program} came to ${seen.program}`)
   const effect = record.type === 'begin'
     ? begin(seen, record, position, reading, rules)
@@ -164,12 +166,11 @@
 function settleOn<P extends ChainPoint> (chain: Chain<P>, point: P): void {
   point.complete = true
   chain.current = point
-  chain.candidates = []
+  chain.candidates = none
 }
 
 function addCandidate<P extends ChainPoint> (chain: Chain<P>, point: P): void {
-  chain.candidates.push(point)
-  if (chain.candidates.length > maxCandidates) chain.candidates.shift()
+  chain.candidates = [...chain.candidates, point].slice(-maxCandidates)
 }
 
 function advance<P extends ChainPoint> (
--- a/packages/program-state/src/fold.test.ts
+++ b/packages/program-state/src/fold.test.ts
@@ -127,7 +127,7 @@
   holds(t, ({ log }) => {
     for (const view of writers.readAll(log).values()) {
       const state = programState.completeState(view)!
-      const parts = [...state.turns.map(({ usage }) => usage), ...[...state.intents.values()].map(({ reserved }) => reserved)]
+      const parts = [...state.turns.map(({ usage }) => usage), ...[...state.intents.values()].map(({ reserved }) => reserved), state.forfeited]
       const sum = (member: keyof types.Usage) => parts.reduce((total, part) => total + part[member], 0)
       assert.deepEqual(programState.spent(state), { tokens: sum('tokens'), calls: sum('calls'), microCost: sum('microCost') })
     }
--- a/packages/program-state/src/state.ts
+++ b/packages/program-state/src/state.ts
@@ -65,7 +65,8 @@
 export function viewFrom (record: types.JournalRecord, position: types.Term, at: types.EpochMs): ProgramView | undefined {
   if (record.type !== 'begin' && record.type !== 'snapshot') return undefined
   const state = record.type === 'begin' ? stateFromBegin(record, position, at) : stateFromSnapshot(record, position, at)
-  return { program: record.program, current: { ...state, complete: true }, candidates: [], seenAt: at }
+  state.complete = true
+  return { program: record.program, current: state, candidates: [], seenAt: at }
 }
 
 /** The state, where the reader knows the whole of it. */
@@ -90,13 +91,13 @@
 
 /** The state that a program's first record, taken as such, makes. */
 export function stateFromBegin (record: types.BeginRecord, position: types.Term, at: types.EpochMs): ProgramState {
-  return { ...chains.firstPoint(record, position, at), ...emptyContent(), start: record.start, at: record.at, allowance: record.allowance ?? usages.none }
+  return createState(chains.firstPoint(record, position, at), record, record.allowance ?? usages.none, usages.none)
 }
 
 /** The state that a snapshot, taken as true, makes. */
 export function stateFromSnapshot (record: types.SnapshotRecord, position: types.Term, at: types.EpochMs): ProgramState {
-  const { start, at: startedAt, turns, intents, allowance, forfeited } = record.state
-  const state = { ...chains.restoredPoint(record, position, at), ...emptyContent(), start, at: startedAt, allowance, forfeited }
+  const { turns, intents, allowance, forfeited } = record.state
+  const state = createState(chains.restoredPoint(record, position, at), record.state, allowance, forfeited)
   for (const turn of turns) addTurn(state, turn)
   for (const intent of intents) addIntent(state, intent)
   return state
@@ -104,16 +105,27 @@
 
 const stateRules: chains.PointRules<ProgramState> = { begin: stateFromBegin, restore: stateFromSnapshot, apply: applyContent }
 
-function emptyContent () {
+/** Member by member, as a spread makes objects that take more memory and are slower to change. */
+function createState (
+  point: chains.ChainPoint, { start, at }: Pick<ProgramState, 'start' | 'at'>, allowance: types.Usage, forfeited: types.Usage
+): ProgramState {
   return {
+    term: point.term,
+    n: point.n,
+    home: point.home,
+    finished: point.finished,
+    lastAt: point.lastAt,
+    complete: point.complete,
+    start,
+    at,
     turns: [],
     turnsByKey: new Map(),
     intents: new Map(),
     branches: new Map(),
     used: usages.none,
     reserved: usages.none,
-    allowance: usages.none,
-    forfeited: usages.none
+    allowance,
+    forfeited
   }
 }
 
--- a/packages/program-state/src/test-writers.ts
+++ b/packages/program-state/src/test-writers.ts
@@ -160,6 +160,7 @@
     case 4: return { ...base, type: 'turn', turn: { ...turn, seq: open === undefined ? seq + 1 : open.seq } }
     case 5: return { ...base, type: 'turn', turn: { ...turn, ...usedKey } }
     case 6: return { ...base, type: 'turn', turn: open === undefined ? turn : { ...turn, key: open.key, branch: open.branch, seq: open.seq, digest: open.digest } }
+    case 7: return { ...base, type: 'allow', allowance: { tokens: made, calls: 1, microCost: 0 } }
     default: return open === undefined ? { ...base, type: 'turn', turn } : { ...base, type: 'settle', key: open.key, verdict: 'notRun' }
   }
 }
