--- a/packages/program-home/src/program-home.ts
+++ b/packages/program-home/src/program-home.ts
@@ -5,6 +5,7 @@
 import * as programState from '@eelgrasswind/program-state'
 import type * as retainPrefix from '@eelgrasswind/retain-prefix'
 import type * as types from '@eelgrasswind/types'
+import * as allowances from './allowance.js'
 import * as callRunner from './call-runner.js'
 import * as journalWriter from './journal-writer.js'
 import * as learnings from './learning.js'
@@ -15,8 +16,8 @@
 import * as takeOvers from './take-over.js'
 
 export interface ProgramHomeDeps extends Omit<callRunner.CallRunnerDeps, 'learning'> {
-  readonly holdRule: retainPrefix.HoldRule
-  readonly admissionRule: admitProgram.AdmissionRule
+  readonly holdRule: () => retainPrefix.HoldRule
+  readonly admissionRule: () => admitProgram.AdmissionRule
   readonly cacheUsed: (upstream: types.UpstreamId) => number
   /** Slots of the engines beside this process, and the calls that wait for them. */
   readonly ownSlots: () => { readonly slots: number, readonly waiting: number }
@@ -72,7 +73,7 @@
   private admit (start: types.ProgramStart): errors.Result<void> {
     const { slots, waiting } = this.deps.ownSlots()
     const input = this.learning.admissionInput(this.deps.config(), start, this.programs.values(), slots, waiting)
-    const decision = admitProgram.decideAdmission(this.deps.admissionRule, input)
+    const decision = admitProgram.decideAdmission(this.deps.admissionRule(), input)
     if (decision.type === 'admit') return errors.ok(undefined)
     this.deps.logger.info({ program: start.program, reason: decision.reason }, 'start refused')
     return errors.fail({ tag: 'notAdmitted', verdict: 'notRun', message: `unlikely to finish in time: ${describe(decision.reason)}`, retryAfterMs: decision.retryAfterMs })
@@ -80,7 +81,7 @@
 
   private async begin (start: types.ProgramStart, req: types.StartRequest): Promise<errors.Result<types.ProgramDocument>> {
     const { self, journal, timers } = this.deps
-    const record: types.BeginRecord = { type: 'begin', program: start.program, n: 1, term: 0 as types.Term, start, home: self, at: timers.now() as types.EpochMs }
+    const record: types.BeginRecord = { type: 'begin', program: start.program, n: 1, term: 0 as types.Term, start, home: self, at: timers.now() as types.EpochMs, allowance: allowances.firstAllowance(this.deps.config(), start) }
     const appended = await journal.append(record)
     if (!appended.ok) return appended
     const effect = journalWriter.checkEffect(record, appended.value)
@@ -106,17 +107,34 @@
   private async openNow (program: types.ProgramId): Promise<errors.Result<local.LocalProgram>> {
     const state = await takeOvers.takeOver(this.deps, program)
     if (!state.ok) return state
-    const opened = new local.LocalProgram(state.value, limitClient.createRetryBudget(limitClient.programRetrySettings))
+    const opened = new local.LocalProgram(state.value, this.retryBudget())
     if (state.value.finished !== null) {
       this.deps.journal.release(program)
       return errors.ok(opened)
     }
+    // A claim that was read meanwhile found no local program to end.
+    if (!takeOvers.isHome(this.deps.self, state.value)) return errors.fail(movedAway(state.value))
     this.programs.set(program, opened)
     this.limitWallTime(opened)
     this.settleIntents(opened)
     return errors.ok(opened)
   }
 
+  /** The configuration gives a program's retries for its whole life. */
+  private retryBudget (): limitClient.RetryBudget {
+    const { retryBudget } = this.deps.config().limits
+    return limitClient.createRetryBudget({ ratio: 0, reserve: retryBudget, most: retryBudget })
+  }
+
+  /** As open, but another process that has become the home unnoticed is noticed: the journal is read first. */
+  private async openConfirmed (program: types.ProgramId): Promise<errors.Result<local.LocalProgram>> {
+    if (this.programs.has(program)) {
+      const head = await this.deps.journal.head(program)
+      if (!head.ok) return errors.fail({ ...head.failure, verdict: 'notRun' })
+    }
+    return await this.open(program)
+  }
+
   private limitWallTime (program: local.LocalProgram): void {
     const leftMs = Math.max(0, reserve.wallLeftMs(program.state, this.deps.timers.now()))
     program.wallLimit = this.deps.timers.after(leftMs, () => { void this.expire(program) })
@@ -161,7 +179,11 @@
   async call (call: types.Call, ctx: types.RequestContext, sink: types.CallSink): Promise<errors.Result<types.CallEnd>> {
     const opened = await this.openForCall(call)
     if (!opened.ok) return opened
-    return await this.runner.call(opened.value, call, ctx, sink)
+    const result = await this.runner.call(opened.value, call, ctx, sink)
+    if (result.ok || !concernsPlace(result.failure)) return result
+    const confirmed = await this.openConfirmed(call.program)
+    if (!confirmed.ok) return confirmed
+    return confirmed.value === opened.value ? result : await this.runner.call(confirmed.value, call, ctx, sink)
   }
 
   private async openForCall (call: types.Call): Promise<errors.Result<local.LocalProgram>> {
@@ -208,7 +230,7 @@
   }
 
   async read (program: types.ProgramId, history: boolean): Promise<errors.Result<types.ProgramDocument>> {
-    const opened = await this.open(program)
+    const opened = history ? await this.openConfirmed(program) : await this.open(program)
     return opened.ok ? errors.ok(this.documentOf(opened.value.state, history)) : opened
   }
 
@@ -248,10 +270,23 @@
     }
   }
 
+  // ---- snapshots
+
+  /** Writes a snapshot of each program whose first record would expire before long. */
+  async writeSnapshots (): Promise<void> {
+    for (const id of this.deps.journal.planSnapshots(this.deps.timers.now() as types.EpochMs)) {
+      const program = this.programs.get(id)
+      if (program === undefined) continue
+      const written = await journalWriter.writeRecord(this.deps.journal, program, () => ({ type: 'snapshot', state: programState.snapshotOf(program.state) }))
+      if (!written.ok) this.deps.logger.warn({ program: id, failure: written.failure }, 'snapshot not written')
+    }
+  }
+
   // ---- leaving
 
   /** Lets go of a program: no new calls, those under way end and are written. False where it was not at home here. */
   async release (program: types.ProgramId, askedBy: types.HostId): Promise<errors.Result<boolean>> {
+    await this.opening.get(program)
     const known = this.programs.get(program)
     if (known === undefined) return errors.ok(false)
     known.releasing = true
@@ -269,6 +304,15 @@
   }
 }
 
+function movedAway ({ home, start }: programState.ProgramState): errors.Failure {
+  return { tag: 'notHome', verdict: 'notRun', message: `${home.host} became the home of ${start.program}`, home: home.host, retryAfterMs: retryMs }
+}
+
+/** Refusals that rest on the turns that this process knows of. */
+function concernsPlace (failure: errors.Failure): boolean {
+  return failure.tag === 'sequenceGap' || failure.tag === 'sequenceRepeat'
+}
+
 function describe (reason: admitProgram.AdmissionReason): string {
   switch (reason.type) {
     case 'rule': return 'the rule'
