--- a/packages/program-home/src/call-runner.ts
+++ b/packages/program-home/src/call-runner.ts
@@ -198,7 +198,7 @@
   private async coverCall (attempt: Attempt): Promise<errors.Result<unknown>> {
     const { program, need } = attempt
     if (allowances.isCovered(program)) return errors.ok(undefined)
-    return await journalWriter.writeRecord(this.deps.journal, program, () => ({ type: 'allow', allowance: allowances.nextAllowance(program, need.usage) }))
+    return await journalWriter.writeRecord(this.deps.journal, program, () => ({ type: 'allow', allowance: allowances.nextAllowance(this.deps.config(), program, need.usage) }))
   }
 
   /** Intent, confirmed; one dispatch; and where its answer is missing, the seal. */
@@ -361,12 +361,13 @@
     const { program, running } = attempt
     const { key, branch, seq, target } = running.call
     const { timers } = this.deps
+    const verdict = parts.outcome.type === 'failed' ? parts.outcome.verdict : 'ran'
     const turn: types.Turn = { key, branch, seq, digest: running.digest, target, ...parts, endedAt: timers.now() as types.EpochMs }
-    const patience = timers.after(recordPatienceMs, () => running.answerForNow(logUnavailable('ran')))
+    const patience = timers.after(recordPatienceMs, () => running.answerForNow(logUnavailable(verdict)))
     this.unconfirmed += 1
     try {
-      const written = await this.writeUntilKnown(program, { type: 'turn', turn, allowance: allowances.nextAllowance(program, attempt.need.usage, attempt.need.usage) })
-      return written.ok ? errors.ok(checkCall.endOfTurn(turn, false)) : errors.fail({ ...written.failure, verdict: 'ran' })
+      const written = await this.writeUntilKnown(program, { type: 'turn', turn, allowance: allowances.nextAllowance(this.deps.config(), program, attempt.need.usage, attempt.need.usage) })
+      return written.ok ? errors.ok(checkCall.endOfTurn(turn, false)) : errors.fail({ ...written.failure, verdict })
     } finally {
       patience.cancel()
       this.unconfirmed -= 1
--- a/packages/program-home/src/program-home.ts
+++ b/packages/program-home/src/program-home.ts
@@ -291,6 +291,7 @@
     if (known === undefined) return errors.ok(false)
     known.releasing = true
     await known.idle()
+    await this.giveBackAllowance(known)
     if (this.programs.get(program) !== known) return errors.ok(false)
     this.deps.logger.info({ program, askedBy }, 'released a program')
     this.forget(known)
@@ -300,7 +301,18 @@
   /** Takes no new calls and resolves when those under way have ended and are written. */
   async drain (): Promise<void> {
     this.draining = true
-    await Promise.all([...this.programs.values()].map((program) => program.idle()))
+    await Promise.all([...this.programs.values()].map(async (program) => {
+      await program.idle()
+      await this.giveBackAllowance(program)
+    }))
+  }
+
+  /** What this home will not use is not forfeited by the next claim. A log that is down only costs the program that. */
+  private async giveBackAllowance (program: local.LocalProgram): Promise<void> {
+    const { tokens, calls, microCost } = program.state.allowance
+    if (program.state.finished !== null || tokens + calls + microCost === 0) return
+    const written = await journalWriter.writeRecord(this.deps.journal, program, { type: 'allow', allowance: program.unrecorded })
+    if (!written.ok) this.deps.logger.warn({ program: program.id, failure: written.failure }, 'allowance not given back')
   }
 }
 
