No holds by default

Cause: with engines that evict by last use a hold saves one program's prefix and costs another's; the learnt rule held up to 205 token-seconds a program for programs that never returned and saved nothing beyond the spread. Change: the default is never; learntHoldRule is the rule for who asks for learnt. One line of the sidecar follows.

--- a/packages/model-engines/src/rules.ts
+++ b/packages/model-engines/src/rules.ts
@@ -56,7 +56,7 @@
   always: { type: 'always' },
   never: { type: 'never' },
   fixed: { type: 'fixed', holdMs: 10_000 },
-  learnt: retainPrefix.defaultHoldRule
+  learnt: retainPrefix.learntHoldRule
 }
 
 const admissions: Readonly<Record<string, admitProgram.AdmissionRule>> = {
--- a/packages/retain-prefix/src/decide-hold.ts
+++ b/packages/retain-prefix/src/decide-hold.ts
@@ -37,7 +37,9 @@
   readonly reason: HoldReason
 }
 
-export const defaultHoldRule: HoldRule = { type: 'learnt', fallbackMs: 10_000, minSamples: 20, maxMs: 600_000 }
+/** For engines that evict by last use: they keep a prefix through most pauses by themselves. */
+export const defaultHoldRule: HoldRule = { type: 'never' }
+export const learntHoldRule: HoldRule = { type: 'learnt', fallbackMs: 10_000, minSamples: 20, maxMs: 600_000 }
 
 /** Waste of one token held for one second for a program that never returns, in tokens computed again. */
 const tokenSecondWaste = 1
--- a/packages/sidecar/src/rules.ts
+++ b/packages/sidecar/src/rules.ts
@@ -24,7 +24,7 @@
     case 'always': return { type: 'always' }
     case 'never': return { type: 'never' }
     case 'fixed': return { type: 'fixed', holdMs: fixedHoldMs }
-    case 'learnt': return retainPrefix.defaultHoldRule
+    case 'learnt': return retainPrefix.learntHoldRule
     default: return errors.unreachable(name)
   }
 }
