A record behind one of unknown fate waits, it is not an invalid request

Ruled out: a wrong place in the chain (the record's n was next by the fold). Change: the failure is logUnavailable, notRun, so the home tries the turn again and the caller of an intent is told when to come back.

--- a/packages/append-journal/src/failures.ts
+++ b/packages/append-journal/src/failures.ts
@@ -12,10 +12,9 @@
   return { tag: 'shuttingDown', verdict, message: 'the journal is closing', retryAfterMs }
 }
 
-/** The program's next place was given to another record, whose fate is still open. */
+/** The program's next place was given to another record, whose fate is still open; once that is known, the place is another one. */
 export function placeTaken ({ program, n }: types.JournalRecord): errors.Failure {
-  const expected = `the record that was appended as ${n} before`
-  return { tag: 'invalidRequest', verdict: 'notRun', message: `record ${n} of ${program} may be in the log with other content`, field: 'n', expected }
+  return { tag: 'logUnavailable', verdict: 'notRun', message: `record ${n} of ${program} may be in the log with other content`, retryAfterMs }
 }
 
 export function expiredUnread ({ program }: types.JournalRecord): errors.Failure {
