--- a/packages/config-state/src/schema.ts
+++ b/packages/config-state/src/schema.ts
@@ -130,7 +130,7 @@
     .meta({ description: 'Rule that orders the queue before an upstream.' }),
   admissionRule: z.enum(admissionRules).default('inTime')
     .meta({ description: 'Rule that admits or refuses the start of a program.' }),
-  holdRule: z.enum(holdRules).default('learnt')
+  holdRule: z.enum(holdRules).default('never')
     .meta({ description: 'Rule for how long a cached prefix is held over a tool pause.' }),
   retryBudget: countOrZero('retries', 'Retries of one program over its whole life.').default(10),
   maxBodyBytes: count('bytes', 'Longest body of a request of a caller.').default(1_048_576),
