--- a/packages/append-journal/src/journal.test.ts
+++ b/packages/append-journal/src/journal.test.ts
@@ -83,6 +83,17 @@
   t.ok(journal.counters().appends >= 20 && journal.counters().appends <= 24, `${journal.counters().appends} appends in 2 s`)
 })
 
+tap.test('a head is as new as the question', async (t) => {
+  const world = createWorld()
+  const journal = await world.open()
+  const early = journal.catchUp(0)
+  await world.timers.advanceAsync(1)
+  world.log.put(stream, programState.encodeBatch([records.begin(p1, homeA, world.timers.now())]))
+  const head = journal.head(p1)
+  valueOf(await settled(world, early))
+  t.match(valueOf(await settled(world, head)), { n: 1, home: homeA })
+})
+
 tap.test('records of other writers are read before an effect is told', async (t) => {
   const world = createWorld()
   const [a, b] = [await world.open(), await world.open()]
@@ -135,7 +146,7 @@
   t.match(await settled(world, journal.append(turn)), { ok: false, failure: { tag: 'logUnavailable', verdict: 'mayHaveRun' } })
   await world.timers.advanceAsync(1000)
   t.equal(journal.available(), false)
-  t.match(await settled(world, journal.append(records.turn({ program: p1, n: 2, term }, 1, 'y'))), { failure: { tag: 'invalidRequest', verdict: 'notRun', field: 'n' } })
+  t.match(await settled(world, journal.append(records.turn({ program: p1, n: 2, term }, 1, 'y'))), { failure: { tag: 'logUnavailable', verdict: 'notRun', message: /record 2 of .* other content/ } })
   world.log.appendFault = () => 'none'
   world.log.readFails = () => false
   await world.timers.advanceAsync(1000)
