A peer client that was closed says nothing of its host

Cause: closing a client ends its stream by an error, which counted as a failure of the host; after a restart at a new address the pool closes the client of the old one, and the new process would have been suspected. Test seen red.

--- a/packages/sidecar-client/src/channel-client.ts
+++ b/packages/sidecar-client/src/channel-client.ts
@@ -23,6 +23,7 @@
   private current: channelRequests.ChannelRequests | undefined
   private idleCheck: timerService.Subscription | undefined
   private lastRequestAt = 0
+  private closed = false
 
   constructor (private readonly settings: ChannelClientSettings) {
     this.client = connect.createClient(gen.ChannelService, settings.transport)
@@ -41,7 +42,7 @@
     limit.cancel()
     if (result.ok || !late.signal.aborted || result.failure.tag !== 'cancelled') return result
     const failure = transportFailures.unreachable(result.failure.verdict, `no answer within ${limitMs} ms`)
-    this.settings.onBroken(failure)
+    this.noteBroken(failure)
     return errors.fail(failure)
   }
 
@@ -72,18 +73,24 @@
         requests.receive(message)
       }
       // An end that was not announced, with answers missing.
-      if (requests.size > 0) this.settings.onBroken(transportFailures.unreachable('mayHaveRun', 'the peer ended the stream'))
+      if (requests.size > 0) this.noteBroken(transportFailures.unreachable('mayHaveRun', 'the peer ended the stream'))
       requests.fail('the peer ended the stream')
     } catch (err) {
       const message = err instanceof Error ? err.message : String(err)
       requests.fail(message)
-      this.settings.onBroken(transportFailures.transportFailure(err))
+      this.noteBroken(transportFailures.transportFailure(err))
     } finally {
       opened()
     }
   }
 
+  /** A connection that was closed here says nothing of the host, which may live at another address by now. */
+  private noteBroken (failure: errors.Failure): void {
+    if (!this.closed) this.settings.onBroken(failure)
+  }
+
   close (): void {
+    this.closed = true
     this.idleCheck?.cancel()
   }
 }
--- a/packages/sidecar-client/src/channel.test.ts
+++ b/packages/sidecar-client/src/channel.test.ts
@@ -253,6 +253,15 @@
   t.equal(broken.length, 2)
 })
 
+tap.test('closing a client fails what is under way, and says nothing of the host', async (t) => {
+  const { client, call, started, broken } = await connectPeers(t)
+  const lost = call('a')
+  await started(1)
+  client.close()
+  t.match(await lost, { ok: false, failure: { verdict: 'mayHaveRun' } })
+  t.equal(broken.length, 0)
+})
+
 tap.test('a server that drains cuts no request and then refuses new ones', async (t) => {
   const { call, started, server, runs } = await connectPeers(t)
   const running = call('a')
