A peer that is paused no longer ends the processes that talk to it

The session manager of connect-node takes its listener off a session that it gives up while a ping of it is still out; when the ping times out, the session is destroyed with an error that nobody hears, and Node ends the process. One paused sidecar so ended several others, whose programs and held sessions went with them (held sessions of a process that was not started again stayed: 20 s after the last program 3 to 11 sessions). Ruled out: the listeners of the streams (each fails by itself) and of the pool's close (the session is destroyed by the ping's timer, by the trace). Change: a session that carried a request keeps a listener of ours.

--- a/packages/sidecar-client/src/peer-client.ts
+++ b/packages/sidecar-client/src/peer-client.ts
@@ -9,6 +9,7 @@
 import * as convert from './convert.js'
 import * as gen from './gen/eelgrasswind_pb.js'
 import type * as handlers from './handlers.js'
+import * as sessionManager from './session-manager.js'
 import * as transportFailures from './transport-failure.js'
 
 export interface PeerClientSettings {
@@ -44,7 +45,7 @@
 type Reply = { result: { case: string | undefined, value?: unknown }, sender?: gen.Sender | undefined }
 
 export function createPeerClient (settings: PeerClientSettings): PeerClient {
-  const session = new connectNode.Http2SessionManager(settings.address, {
+  const session = new sessionManager.SessionManager(settings.address, {
     pingIntervalMs: settings.pingIntervalMs,
     pingTimeoutMs: settings.pingTimeoutMs,
     idleConnectionTimeoutMs: idleSessionMs
--- a/packages/system-tests/src/paused-home.test.ts
+++ b/packages/system-tests/src/paused-home.test.ts
@@ -62,5 +62,25 @@
   t.match(await recorder.ask(recorders.modelCall(second, 'k2', 2), 1), { ok: true, value: { seal: { repeated: true } } })
 })
 
+tap.test('a paused process ends no other one', async (t) => {
+  const paused = ['engine-0', 'engine-1']
+  const ended: string[] = []
+  const all = [...system.sidecars.values(), ...system.entries.values()]
+  for (const { host, process } of all) void process.exited.then((code) => ended.push(`${host} ended with ${code}: ${process.output().slice(-12).join(' | ')}`))
+  for (const [round, host] of paused.entries()) {
+    const programs = await Promise.all(Array.from({ length: 12 }, async (_, at) => {
+      const program = `pause-${round}-${at}`
+      await start(program)
+      return program
+    }))
+    const { process } = system.sidecars.get(host)!
+    process.pause()
+    const resuming = recorders.pause(3_500).then(() => process.resume())
+    await Promise.all(programs.map((program, at) => recorder.askUntilWhole(recorders.modelCall(program, 'k1', 1, { timeoutMs: 4_000 }), 8_000, at % 2)))
+    await resuming
+  }
+  t.same(ended, [])
+})
+
 shared.checkAtEnd(tap, recorder)
 void kit
