A start during a log outage is refused notRun, not left to its entry's time limit

Cause: with the log stalled a start was answered after 2 s by its entry, with peerUnavailable and mayHaveRun: the home waited 3 s for the log, longer than the entry waits for a short request. Ruled out: the refusal itself (with the log refusing, both were refused within 70 ms). Change: a home that knows the log to be down refuses starts and takeovers at once, and an answer of the log counts as lost after 1.5 s, before the entry gives up.

--- a/packages/process-base/src/base-settings.ts
+++ b/packages/process-base/src/base-settings.ts
@@ -26,7 +26,7 @@
   peerPort: port('Port for the other processes of the system'),
   log: z.strictObject({
     address: address.meta({ description: 'The platform\'s log service.' }),
-    timeoutMs: milliseconds('After this an answer of the log counts as lost.', 3_000)
+    timeoutMs: milliseconds('After this an answer of the log counts as lost; less than peers.timeoutMs, so that a process can still refuse.', 1_500)
   }).meta({ description: 'The platform\'s log.' }),
   hostList: z.strictObject({
     address: address.meta({ description: 'The platform\'s host list.' }),
--- a/packages/program-home/src/program-home.ts
+++ b/packages/program-home/src/program-home.ts
@@ -49,6 +49,7 @@
     if (this.draining) return errors.fail(this.leavingFailure())
     const known = this.programs.get(req.program)
     if (known !== undefined) return this.sameStart(known.state, req)
+    if (!this.deps.journal.available()) return errors.fail(callRunner.logUnavailable('notRun'))
     const head = await this.deps.journal.head(req.program)
     if (!head.ok) return errors.fail({ ...head.failure, verdict: 'notRun' })
     if (head.value !== undefined) return await this.startAgain(req)
@@ -105,6 +106,7 @@
   }
 
   private async openNow (program: types.ProgramId): Promise<errors.Result<local.LocalProgram>> {
+    if (!this.deps.journal.available()) return errors.fail(callRunner.logUnavailable('notRun'))
     const state = await takeOvers.takeOver(this.deps, program)
     if (!state.ok) return state
     const opened = new local.LocalProgram(state.value, this.retryBudget())
