--- a/packages/sidecar-client/src/peer-client.ts
+++ b/packages/sidecar-client/src/peer-client.ts
@@ -1,11 +1,15 @@
 /** Client of one other process. */
+import * as protobuf from '@bufbuild/protobuf'
 import * as errors from '@eelgrasswind/errors'
+import * as timerService from '@eelgrasswind/timer-service'
 import type * as types from '@eelgrasswind/types'
 import * as connect from '@connectrpc/connect'
 import * as connectNode from '@connectrpc/connect-node'
+import * as channels from './channel-client.js'
 import * as convert from './convert.js'
 import * as gen from './gen/eelgrasswind_pb.js'
 import type * as handlers from './handlers.js'
+import * as sessionManager from './session-manager.js'
 import * as transportFailures from './transport-failure.js'
 
 export interface PeerClientSettings {
@@ -17,6 +21,8 @@
   readonly pingIntervalMs: number
   /** A ping unanswered for this long ends the connection, in milliseconds. */
   readonly pingTimeoutMs: number
+  /** The process clock where left out. */
+  readonly timers?: timerService.TimerService
   readonly onSender: (sender: types.Sender) => void
   /** Called when the peer could not be reached or its connection broke. */
   readonly onBroken: (failure: errors.Failure) => void
@@ -29,10 +35,17 @@
 /** An idle session stays open for this long, in milliseconds. */
 const idleSessionMs = 10 * 60_000
 
+/**
+ * A connection that has just failed a ping has its error event still to come, and Http2SessionManager.abort takes off
+ * the listener for it, which would end this process. The event comes within a turn or two of the event loop.
+ * In milliseconds.
+ */
+const abortDelayMs = 50
+
 type Reply = { result: { case: string | undefined, value?: unknown }, sender?: gen.Sender | undefined }
 
 export function createPeerClient (settings: PeerClientSettings): PeerClient {
-  const session = new connectNode.Http2SessionManager(settings.address, {
+  const session = new sessionManager.SessionManager(settings.address, {
     pingIntervalMs: settings.pingIntervalMs,
     pingTimeoutMs: settings.pingTimeoutMs,
     idleConnectionTimeoutMs: idleSessionMs
@@ -46,14 +59,16 @@
   const home = connect.createClient(gen.HomeService, transport)
   const upstream = connect.createClient(gen.UpstreamService, transport)
   const peer = connect.createClient(gen.PeerService, transport)
+  const timers = settings.timers ?? timerService.createRealTimers()
+  const channel = new channels.ChannelClient({ transport, timers, noteSender, onBroken: settings.onBroken })
   const short = { timeoutMs: settings.timeoutMs }
 
   function noteSender (sender: gen.Sender | undefined): void {
     if (sender !== undefined) settings.onSender(convert.fromSender(sender))
   }
 
-  function broken<T> (err: unknown, signal?: AbortSignal): errors.Result<T> {
-    const failure = transportFailures.transportFailure(err, signal?.aborted === true)
+  function broken<T> (err: unknown): errors.Result<T> {
+    const failure = transportFailures.transportFailure(err)
     if (failure.tag === 'peerUnavailable') settings.onBroken(failure)
     return errors.fail(failure)
   }
@@ -79,60 +94,27 @@
     }
   }
 
-  async function askNothing (send: () => Promise<{ failure?: gen.FailureMessage | undefined, sender?: gen.Sender | undefined }>): Promise<errors.Result<void>> {
-    const reply = await askDocument(send, (got) => got.failure)
-    if (!reply.ok) return reply
-    return reply.value === undefined ? errors.ok(undefined) : errors.fail(convert.fromFailureMessage(reply.value))
+  function call (req: types.Call, ctx: types.RequestContext, sink: types.CallSink): Promise<errors.Result<types.CallEnd>> {
+    const value = protobuf.create(gen.CallRequestSchema, { callJson: convert.toJson(req), traceparent: ctx.traceparent, wholeOnly: sink.wholeOnly === true })
+    return channel.request({ case: 'call', value }, sink)
   }
 
-  async function call (req: types.Call, ctx: types.RequestContext, sink: types.CallSink): Promise<errors.Result<types.CallEnd>> {
-    try {
-      for await (const { piece, sender } of home.call({ callJson: convert.toJson(req), traceparent: ctx.traceparent })) {
-        noteSender(sender)
-        switch (piece.case) {
-          case 'placedJson': sink.onPlaced(convert.fromJson(piece.value)); break
-          case 'delta': sink.onDelta(piece.value); break
-          case 'endJson': return errors.ok(convert.fromJson<types.CallEnd>(piece.value))
-          case 'failure': return errors.fail(convert.fromFailureMessage(piece.value))
-          case undefined: break
-          default: errors.unreachable(piece)
-        }
-      }
-      return errors.fail(convert.brokenReply())
-    } catch (err) {
-      return broken(err)
-    }
-  }
-
-  async function dispatch (req: types.Dispatch, ctx: types.RequestContext, signal: AbortSignal, onDelta: (text: string) => void): Promise<errors.Result<types.DispatchAnswer>> {
-    try {
-      for await (const { piece, sender } of upstream.dispatch(convert.toDispatchRequest(req, ctx.traceparent), { signal })) {
-        noteSender(sender)
-        switch (piece.case) {
-          case 'delta': onDelta(piece.value); break
-          case 'answerJson': return errors.ok(convert.fromJson<types.DispatchAnswer>(piece.value))
-          case 'failure': return errors.fail(convert.fromFailureMessage(piece.value))
-          case undefined: break
-          default: errors.unreachable(piece)
-        }
-      }
-      return errors.fail(convert.brokenReply())
-    } catch (err) {
-      return broken(err, signal)
-    }
+  function dispatch (req: types.Dispatch, ctx: types.RequestContext, signal: AbortSignal, onDelta: (text: string) => void): Promise<errors.Result<types.DispatchAnswer>> {
+    const value = convert.toDispatchRequest(req, ctx.traceparent)
+    return channel.request({ case: 'dispatch', value }, { onDelta, onPlaced: () => undefined }, signal)
   }
 
   return {
-    start: (start, ctx) => ask(() => home.start({ startJson: convert.toJson(start), traceparent: ctx.traceparent }, short)),
+    start: (start, ctx) => channel.ask({ case: 'start', value: protobuf.create(gen.StartRequestSchema, { startJson: convert.toJson(start), traceparent: ctx.traceparent }) }, settings.timeoutMs),
     call,
-    finish: (program, result, ctx) => ask(() => home.finish({ program, result, traceparent: ctx.traceparent }, short)),
-    read: (program, history) => ask(() => home.read({ program, history }, short)),
+    finish: (program, result, ctx) => channel.ask({ case: 'finish', value: protobuf.create(gen.FinishRequestSchema, { program, result, traceparent: ctx.traceparent }) }, settings.timeoutMs),
+    read: (program, history) => channel.ask({ case: 'read', value: protobuf.create(gen.ReadRequestSchema, { program, history }) }, settings.timeoutMs),
     release: (program, askedBy) => askDocument(() => home.release({ program, askedBy }, short), (reply) => reply.released),
     list: (limit) => askDocument(() => home.list({ limit }, short), (reply) => convert.fromJson(reply.programsJson)),
     dispatch,
     seal: (seal) => ask(() => upstream.seal({ ...seal, intent: BigInt(seal.intent), intentAtMs: seal.intentAt }, short)),
-    hold: (program, term, upstreamId, holdMs) => askNothing(() => upstream.hold({ program, term: BigInt(term), upstream: upstreamId, holdMs }, short)),
-    drop: (program, term, upstreamId) => askNothing(() => upstream.drop({ program, term: BigInt(term), upstream: upstreamId }, short)),
+    hold: (program, term, upstreamId, holdMs) => channel.ask({ case: 'hold', value: protobuf.create(gen.HoldRequestSchema, { program, term: BigInt(term), upstream: upstreamId, holdMs }) }, settings.timeoutMs),
+    drop: (program, term, upstreamId) => channel.ask({ case: 'drop', value: protobuf.create(gen.DropRequestSchema, { program, term: BigInt(term), upstream: upstreamId }) }, settings.timeoutMs),
     status: () => askDocument(() => peer.status({}, short), (reply) => convert.fromJson(reply.statusJson)),
     getConfig: (have) => askDocument(() => peer.getConfig({ haveVersion: BigInt(have) }, short), (reply) => {
       if (reply.configJson.length === 0) return null
@@ -141,6 +123,9 @@
     explain: (program, key) => askDocument(() => peer.explain({ program, key: key ?? '' }, short), (reply) => convert.fromJson(reply.explainJson)),
     borrowShare: (wish) => ask(() => peer.borrowShare({ ...wish }, short)),
     loads: () => askDocument(() => peer.getLoads({}, short), (reply) => convert.fromJson(reply.loadsJson)),
-    close: () => session.abort()
+    close () {
+      channel.close()
+      timers.after(abortDelayMs, () => session.abort())
+    }
   }
 }
