--- a/packages/system-tests/src/history.test.ts
+++ b/packages/system-tests/src/history.test.ts
@@ -98,10 +98,14 @@
   }
 ]
 
+/** Processes that are on their way back while the next test begins. */
+const restarting = new Map<string, Promise<unknown>>()
+
 steps.forEach((step, at) => {
   tap.test(`home killed at ${step.name}`, async (t) => {
     const program = `step-${at}`
     const home = await start(program)
+    await restarting.get(home)
     t.ok((await recorder.ask(recorders.modelCall(program, 'k1', 1))).ok)
     const held = step.hold(program, 'k2')
     const first = recorder.ask(step.call(program, 'k2'))
@@ -117,11 +121,12 @@
     t.same(read.ok && read.value.history.map((turn) => turn.key), ['k1', 'k2', 'k3'])
     if (read.ok) recorder.checkHistory(program, read.value.history)
     t.same(recorder.violations, [])
-    await system.restartSidecar(home)
+    restarting.set(home, system.restartSidecar(home))
   })
 })
 
 tap.test('expired records: a clear failure, never a shortened history', async (t) => {
+  await Promise.all(restarting.values())
   const home = await start('expired')
   for (let seq = 1; seq <= 3; seq += 1) t.ok((await recorder.askUntilWhole(recorders.modelCall('expired', `k${seq}`, seq), 10_000)).ok)
   const stream = await testUtils.eventually(() => Array.from({ length: 8 }, (_, at) => `journal-${at}`).find((name) => log.records(name).some(({ data }) => data.includes('"expired"'))))
