--- a/packages/load/src/run-load.ts
+++ b/packages/load/src/run-load.ts
@@ -1,13 +1,15 @@
 /** Runs one command line of the load binary. */
 import * as clipanion from 'clipanion'
 import * as overhead from './commands/overhead/parse.js'
+import * as run from './commands/run/parse.js'
 
 /** Version of the binary. */
 const version = '0.1.0'
 
 /** A folder under `commands` for each. */
 const commands = [
-  overhead.OverheadCommand
+  overhead.OverheadCommand,
+  run.RunCommand
 ]
 
 /** Resolves with the exit code. */
