Warm-up, and no second try after the deadline

Cause: in a first trial of 8 s, 5 of 14 starts were refused because no program of their kind had finished yet, and all 5 second tries came after their own deadline and were answered invalidRequest.

--- a/packages/demo/src/load-main.ts
+++ b/packages/demo/src/load-main.ts
@@ -95,7 +95,7 @@
   upstream.faults.set({ type: 'hang', run: true }, { scope: 'hang' })
   console.log(`rules: ${rules}`)
   const entries = [...system.entries.values()].flatMap(({ address }) => ['--entry', address])
-  process.exitCode = await runLoad(['run', ...entries, '--token', system.plan.token, '--deployment', deployment, ...withDefaults(args, { '--seed': '1', '--rate': '3', '--seconds': '30', '--time-scale': String(timeScale) })])
+  process.exitCode = await runLoad(['run', ...entries, '--token', system.plan.token, '--deployment', deployment, ...withDefaults(args, { '--seed': '1', '--rate': '3', '--warm-up': '15', '--seconds': '30', '--time-scale': String(timeScale) })])
   const executions = Object.values(upstream.counters().executions)
   console.log(`the service ran ${executions.length} requests; ${executions.filter((times) => times > 1).length} of them more than once`)
 } finally {
--- a/packages/load/src/commands/run/options.ts
+++ b/packages/load/src/commands/run/options.ts
@@ -5,6 +5,7 @@
 
 const maxRate = 50
 const maxSeconds = 300
+const maxWarmUpSeconds = 120
 const minTimeScale = 0.01
 const maxSeed = 2 ** 31 - 1
 
@@ -15,6 +16,7 @@
   readonly seed: string
   readonly rate: string
   readonly seconds: string
+  readonly warmUp: string
   readonly drain: string
   readonly timeScale: string
 }
@@ -27,6 +29,7 @@
   /** Programs a second. */
   readonly rate: number
   readonly seconds: number
+  readonly warmUpSeconds: number
   readonly drainSeconds: number
   readonly timeScale: number
 }
@@ -53,6 +56,12 @@
   throw wrong(name, 'a whole number', text)
 }
 
+/** Warm-up and measured time together are bounded as well. */
+function checkTogether (run: RunOptions): RunOptions {
+  if (run.warmUpSeconds + run.seconds <= maxSeconds) return run
+  throw wrong('seconds', `at most ${maxSeconds} s with the warm-up`, String(run.seconds))
+}
+
 const addressPattern = /^http:\/\/(?:(\d+\.\d+\.\d+\.\d+)|\[([\da-fA-F:]+)\]):(\d{1,5})$/
 
 /** Whether an address is `http://IP:PORT` with an IP number of this machine's loopback. */
@@ -81,14 +90,15 @@
 export function readOptions (raw: RawOptions): RunOptions {
   if (raw.entry.length === 0) throw new clipanion.UsageError('--entry: expected at least one address')
   if (raw.token === '') throw wrong('token', 'the token of a client', raw.token)
-  return {
+  return checkTogether({
     entries: raw.entry.map(readEntry),
     token: raw.token,
     deployment: readDeployment(raw.deployment),
     seed: readWhole('seed', raw.seed, { least: 0, most: maxSeed, unit: '' }),
     rate: readNumber('rate', raw.rate, { least: 0.01, most: maxRate, unit: ' programs a second' }),
     seconds: readWhole('seconds', raw.seconds, { least: 1, most: maxSeconds, unit: ' s' }),
+    warmUpSeconds: readWhole('warm-up', raw.warmUp, { least: 0, most: maxWarmUpSeconds, unit: ' s' }),
     drainSeconds: readWhole('drain', raw.drain, { least: 0, most: maxSeconds, unit: ' s' }),
     timeScale: readNumber('time-scale', raw.timeScale, { least: minTimeScale, most: 1, unit: '' })
-  }
+  })
 }
--- a/packages/load/src/commands/run/parse.ts
+++ b/packages/load/src/commands/run/parse.ts
@@ -29,7 +29,8 @@
       refusals, failures by code and verdict, repeated keys, and prompt tokens computed and cached.
 
       The configuration must have the kinds of the deployment, its model (quote-8b or mentor-8b) and its service
-      (kit-orders or placements). Addresses must be on loopback; at most 50 programs a second for 300 seconds.
+      (kit-orders or placements). Addresses must be on loopback; at most 50 programs a second for 300 seconds, warm-up
+      included.
 
       Exit codes: 0 the run is done; 1 wrong usage; 2 a request that must not be repeated ran again; 3 no program could
       be started; 4 a report could not be written.
@@ -47,6 +48,7 @@
   seed = clipanion.Option.String('--seed', { required: true, description: 'Seed of the workload' })
   rate = clipanion.Option.String('--rate', { required: true, description: 'Programs offered a second, on average' })
   seconds = clipanion.Option.String('--seconds', { required: true, description: 'For how long programs are offered' })
+  warmUp = clipanion.Option.String('--warm-up', '0', { description: 'Seconds of load before, whose programs are not reported' })
   drain = clipanion.Option.String('--drain', '60', { description: 'Seconds that programs may go on after the last was offered' })
   timeScale = clipanion.Option.String('--time-scale', '1', { description: 'Multiplies pauses, tool timeouts and deadlines' })
   json = clipanion.Option.String('--json', { description: 'File for the report as JSON' })
@@ -54,11 +56,11 @@
 
   async execute (): Promise<number> {
     const run = options.readOptions(this)
-    const { entries, token, deployment, seed, rate, seconds, timeScale } = run
-    const programs = plan.planWorkload({ deployment, seed, rate, seconds, timeScale })
+    const { entries, token, deployment, seed, rate, warmUpSeconds, seconds, timeScale } = run
+    const programs = plan.planWorkload({ deployment, seed, rate, seconds: warmUpSeconds + seconds, timeScale })
     const onProgress = (line: string): void => { this.context.stderr.write(`${line}\n`) }
     const recorded = await runWorkload.runWorkload({ entries, token, model: deployment.model, service: deployment.service, seed, drainMs: run.drainSeconds * 1000, onProgress }, programs)
-    const report = summary.createReport({ deployment: deployment.name, seed, rate, seconds, timeScale }, recorded)
+    const report = summary.createReport({ deployment: deployment.name, seed, rate, warmUpSeconds, seconds, timeScale }, recorded)
     this.context.stdout.write(`${text.formatReport(report)}\n`)
     return this.writeFiles(report) ? exitCodeOf(report) : exitCode.notWritten
   }
--- a/packages/load/src/drive/program-driver.ts
+++ b/packages/load/src/drive/program-driver.ts
@@ -66,11 +66,12 @@
     return 'failed'
   }
 
-  /** A refused start comes back once, after its Retry-After. */
+  /** A refused start comes back once, after its Retry-After, unless its deadline has passed by then. */
   private async start (): Promise<boolean> {
     const first = await this.startOnce()
     if (first.type === 'started') return true
     if (first.retryAfterMs === null) return false
+    if (this.settings.clock.now() + first.retryAfterMs >= this.planned.deadlineMs) return false
     await this.settings.clock.pause(first.retryAfterMs)
     const second = await this.startOnce()
     return second.type === 'started'
--- a/packages/load/src/report/plots.ts
+++ b/packages/load/src/report/plots.ts
@@ -68,7 +68,7 @@
 export function drawPrograms (report: summary.LoadReport): string {
   const colour = kindColours(report)
   const finished = report.programs.filter(({ end }) => end === 'finished')
-  const scale = createScale(report.run.seconds, most(finished.map(({ latencyMs }) => latencyMs / 1000), leastAxis))
+  const scale = createScale(report.run.warmUpSeconds + report.run.seconds, most(finished.map(({ latencyMs }) => latencyMs / 1000), leastAxis))
   const points = finished.map((one) => {
     const at = `cx="${scale.x(one.offeredAtMs / 1000).toFixed(1)}" cy="${scale.y(one.latencyMs / 1000).toFixed(1)}"`
     return `<circle ${at} r="3" fill="${colour.get(one.kind)!}"${one.inTime ? '' : ` stroke="${lateColour}" stroke-width="2"`}/>`
--- a/packages/load/src/report/summary.ts
+++ b/packages/load/src/report/summary.ts
@@ -6,6 +6,8 @@
   readonly deployment: string
   readonly seed: number
   readonly rate: number
+  /** Programs of the first seconds are offered and not reported, so that the system has learnt the kinds. */
+  readonly warmUpSeconds: number
   readonly seconds: number
   readonly timeScale: number
 }
@@ -32,6 +34,8 @@
 
 export interface StartReport {
   readonly refusedFirst: number
+  /** The Retry-After of the refusal ends after the deadline, or there is none. */
+  readonly noSecondTry: number
   readonly secondTries: number
   readonly secondStarted: number
   /** Second tries that finished by their deadline. */
@@ -104,7 +108,8 @@
   return values.reduce((total, value) => total + value, 0)
 }
 
-export function createReport (run: RunDescription, programs: Records): LoadReport {
+export function createReport (run: RunDescription, recorded: Records): LoadReport {
+  const programs = recorded.filter(({ offeredAtMs }) => offeredAtMs >= run.warmUpSeconds * 1000)
   const models = callsOf(programs, 'model')
   const services = callsOf(programs, 'service')
   const failed = callsOf(programs, 'failed')
@@ -130,6 +135,11 @@
   }
 }
 
+/** The run ended while it waited for its Retry-After. */
+function isWaitingForSecond ({ starts, end }: records.ProgramRecord): boolean {
+  return starts.length === 1 && starts[0]!.type === 'refused' && end === 'unfinished'
+}
+
 function programLatency (programs: Records): latencies.LatencySummary | null {
   return latencies.summarize(programs.filter(({ end }) => end === 'finished').map(latencyOf))
 }
@@ -159,9 +169,11 @@
 
 function startReport (programs: Records): StartReport {
   const second = programs.filter(({ starts }) => starts.length > 1)
+  const refusedFirst = programs.filter(({ starts }) => starts[0]?.type === 'refused').length
   const refusals = programs.flatMap(({ starts }) => starts.flatMap((start) => start.type === 'refused' ? [start] : []))
   return {
-    refusedFirst: programs.filter(({ starts }) => starts[0]?.type === 'refused').length,
+    refusedFirst,
+    noSecondTry: refusedFirst - second.length - programs.filter(isWaitingForSecond).length,
     secondTries: second.length,
     secondStarted: second.filter(wasStarted).length,
     secondInTime: second.filter(isInTime).length,
--- a/packages/load/src/report/text.ts
+++ b/packages/load/src/report/text.ts
@@ -38,7 +38,7 @@
     { name: 'program latency', value: formatLatency(report.latency) },
     { name: 'weight in time', value: `${formatShare(report.weightedInTime)} of all meant to finish, ${formatShare(report.weightedInTimeStarted)} of those started` },
     { name: 'starts refused', value: `${starts.refusedFirst} at first; ${formatFailures(starts.refusals)}` },
-    { name: 'second tries', value: `${starts.secondTries}: ${starts.secondStarted} started, ${starts.secondInTime} finished in time` },
+    { name: 'second tries', value: `${starts.secondTries}: ${starts.secondStarted} started, ${starts.secondInTime} finished in time; ${starts.noSecondTry} not tried, as told to come back after the deadline or not at all` },
     { name: 'calls', value: `${report.modelCalls} to models, ${report.serviceCalls} to services` },
     { name: 'calls failed', value: formatFailures(report.failures) },
     { name: 'failed as planned', value: formatFailures(report.expectedFailures) },
@@ -53,8 +53,8 @@
 
 const nameWidth = 32
 
-export function formatRun ({ deployment, seed, rate, seconds, timeScale }: summary.RunDescription): string {
-  return `${deployment}, seed ${seed}, ${rate} programs a second for ${seconds} s, time scale ${timeScale}`
+export function formatRun ({ deployment, seed, rate, warmUpSeconds, seconds, timeScale }: summary.RunDescription): string {
+  return `${deployment}, seed ${seed}, ${rate} programs a second for ${seconds} s after ${warmUpSeconds} s of warm-up, time scale ${timeScale}`
 }
 
 export function formatReport (report: summary.LoadReport): string {
--- a/packages/load/src/workload/plan.ts
+++ b/packages/load/src/workload/plan.ts
@@ -34,6 +34,7 @@
   readonly seed: number
   /** Programs offered in a second, on average. */
   readonly rate: number
+  /** For how long programs are offered. */
   readonly seconds: number
   /** Multiplies pauses, timeouts and deadlines, for engines that are so much faster; 1 for the times of the deployment. */
   readonly timeScale: number
