Samples and reference of entry and sidecar settings

Entries and sidecars had settings without samples, and docs/settings.md did not describe them: the generator was in cli, which may not import other binaries. It moves to the private package demo, which may, and has the chapters of both binaries.

--- a/packages/cli/src/cli.test.ts
+++ b/packages/cli/src/cli.test.ts
@@ -11,7 +11,6 @@
 import type * as types from '@eelgrasswind/types'
 import tap from 'tap'
 import * as cli from './index.js'
-import * as settingsReference from './settings-reference.js'
 
 const root = url.fileURLToPath(new URL('../../../../', import.meta.url))
 const timers = timerService.createRealTimers()
@@ -323,7 +322,3 @@
   t.same(codes, Object.values(cli.exitCode))
   process.chdir(root)
 })
-
-tap.test('the page of settings is made from the schemas', async (t) => {
-  t.equal(fs.readFileSync(path.join(root, 'docs/settings.md'), 'utf8'), settingsReference.settingsReference())
-})
--- a/packages/cli/src/settings-reference.ts
+++ b/packages/demo/src/settings-reference.ts
@@ -1,8 +1,10 @@
 /** The page of reference of all settings, made from their schemas. */
+import * as cli from '@eelgrasswind/cli'
 import * as configState from '@eelgrasswind/config-state'
+import * as entry from '@eelgrasswind/entry'
 import * as parseSettings from '@eelgrasswind/parse-settings'
+import * as sidecar from '@eelgrasswind/sidecar'
 import type * as z from 'zod'
-import * as operatorSettings from './base/operator-settings.js'
 
 interface Chapter {
   readonly title: string
@@ -19,7 +21,17 @@
   {
     title: 'Operator settings',
     text: 'Addresses for the `eelgrasswind` command, in a file named by `--settings` or the variable `EELGRASSWIND_SETTINGS`. Sample: `samples/dimasalang/operator.jsonc`.',
-    schema: operatorSettings.operatorSettings
+    schema: cli.operatorSettings
+  },
+  {
+    title: 'Entry settings',
+    text: 'One file for each entry process, named by `eelgrasswind-entry --settings FILE`. Samples: `samples/dimasalang/entry.jsonc`, `samples/shagyl/entry.jsonc`. A process takes a change at its next start.',
+    schema: entry.entrySettings
+  },
+  {
+    title: 'Sidecar settings',
+    text: 'One file for each sidecar, named by `eelgrasswind-sidecar --settings FILE`. Samples: `samples/dimasalang/sidecar.jsonc`, `samples/shagyl/sidecar.jsonc`. A process takes a change at its next start.',
+    schema: sidecar.sidecarSettings
   }
 ]
 
@@ -30,7 +42,7 @@
 
 const introduction = `# Settings
 
-Made from the schemas by \`node packages/cli/dist/src/write-settings.js\`; a test compares this page with them.
+Made from the schemas by \`node packages/demo/dist/src/write-settings.js\`; a test compares this page with them.
 
 Files are JSON with comments and trailing commas. A field without a default must be given. \`<id>\` stands for an id: letters, digits and \`. _ ~ -\`, at most 128 characters.
 `
