--- a/packages/demo/src/pages.test.ts
+++ b/packages/demo/src/pages.test.ts
@@ -58,9 +58,12 @@
 })
 
 tap.test('every sample of process settings passes the check of its binary', async (t) => {
-  for (const deployment of ['dimasalang', 'shagyl']) {
-    for (const role of ['entry', 'sidecar']) {
-      const sample = `samples/${deployment}/${role}.jsonc`
+  for (const deployment of fs.readdirSync(path.join(root, 'samples'))) {
+    const files = fs.readdirSync(path.join(root, 'samples', deployment)).filter((file) => /^(entry|sidecar)/.test(file))
+    t.ok(files.length >= 2, deployment)
+    for (const file of files) {
+      const role = file.startsWith('entry') ? 'entry' : 'sidecar'
+      const sample = `samples/${deployment}/${file}`
       const binary = `packages/${role}/dist/eelgrasswind-${role}.mjs`
       const ran = childProcess.spawnSync(process.execPath, [binary, '--settings', sample, '--check'], { cwd: root, encoding: 'utf8' })
       t.match({ status: ran.status, stdout: ran.stdout }, { status: 0, stdout: `${sample}: ok\n` }, sample)
