--- a/packages/entry/src/client-limits.ts
+++ b/packages/entry/src/client-limits.ts
@@ -10,6 +10,7 @@
   readonly self: types.HostId
   readonly timers: timerService.TimerService
   readonly config: () => configState.Config | undefined
+  readonly onLimited: () => void
   readonly directory: Pick<processBase.HostDirectory, 'ownerOf' | 'ask' | 'hosts'>
 }
 
@@ -48,7 +49,9 @@
         await this.renew(key, client, limit)
         const result = this.takeNow(key)
         if (result.type === 'taken') return errors.ok(undefined)
-        if (questions === maxQuestions) return errors.fail({ tag: 'clientLimited', verdict: 'notRun', message: `client ${client} is over its limit of ${limit}`, retryAfterMs: result.retryAfterMs })
+        if (questions < maxQuestions) continue
+        this.deps.onLimited()
+        return errors.fail({ tag: 'clientLimited', verdict: 'notRun', message: `client ${client} is over its limit of ${limit}`, retryAfterMs: result.retryAfterMs })
       }
     } finally {
       this.stopWaiting(key)
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -27,8 +27,12 @@
     config: base.config,
     homePatienceMs: cfg.homePatienceMs,
     tracer: base.tracer,
-    limits: new clientLimits.ClientLimits({ self: self.host, timers, config: base.config, directory }),
-    noteRequest: () => { requests += 1 }
+    limits: new clientLimits.ClientLimits({ self: self.host, timers, config: base.config, directory, onLimited: () => base.metrics.increment('client.limited') }),
+    noteRequest: (target, startedAt, failure) => {
+      requests += 1
+      base.metrics.increment('request.finished', 1, { target, result: failure?.tag ?? 'ok' })
+      base.metrics.timing('request.latency', timers.monotonic() - startedAt, { target })
+    }
   })
   const peers = await sidecarClient.startPeerServer({
     bindAddress: cfg.bindAddress,
@@ -40,6 +44,7 @@
       loads: () => []
     })
   })
+  const gauges = processBase.startProcessMetrics(base, () => undefined)
   await base.follower.waitForFirst()
   const callers = await callerServer.startCallerServer({ bindAddress: cfg.bindAddress, port: cfg.callerPort, handlers, logger })
 
@@ -50,6 +55,7 @@
   }
 
   async function close (): Promise<void> {
+    gauges.cancel()
     await callers.close()
     await peers.close()
     await base.close()
--- a/packages/guard-upstream/src/upstream-guard.ts
+++ b/packages/guard-upstream/src/upstream-guard.ts
@@ -3,6 +3,7 @@
 import type * as logger from '@eelgrasswind/logger'
 import type * as orderQueue from '@eelgrasswind/order-queue'
 import type * as timerService from '@eelgrasswind/timer-service'
+import type * as tracing from '@eelgrasswind/tracing'
 import type * as types from '@eelgrasswind/types'
 import * as turns from './await-turn.js'
 import * as dispatchRecords from './dispatch-records.js'
@@ -15,6 +16,7 @@
   readonly timers: timerService.TimerService
   readonly logger: logger.Logger
   readonly orderRule: orderQueue.OrderRule
+  readonly tracer: tracing.Tracing
 }
 
 /** How often an engine is asked for its load, in milliseconds. */
@@ -102,13 +104,20 @@
   }
 
   private async run (door: doorOf.Door, req: types.Dispatch, ctx: types.RequestContext, queueSignal: AbortSignal, signal: AbortSignal, onDelta: OnDelta, onStart: () => void): Promise<Result> {
-    const turn = await turns.awaitTurn(door.slots, req, queueSignal, this.settings.timers, onStart)
-    if (!turn.ok) return turn
-    try {
-      return await sending.sendDispatch(door, req, { signal, traceparent: ctx.traceparent, onDelta }, this.settings.timers)
-    } finally {
-      door.slots.leave()
+    const { tracer, timers } = this.settings
+    const waiting = tracer.startSpan('sidecar dispatch', ctx.traceparent, { program: req.program, upstream: req.upstream })
+    const turn = await turns.awaitTurn(door.slots, req, queueSignal, timers, onStart)
+    if (!turn.ok) {
+      waiting.end('error')
+      return turn
     }
+    const sent = tracer.startSpan('upstream', waiting.traceparent, { program: req.program, upstream: req.upstream })
+    const result = await sending.sendDispatch(door, req, { signal, traceparent: sent.traceparent, onDelta }, timers)
+    door.slots.leave()
+    const status = result.ok ? 'ok' : 'error'
+    sent.end(status)
+    waiting.end(status)
+    return result
   }
 
   async seal (wanted: types.Seal): Promise<errors.Result<types.SealState>> {
--- a/packages/process-base/src/process-base.ts
+++ b/packages/process-base/src/process-base.ts
@@ -7,6 +7,7 @@
 import * as hostListClient from '@eelgrasswind/host-list-client'
 import * as logClient from '@eelgrasswind/log-client'
 import * as logger from '@eelgrasswind/logger'
+import * as metrics from '@eelgrasswind/metrics'
 import type * as sidecarClient from '@eelgrasswind/sidecar-client'
 import * as timerService from '@eelgrasswind/timer-service'
 import * as tracing from '@eelgrasswind/tracing'
@@ -21,6 +22,7 @@
   readonly logger: logger.Logger
   readonly log: logClient.LogClient
   readonly tracer: tracing.Tracing
+  readonly metrics: metrics.Metrics
   readonly directory: hostDirectory.HostDirectory
   readonly follower: followConfig.ConfigFollower
   /** The configuration in force, or undefined before the first. */
@@ -40,6 +42,9 @@
   const log = logger.createLogger({ name, host, level: settings.logLevel, stream: process.stderr })
   const logService = logClient.createLogClient(settings.log)
   const hostList = hostListClient.createHostListClient(settings.hostList)
+  const sent = metrics.createMetrics(settings.metrics === null
+    ? 'off'
+    : { host: settings.metrics.address, port: settings.metrics.port, prefix: 'eelgrasswind.', tags: { host, availability_zone: settings.availabilityZone, program: name } })
   const tracer = await tracing.createTracing({ serviceName: name, exporterUrl: settings.tracesUrl })
   const directory = new hostDirectory.HostDirectory({
     settings: { self: host, region: settings.region as types.RegionId, hostListPollMs: settings.hostList.pollMs, peers: settings.peers },
@@ -63,7 +68,7 @@
   async function close (): Promise<void> {
     follower.close()
     directory.close()
-    await Promise.all([logService.close(), hostList.close(), tracer.close()])
+    await Promise.all([logService.close(), hostList.close(), tracer.close(), sent.close()])
   }
 
   return {
@@ -73,6 +78,7 @@
     logger: log,
     log: logService,
     tracer,
+    metrics: sent,
     directory,
     follower,
     config: () => follower.current()?.config,
--- a/packages/program-home/src/call-runner.ts
+++ b/packages/program-home/src/call-runner.ts
@@ -8,9 +8,11 @@
 import * as placeCall from '@eelgrasswind/place-call'
 import * as programState from '@eelgrasswind/program-state'
 import * as timerService from '@eelgrasswind/timer-service'
+import type * as tracing from '@eelgrasswind/tracing'
 import type * as types from '@eelgrasswind/types'
 import * as allowances from './allowance.js'
 import * as checkCall from './check-call.js'
+import type * as homeMetrics from './home-metrics.js'
 import * as journalWriter from './journal-writer.js'
 import type * as learning from './learning.js'
 import * as local from './local-program.js'
@@ -29,6 +31,8 @@
   readonly upstreams: ports.UpstreamsPort
   readonly dispatchPort: ports.DispatchPort
   readonly learning: learning.Learning
+  readonly tracer: tracing.Tracing
+  readonly metrics: homeMetrics.HomeMetrics
   readonly placeRule: placeCall.PlaceRule
   /** From 0 up to, but without, 1. */
   readonly random: () => number
@@ -45,7 +49,8 @@
   readonly running: runningCalls.RunningCall
   readonly need: reserve.CallNeed
   readonly ctx: types.RequestContext
-  /** On the monotonic clock. */
+  /** On the monotonic clock, as the deadline. */
+  readonly startedAt: number
   readonly deadline: number
 }
 
@@ -67,7 +72,9 @@
     const check = checkCall.checkCall(program, call, digest)
     switch (check.type) {
       case 'refuse': return errors.fail(check.failure)
-      case 'finished': return errors.ok(checkCall.endOfTurn(check.turn, true))
+      case 'finished':
+        this.deps.metrics.callRepeated()
+        return errors.ok(checkCall.endOfTurn(check.turn, true))
       case 'join': return await check.running.join(sink)
       case 'openIntent': return await this.resumeIntent(program, call, digest, sink)
       case 'run': return await this.begin(program, call, digest, ctx, sink)
@@ -79,7 +86,10 @@
     if (this.unconfirmed >= maxUnconfirmed || !this.deps.journal.available()) return errors.fail(logUnavailable('notRun'))
     const need = reserve.needOf(this.deps.config(), program.state, call.target, call.branch)
     const fits = reserve.checkBudget(program, need.usage)
-    if (!fits.ok) return fits
+    if (!fits.ok) {
+      this.deps.metrics.callRefusedByBudget()
+      return fits
+    }
     const { timers, learning } = this.deps
     const leftMs = Math.min(call.timeoutMs, reserve.wallLeftMs(program.state, timers.now()))
     if (leftMs <= 0) return errors.fail({ tag: 'budgetExceeded', verdict: 'notRun', message: 'the wall time of the program is used up', field: 'budget.wallMs', remaining: 0 })
@@ -87,12 +97,14 @@
     program.running.set(call.key, running)
     program.reserved = local.addUsage(program.reserved, need.usage)
     learning.noteCallStart(program, timers.now())
-    const attempt = { program, running, need, ctx, deadline: timers.monotonic() + leftMs }
-    void this.runToEnd(attempt)
+    const startedAt = timers.monotonic()
+    const span = this.deps.tracer.startSpan('home call', ctx.traceparent, { program: program.id, key: call.key })
+    const attempt = { program, running, need, ctx: { traceparent: span.traceparent }, startedAt, deadline: startedAt + leftMs }
+    void this.runToEnd(attempt).then((result) => span.end(result.ok ? 'ok' : 'error'))
     return await running.join(sink)
   }
 
-  private async runToEnd (attempt: Attempt): Promise<void> {
+  private async runToEnd (attempt: Attempt): Promise<runningCalls.CallResult> {
     const { program, running, need } = attempt
     let result: runningCalls.CallResult
     try {
@@ -104,8 +116,10 @@
     program.reserved = local.lessUsage(program.reserved, need.usage)
     if (!result.ok && result.failure.verdict !== 'notRun') this.countUnrecorded(program, need)
     program.lastEndedAt = this.deps.timers.now()
+    this.deps.metrics.callEnded(running.call.target.type, result, this.deps.timers.monotonic() - attempt.startedAt)
     program.end(running.call.key)
     running.end(result)
+    return result
   }
 
   /** What an attempt without a record may have used stays counted. */
@@ -140,6 +154,7 @@
       deadline,
       random: this.deps.random
     })
+    if (decision.type === 'retry') this.deps.metrics.callRetried(end.failure)
     this.note(program, 'retry', decision.type, `${decision.reason} after ${end.failure.tag} (${end.failure.verdict})`, [])
     if (decision.type === 'giveUp') return undefined
     if (end.failure.verdict !== 'notRun') this.countUnrecorded(program, attempt.need)
@@ -290,13 +305,14 @@
 
   private async send (attempt: Attempt, placed: Extract<placeCall.Placement, { type: 'placed' }>, intent: types.DispatchIntent | null): Promise<errors.Result<types.DispatchAnswer>> {
     const { running, deadline, ctx } = attempt
-    const { timers, upstreams, dispatchPort } = this.deps
+    const { timers, upstreams, dispatchPort, metrics } = this.deps
     running.sink.onPlaced({ upstream: placed.upstream, host: placed.host })
     upstreams.noteStart(placed.upstream)
     let lastPieceAt: number | undefined
     const onDelta = (text: string): void => {
       const now = timers.monotonic()
-      if (lastPieceAt !== undefined) upstreams.noteSpeed(placed.upstream, 1, now - lastPieceAt)
+      if (lastPieceAt === undefined) metrics.firstToken(now - attempt.startedAt)
+      else upstreams.noteSpeed(placed.upstream, 1, now - lastPieceAt)
       lastPieceAt = now
       running.sink.onDelta(text)
     }
@@ -364,12 +380,14 @@
     const verdict = parts.outcome.type === 'failed' ? parts.outcome.verdict : 'ran'
     const turn: types.Turn = { key, branch, seq, digest: running.digest, target, ...parts, endedAt: timers.now() as types.EpochMs }
     const patience = timers.after(recordPatienceMs, () => running.answerForNow(logUnavailable(verdict)))
+    const span = this.deps.tracer.startSpan('log append', attempt.ctx.traceparent, { program: program.id })
     this.unconfirmed += 1
     try {
       const written = await this.writeUntilKnown(program, { type: 'turn', turn, allowance: allowances.nextAllowance(this.deps.config(), program, attempt.need.usage, attempt.need.usage) })
       return written.ok ? errors.ok(checkCall.endOfTurn(turn, false)) : errors.fail({ ...written.failure, verdict })
     } finally {
       patience.cancel()
+      span.end('ok')
       this.unconfirmed -= 1
     }
   }
@@ -389,7 +407,8 @@
     let result: runningCalls.CallResult = errors.fail(logUnavailable('mayHaveRun'))
     if (intent !== undefined) {
       const need = { promptTokens: 0, maxTokens: 0, usage: intent.reserved }
-      const attempt: Attempt = { program, running, need, ctx: { traceparent: '' }, deadline: this.deps.timers.monotonic() + running.call.timeoutMs }
+      const startedAt = this.deps.timers.monotonic()
+      const attempt: Attempt = { program, running, need, ctx: { traceparent: '' }, startedAt, deadline: startedAt + running.call.timeoutMs }
       const lost: errors.Result<types.DispatchAnswer> = errors.fail({ tag: 'peerUnavailable', verdict: 'mayHaveRun', message: 'an earlier home dispatched it', retryAfterMs: logRetryMs })
       const end = await this.endOfIntent(attempt, { upstream: intent.upstream, host: intent.dispatchTo.host }, intent.dispatchTo, program.state.term, intent.at, lost)
       result = await this.recordEnd(attempt, end)
--- a/packages/program-home/src/program-home.ts
+++ b/packages/program-home/src/program-home.ts
@@ -2,11 +2,13 @@
 import * as admitProgram from '@eelgrasswind/admit-program'
 import * as errors from '@eelgrasswind/errors'
 import * as limitClient from '@eelgrasswind/limit-client'
+import type * as metrics from '@eelgrasswind/metrics'
 import * as programState from '@eelgrasswind/program-state'
 import type * as retainPrefix from '@eelgrasswind/retain-prefix'
 import type * as types from '@eelgrasswind/types'
 import * as allowances from './allowance.js'
 import * as callRunner from './call-runner.js'
+import * as homeMetrics from './home-metrics.js'
 import * as journalWriter from './journal-writer.js'
 import * as learnings from './learning.js'
 import * as local from './local-program.js'
@@ -15,7 +17,8 @@
 import * as startProgram from './start-program.js'
 import * as takeOvers from './take-over.js'
 
-export interface ProgramHomeDeps extends Omit<callRunner.CallRunnerDeps, 'learning'> {
+export interface ProgramHomeDeps extends Omit<callRunner.CallRunnerDeps, 'learning' | 'metrics'> {
+  readonly metrics: metrics.Metrics
   readonly holdRule: () => retainPrefix.HoldRule
   readonly admissionRule: () => admitProgram.AdmissionRule
   readonly cacheUsed: (upstream: types.UpstreamId) => number
@@ -32,11 +35,13 @@
   private readonly opening = new Map<types.ProgramId, Promise<errors.Result<local.LocalProgram>>>()
   private readonly learning: learnings.Learning
   private readonly runner: callRunner.CallRunner
+  private readonly metrics: homeMetrics.HomeMetrics
   private draining = false
 
   constructor (private readonly deps: ProgramHomeDeps) {
     this.learning = new learnings.Learning(deps)
-    this.runner = new callRunner.CallRunner({ ...deps, learning: this.learning })
+    this.metrics = new homeMetrics.HomeMetrics(deps.metrics, deps.timers.now)
+    this.runner = new callRunner.CallRunner({ ...deps, learning: this.learning, metrics: this.metrics })
   }
 
   get size (): number {
@@ -76,6 +81,7 @@
     const input = this.learning.admissionInput(this.deps.config(), start, this.programs.values(), slots, waiting)
     const decision = admitProgram.decideAdmission(this.deps.admissionRule(), input)
     if (decision.type === 'admit') return errors.ok(undefined)
+    this.metrics.programRefused(decision.reason)
     this.deps.logger.info({ program: start.program, reason: decision.reason }, 'start refused')
     return errors.fail({ tag: 'notAdmitted', verdict: 'notRun', message: `unlikely to finish in time: ${describe(decision.reason)}`, retryAfterMs: decision.retryAfterMs })
   }
@@ -88,6 +94,7 @@
     const effect = journalWriter.checkEffect(record, appended.value)
     // Another process began it first, or an earlier copy of this very record took effect.
     if (!effect.ok) return await this.startAgain(req)
+    this.metrics.programStarted()
     const opened = await this.open(start.program)
     return opened.ok ? errors.ok(this.documentOf(opened.value.state, false)) : opened
   }
@@ -107,7 +114,7 @@
 
   private async openNow (program: types.ProgramId): Promise<errors.Result<local.LocalProgram>> {
     if (!this.deps.journal.available()) return errors.fail(callRunner.logUnavailable('notRun'))
-    const state = await takeOvers.takeOver(this.deps, program)
+    const state = await takeOvers.takeOver({ ...this.deps, onClaimed: () => this.metrics.programTakenOver() }, program)
     if (!state.ok) return state
     const opened = new local.LocalProgram(state.value, this.retryBudget())
     if (state.value.finished !== null) {
@@ -226,6 +233,7 @@
       return written
     }
     this.learning.noteFinish(program)
+    this.metrics.programFinished(program.state, result)
     const document = this.documentOf(program.state, false)
     this.forget(program)
     return errors.ok(document)
--- a/packages/program-home/src/take-over.ts
+++ b/packages/program-home/src/take-over.ts
@@ -14,6 +14,8 @@
   readonly hosts: ports.HostsPort
   readonly timers: timerService.TimerService
   readonly logger: logger.Logger
+  /** Called when this process has won a claim. */
+  readonly onClaimed: () => void
 }
 
 /** Claims lost to others before this process stops trying. */
@@ -108,6 +110,7 @@
   if (!appended.ok) return errors.fail({ ...appended.failure, verdict: 'notRun' })
   const effect = journalWriter.checkEffect(record, appended.value)
   deps.logger.info({ program, from: head.home.host, won: effect.ok }, 'claimed a program')
+  if (effect.ok) deps.onClaimed()
   if (effect.ok) return errors.ok(true)
   return effect.failure.tag === 'notHome' ? errors.ok(false) : errors.fail({ ...effect.failure, verdict: 'notRun' })
 }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -13,6 +13,7 @@
 import * as rules from './rules.js'
 import type * as settings from './settings.js'
 import * as shareLender from './share-lender.js'
+import * as sidecarMetrics from './sidecar-metrics.js'
 import * as upstreamDirectory from './upstream-directory.js'
 
 export async function startSidecar (cfg: settings.SidecarSettings): Promise<processBase.RunningProcess> {
@@ -21,7 +22,7 @@
   const config = requireConfig(base)
   let leaving = false
 
-  const guard = new guardUpstream.UpstreamGuard({ self, timers, logger, orderRule: orderQueue.defaultOrderRule })
+  const guard = new guardUpstream.UpstreamGuard({ self, timers, logger, tracer: base.tracer, orderRule: orderQueue.defaultOrderRule })
   const upstreams = new ownUpstreams.OwnUpstreams(self.host, guard, cfg)
   const known = new upstreamDirectory.UpstreamDirectory({ self: self.host, region: cfg.region as types.RegionId, directory, config, timers, random: Math.random })
   const { config: first } = await base.follower.waitForFirst()
@@ -44,6 +45,8 @@
     upstreams: known,
     dispatchPort: ports.createDispatchPort(self.host, guard, directory),
     placeRule: placeCall.defaultPlaceRule,
+    tracer: base.tracer,
+    metrics: base.metrics,
     holdRule: () => rules.holdRuleOf(config().limits.holdRule),
     admissionRule: () => rules.admissionRuleOf(config().limits.admissionRule),
     cacheUsed: (upstream) => known.cacheUsed(upstream),
@@ -59,6 +62,7 @@
   }
   base.follower.subscribe(({ config: next }) => applyConfig(next))
   applyConfig(config())
+  const gauges = processBase.startProcessMetrics(base, sidecarMetrics.createSidecarMetrics(base.metrics, home, guard, journal))
   const snapshots = timers.every(snapshotPeriodMs, () => { void home.writeSnapshots() })
   const server = await sidecarClient.startPeerServer({
     bindAddress: cfg.bindAddress,
@@ -82,6 +86,7 @@
 
   async function close (): Promise<void> {
     snapshots.cancel()
+    gauges.cancel()
     await server.close()
     await journal.close()
     guard.close()
