--- a/packages/append-journal/src/journal.test.ts
+++ b/packages/append-journal/src/journal.test.ts
@@ -175,6 +175,35 @@
   t.equal(valueOf(await settled(world, b.load(records.programId('none')))), undefined)
 })
 
+tap.test('a load takes in what is written meanwhile', async (t) => {
+  const world = createWorld()
+  const [a, b] = [await world.open(), await world.open()]
+  await beginAt(world, a, p1)
+  await beginAt(world, a, p2)
+  for (let round = 0; round < 10; round += 1) {
+    await addTurns(world, a, p1, 1)
+    await addTurns(world, a, p2, 5)
+  }
+  const { n, term } = await loaded(world, a, p1)
+  valueOf(await settled(world, b.catchUp(0)))
+  const loading = b.load(p1)
+  await world.timers.advanceAsync(2)
+  world.log.put(stream, programState.encodeBatch([records.turn({ program: p1, n: n + 1, term }, 11, 'x')]))
+  void b.catchUp(0)
+  const state = valueOf(await settled(world, loading))
+  t.equal(state?.turns.length, 11)
+})
+
+tap.test('a reader that missed records that expired no longer trusts what it knew', async (t) => {
+  const world = createWorld()
+  const [a, b] = [await world.open(), await world.open()]
+  await beginAt(world, a, p1)
+  t.match(valueOf(await settled(world, b.head(p1))), { n: 1 })
+  await addTurns(world, a, p1, 3)
+  world.log.expire(stream, 3)
+  t.match(await settled(world, b.head(p1)), { ok: false, failure: { tag: 'historyIncomplete' } })
+})
+
 tap.test('an expired beginning is loud, and a confirmed snapshot stands for it', async (t) => {
   const world = createWorld()
   const a = await world.open()
--- a/packages/append-journal/src/schedule.test.ts
+++ b/packages/append-journal/src/schedule.test.ts
@@ -10,6 +10,8 @@
 import * as records from './test-records.js'
 import * as testLog from './test-log.js'
 
+const retentionMs = 4000
+const finishedMs = 2400
 const programs = ['p1', 'p2', 'p3'].map(records.programId)
 
 const fault = fc.oneof(
@@ -49,7 +51,7 @@
 
 class Run {
   readonly timers = timerService.createManualTimers()
-  readonly log = new testLog.TestLog({ timers: this.timers, latencyMs: 2 })
+  readonly log = new testLog.TestLog({ timers: this.timers, latencyMs: 2, retentionMs })
   /** What each record's writer was told last; the first word where that was ok. */
   readonly told = new Map<types.JournalRecord, Told>()
   readonly pending: Promise<unknown>[] = []
@@ -60,7 +62,7 @@
     const states: Writer['states'] = new Map()
     const onSuperseded = (program: types.ProgramId) => { states.delete(program) }
     const silent = logger.createSilentLogger()
-    const limits = { shards: 2, maxAppendsPerSecond: 200, maxBatchBytes: 3000, patienceMs: 150 }
+    const limits = { shards: 2, maxAppendsPerSecond: 200, maxBatchBytes: 3000, patienceMs: 150, retentionMs, finishedMs }
     const journal = await appendJournal.createJournal({ log: this.log, timers: this.timers, logger: silent, ...limits, random: () => 0.5, onSuperseded })
     return { home, journal, states }
   }
@@ -131,7 +133,7 @@
 function readLog (log: testLog.TestLog, shards: number) {
   const effects = new Map<string, programState.Effect>()
   const views = new Map<types.ProgramId, programState.ProgramView>()
-  const rules = appendJournal.foldRulesOf(appendJournal.defaultRetentionMs, appendJournal.defaultFinishedMs)
+  const rules = appendJournal.foldRulesOf(retentionMs, finishedMs)
   for (let shard = 0; shard < shards; shard += 1) {
     for (const { offset, at, data } of log.recordsOf(`journal-${shard}` as types.StreamName)) {
       const batch = programState.parseBatch(data)
@@ -151,13 +153,13 @@
   return state && { ...programState.snapshotOf(state), n: state.n }
 }
 
-const counts = { applied: 0, void: 0, notRun: 0, mayHaveRun: 0, claims: 0 }
+const counts = { applied: 0, void: 0, notRun: 0, mayHaveRun: 0, claims: 0, loaded: 0, incomplete: 0 }
 
 function checkTold ({ run }: { run: Run }, effects: ReadonlyMap<string, programState.Effect>): void {
   const winners = new Set<string>()
   for (const [record, { outcome }] of run.told) {
     const effect = effects.get(programState.encodeRecord(record))
-    if (outcome.ok) assert.deepEqual(effect, outcome.value.effect)
+    if (outcome.ok && outcome.value.effect.type !== 'incomplete') assert.deepEqual(effect, outcome.value.effect)
     if (!outcome.ok && outcome.failure.verdict === 'notRun') assert.equal(effect, undefined)
     counts[outcome.ok ? outcome.value.applied ? 'applied' : 'void' : outcome.failure.verdict as 'notRun'] += 1
     if (record.type !== 'claim' || !outcome.ok || !outcome.value.applied) continue
@@ -167,25 +169,38 @@
   }
 }
 
+/** A reader has the state of the whole log or says that it can't know it; unknown are programs that are gone. */
+function checkLoaded ({ timers }: Run, result: errors.Result<programState.ProgramState | undefined>, truth: programState.ProgramState | undefined, kept: programState.ProgramState | undefined): void {
+  if (!result.ok) {
+    assert.equal(result.failure.tag, 'historyIncomplete')
+    counts.incomplete += 1
+    return
+  }
+  if (result.value === undefined) {
+    assert.ok(truth === undefined || timers.now() - truth.lastAt >= retentionMs * 0.75)
+    return
+  }
+  counts.loaded += 1
+  assert.deepEqual(plain(result.value), plain(truth))
+  if (kept !== undefined) assert.deepEqual(plain(kept), plain(truth))
+}
+
 tap.test('what appends report is what every reader finds', async (t) => {
   const property = fc.asyncProperty(world, async (chosen) => {
     const { run: ran, writers } = await run(chosen)
     const { effects, views } = readLog(ran.log, 2)
     checkTold({ run: ran }, effects)
-    for (const { journal, states } of writers) {
+    const late = await ran.createWriter('late')
+    for (const { journal, states } of [...writers, late]) {
       const loaded = Promise.all(programs.map((program) => journal.load(program)))
       await ran.timers.advanceAsync(500)
       for (const [index, result] of (await loaded).entries()) {
-        const truth = programState.completeState(views.get(programs[index]!))
-        assert.ok(result.ok)
-        assert.deepEqual(plain(result.value), plain(truth))
-        const kept = states.get(programs[index]!)
-        if (kept !== undefined) assert.deepEqual(plain(kept), plain(truth))
+        checkLoaded(ran, result, programState.completeState(views.get(programs[index]!)), states.get(programs[index]!))
       }
     }
   })
   const result = await fc.check(property, { seed: 1, numRuns: 200, endOnFailure: true })
   t.notOk(result.failed, result.failed ? `${String(result.errorInstance)} ${fc.defaultReportMessage(result)}` : 'holds')
   t.comment(JSON.stringify(counts))
-  t.ok(counts.applied > 500 && counts.void > 100 && counts.notRun > 100 && counts.mayHaveRun > 20 && counts.claims > 50, JSON.stringify(counts))
+  t.ok(counts.applied > 500 && counts.void > 100 && counts.notRun > 100 && counts.mayHaveRun > 20 && counts.claims > 50 && counts.loaded > 500 && counts.incomplete > 10, JSON.stringify(counts))
 })
--- a/packages/append-journal/src/test-log.ts
+++ b/packages/append-journal/src/test-log.ts
@@ -13,6 +13,8 @@
   readonly latencyMs: number
   readonly appendFault?: () => AppendFault
   readonly readFails?: () => boolean
+  /** Readers no longer get older records, in milliseconds. */
+  readonly retentionMs?: number
 }
 
 const timeoutMs = 50
@@ -22,7 +24,7 @@
 export class TestLog implements logClient.LogClient {
   appendFault: () => AppendFault
   readFails: () => boolean
-  private readonly streams = new Map<types.StreamName, { first: number, records: logClient.LogRecord[] }>()
+  private readonly streams = new Map<types.StreamName, { first: types.LogOffset, records: logClient.LogRecord[] }>()
 
   constructor (private readonly options: TestLogOptions) {
     this.appendFault = options.appendFault ?? (() => 'none')
@@ -59,9 +61,10 @@
   async read (stream: types.StreamName, from: types.LogOffset, { limit = 100 }: logClient.ReadOptions = {}): Promise<errors.Result<logClient.LogPage>> {
     await this.wait(this.options.latencyMs)
     if (this.readFails()) return errors.fail(unavailable('notRun'))
-    const { first, records } = this.streamOf(stream)
-    const start = Math.max(0, from - first)
-    const page = { first: first as types.LogOffset, next: first + records.length as types.LogOffset, records: records.slice(start, start + limit) }
+    const { records } = this.streamOf(stream)
+    const first = this.firstKept(stream)
+    const start = Math.max(first, from)
+    const page = { first, next: records.length as types.LogOffset, records: records.slice(start, start + limit) }
     await this.wait(this.options.latencyMs)
     return errors.ok(page)
   }
@@ -70,25 +73,31 @@
 
   /** Writes without a client. */
   put (stream: types.StreamName, data: string): logClient.LogRecord {
-    const { first, records } = this.streamOf(stream)
-    const record = { offset: first + records.length as types.LogOffset, at: this.options.timers.now() as types.EpochMs, data }
+    const { records } = this.streamOf(stream)
+    const record = { offset: records.length as types.LogOffset, at: this.options.timers.now() as types.EpochMs, data }
     records.push(record)
     return record
   }
 
-  /** Drops the records before an offset. */
+  /** Readers no longer get the records before an offset. */
   expire (stream: types.StreamName, before: number): void {
-    const held = this.streamOf(stream)
-    held.records.splice(0, before - held.first)
-    held.first = before
+    this.streamOf(stream).first = before as types.LogOffset
   }
 
+  /** All records that there ever were. */
   recordsOf (stream: types.StreamName): readonly logClient.LogRecord[] {
     return this.streamOf(stream).records
   }
 
+  private firstKept (stream: types.StreamName): types.LogOffset {
+    const held = this.streamOf(stream)
+    const oldest = this.options.timers.now() - (this.options.retentionMs ?? Infinity)
+    while (held.first < held.records.length && held.records[held.first]!.at < oldest) held.first = held.first + 1 as types.LogOffset
+    return held.first
+  }
+
   private streamOf (stream: types.StreamName) {
-    const held = this.streams.get(stream) ?? { first: 0, records: [] }
+    const held = this.streams.get(stream) ?? { first: 0 as types.LogOffset, records: [] }
     this.streams.set(stream, held)
     return held
   }
