--- a/packages/program-home/src/call-runner.ts
+++ b/packages/program-home/src/call-runner.ts
@@ -11,7 +11,9 @@
 import type * as tracing from '@eelgrasswind/tracing'
 import type * as types from '@eelgrasswind/types'
 import * as allowances from './allowance.js'
+import type * as attempts from './attempt.js'
 import * as checkCall from './check-call.js'
+import * as failures from './home-failures.js'
 import type * as homeMetrics from './home-metrics.js'
 import * as journalWriter from './journal-writer.js'
 import type * as learning from './learning.js'
@@ -20,6 +22,7 @@
 import * as reserve from './reserve-budget.js'
 import * as resolving from './resolve-intent.js'
 import * as runningCalls from './running-call.js'
+import * as turnWriter from './turn-writer.js'
 
 export interface CallRunnerDeps {
   readonly self: types.ProcessRef
@@ -38,34 +41,17 @@
   readonly random: () => number
 }
 
-/** How long a caller waits for the record of an answer that is whole, in milliseconds. */
-const recordPatienceMs = 3_000
-const logRetryMs = 1_000
 /** Answers that may wait for the log at once; past that new calls are refused. */
 const maxUnconfirmed = 512
 
-interface Attempt {
-  readonly program: local.LocalProgram
-  readonly running: runningCalls.RunningCall
-  readonly need: reserve.CallNeed
-  readonly ctx: types.RequestContext
-  /** On the monotonic clock, as the deadline. */
-  readonly startedAt: number
-  readonly deadline: number
-}
-
-/** How an attempt ended: with an answer, with a failure that stands in the history, or with one that does not. */
-type AttemptEnd =
-  | { readonly type: 'answered', readonly answer: types.DispatchAnswer, readonly upstream: types.UpstreamId, readonly host: types.HostId, readonly startedAt: types.EpochMs }
-  | { readonly type: 'recordFailure', readonly outcome: Extract<types.CallOutcome, { type: 'failed' }>, readonly upstream: types.UpstreamId, readonly startedAt: types.EpochMs }
-  | { readonly type: 'failed', readonly failure: errors.Failure, readonly decided: 'mayRetry' | 'final' }
-
 export class CallRunner {
   private processRetries = limitClient.createRetryBudget(limitClient.processRetrySettings)
-  private unconfirmed = 0
+  private readonly turns: turnWriter.TurnWriter
   private placements = 0
 
-  constructor (private readonly deps: CallRunnerDeps) {}
+  constructor (private readonly deps: CallRunnerDeps) {
+    this.turns = new turnWriter.TurnWriter(deps)
+  }
 
   async call (program: local.LocalProgram, call: types.Call, ctx: types.RequestContext, sink: types.CallSink): Promise<runningCalls.CallResult> {
     const digest = programState.requestDigest(call)
@@ -83,7 +69,7 @@
   }
 
   private async begin (program: local.LocalProgram, call: types.Call, digest: string, ctx: types.RequestContext, sink: types.CallSink): Promise<runningCalls.CallResult> {
-    if (this.unconfirmed >= maxUnconfirmed || !this.deps.journal.available()) return errors.fail(logUnavailable('notRun'))
+    if (this.turns.unconfirmed >= maxUnconfirmed || !this.deps.journal.available()) return errors.fail(failures.logUnavailable('notRun'))
     const need = reserve.needOf(this.deps.config(), program.state, call.target, call.branch)
     const fits = reserve.checkBudget(program, need.usage)
     if (!fits.ok) {
@@ -104,7 +90,7 @@
     return await running.join(sink)
   }
 
-  private async runToEnd (attempt: Attempt): Promise<runningCalls.CallResult> {
+  private async runToEnd (attempt: attempts.Attempt): Promise<runningCalls.CallResult> {
     const { program, running, need } = attempt
     let result: runningCalls.CallResult
     try {
@@ -127,13 +113,13 @@
     program.unrecorded = local.addUsage(program.unrecorded, need.usage)
   }
 
-  private async runAttempts (attempt: Attempt): Promise<runningCalls.CallResult> {
+  private async runAttempts (attempt: attempts.Attempt): Promise<runningCalls.CallResult> {
     this.processRetries = limitClient.earnRetry(this.processRetries)
     attempt.program.retryBudget = limitClient.earnRetry(attempt.program.retryBudget)
     for (let count = 1; ; count += 1) {
       const end = await this.attemptOnce(attempt)
-      if (end.type === 'answered') return await this.recordAnswer(attempt, end)
-      if (end.type === 'recordFailure') return await this.recordFailure(attempt, end)
+      if (end.type === 'answered') return await this.turns.recordAnswer(attempt, end)
+      if (end.type === 'recordFailure') return await this.turns.recordFailure(attempt, end)
       const wait = this.mayRetry(attempt, end, count)
       if (wait === undefined) return errors.fail(end.failure)
       await timerService.sleep(this.deps.timers, wait)
@@ -141,7 +127,7 @@
   }
 
   /** Time to wait before the next attempt, or undefined when the failure is final. */
-  private mayRetry (attempt: Attempt, end: Extract<AttemptEnd, { type: 'failed' }>, count: number): number | undefined {
+  private mayRetry (attempt: attempts.Attempt, end: Extract<attempts.AttemptEnd, { type: 'failed' }>, count: number): number | undefined {
     if (end.decided === 'final') return undefined
     const { program, running, deadline } = attempt
     const decision = decideRetry.decideRetry({
@@ -163,7 +149,7 @@
     return decision.afterMs
   }
 
-  private async attemptOnce (attempt: Attempt): Promise<AttemptEnd> {
+  private async attemptOnce (attempt: attempts.Attempt): Promise<attempts.AttemptEnd> {
     const placed = this.place(attempt)
     if (placed.type === 'none') {
       return { type: 'failed', decided: 'mayRetry', failure: { tag: 'upstreamUnavailable', verdict: 'notRun', message: `no upstream may take the call: ${placed.reason}`, retryAfterMs: placed.retryAfterMs } }
@@ -173,7 +159,7 @@
     return await this.dispatchOnce(attempt, placed, startedAt)
   }
 
-  private place (attempt: Attempt): placeCall.Placement {
+  private place (attempt: attempts.Attempt): placeCall.Placement {
     const { program, running, need } = attempt
     const { target } = running.call
     const preferred = program.lastUpstream === undefined ? [] : [program.lastUpstream]
@@ -201,7 +187,7 @@
     return candidates.map((candidate) => candidate.upstream === program.lastUpstream ? { ...candidate, cachedTokens: program.cachedTokens } : candidate)
   }
 
-  private async dispatchIdempotent (attempt: Attempt, placed: Extract<placeCall.Placement, { type: 'placed' }>, startedAt: types.EpochMs): Promise<AttemptEnd> {
+  private async dispatchIdempotent (attempt: attempts.Attempt, placed: Extract<placeCall.Placement, { type: 'placed' }>, startedAt: types.EpochMs): Promise<attempts.AttemptEnd> {
     const covered = await this.coverCall(attempt)
     if (!covered.ok) return { type: 'failed', decided: 'final', failure: { ...covered.failure, verdict: 'notRun' } }
     const result = await this.send(attempt, placed, null)
@@ -210,14 +196,14 @@
   }
 
   /** What the call may use is in the journal before it is sent. */
-  private async coverCall (attempt: Attempt): Promise<errors.Result<unknown>> {
+  private async coverCall (attempt: attempts.Attempt): Promise<errors.Result<unknown>> {
     const { program, need } = attempt
     if (allowances.isCovered(program)) return errors.ok(undefined)
     return await journalWriter.writeRecord(this.deps.journal, program, () => ({ type: 'allow', allowance: allowances.nextAllowance(this.deps.config(), program, need.usage) }))
   }
 
   /** Intent, confirmed; one dispatch; and where its answer is missing, the seal. */
-  private async dispatchOnce (attempt: Attempt, placed: Extract<placeCall.Placement, { type: 'placed' }>, startedAt: types.EpochMs): Promise<AttemptEnd> {
+  private async dispatchOnce (attempt: attempts.Attempt, placed: Extract<placeCall.Placement, { type: 'placed' }>, startedAt: types.EpochMs): Promise<attempts.AttemptEnd> {
     const incarnation = await this.incarnationOf(placed.host)
     if (!incarnation.ok) return { type: 'failed', decided: 'mayRetry', failure: { ...incarnation.failure, verdict: 'notRun' } }
     const dispatchTo = { host: placed.host, incarnation: incarnation.value }
@@ -231,7 +217,7 @@
     return end
   }
 
-  private async writeIntent (attempt: Attempt, upstream: types.UpstreamId, dispatchTo: types.ProcessRef, at: types.EpochMs): Promise<errors.Result<types.Term>> {
+  private async writeIntent (attempt: attempts.Attempt, upstream: types.UpstreamId, dispatchTo: types.ProcessRef, at: types.EpochMs): Promise<errors.Result<types.Term>> {
     const { program, running, need } = attempt
     const { key, branch, seq, target } = running.call
     const intent: journalWriter.UnplacedRecord = {
@@ -247,30 +233,21 @@
    * An intent of unknown fate: its caller is told notRun at once, so it must never be dispatched. Its place in the
    * chain stays taken until its fate is known; where it took effect after all, it is settled.
    */
-  private async abandonIntent (attempt: Attempt, intent: journalWriter.UnplacedRecord, failure: errors.Failure): Promise<void> {
+  private async abandonIntent (attempt: attempts.Attempt, intent: journalWriter.UnplacedRecord, failure: errors.Failure): Promise<void> {
     const { program, running } = attempt
     running.answerForNow({ ...failure, verdict: 'notRun' })
-    const landed = await this.writeUntilKnown(program, intent)
-    if (landed.ok) await this.writeUntilKnown(program, { type: 'settle', key: running.call.key, verdict: 'notRun' })
+    const landed = await this.turns.writeUntilKnown(program, intent)
+    if (landed.ok) await this.turns.writeUntilKnown(program, { type: 'settle', key: running.call.key, verdict: 'notRun' })
   }
 
-  /** Writes a record until its fate is known. */
-  private async writeUntilKnown (program: local.LocalProgram, record: journalWriter.UnplacedRecord): Promise<errors.Result<types.Term>> {
-    for (;;) {
-      const written = await journalWriter.writeRecord(this.deps.journal, program, record)
-      if (written.ok || written.failure.tag !== 'logUnavailable') return written
-      await timerService.sleep(this.deps.timers, logRetryMs)
-    }
-  }
-
-  private async endOfIntent (attempt: Attempt, placed: { readonly upstream: types.UpstreamId, readonly host: types.HostId }, dispatchTo: types.ProcessRef, position: types.Term, startedAt: types.EpochMs, result: errors.Result<types.DispatchAnswer>): Promise<AttemptEnd> {
+  private async endOfIntent (attempt: attempts.Attempt, placed: { readonly upstream: types.UpstreamId, readonly host: types.HostId }, dispatchTo: types.ProcessRef, position: types.Term, startedAt: types.EpochMs, result: errors.Result<types.DispatchAnswer>): Promise<attempts.AttemptEnd> {
     const known = await this.knownEnd(attempt, { upstream: placed.upstream, dispatchTo, position, at: startedAt }, result)
     switch (known.type) {
       case 'answered': return { type: 'answered', answer: known.answer, upstream: placed.upstream, host: placed.host, startedAt }
       case 'failed': return { type: 'recordFailure', outcome: known, upstream: placed.upstream, startedAt }
       case 'notRun': {
         const settled = await this.settleNotRun(attempt, result)
-        const failure = result.ok ? logUnavailable('notRun') : { ...result.failure, verdict: 'notRun' as const }
+        const failure = result.ok ? failures.logUnavailable('notRun') : { ...result.failure, verdict: 'notRun' as const }
         return { type: 'failed', decided: settled.ok ? 'mayRetry' : 'final', failure }
       }
       default: return errors.unreachable(known)
@@ -278,16 +255,16 @@
   }
 
   /** The caller of a call that did not run is not kept waiting for a log that is down. */
-  private async settleNotRun (attempt: Attempt, result: errors.Result<types.DispatchAnswer>): Promise<errors.Result<types.Term>> {
+  private async settleNotRun (attempt: attempts.Attempt, result: errors.Result<types.DispatchAnswer>): Promise<errors.Result<types.Term>> {
     const { program, running } = attempt
-    const failure = result.ok ? logUnavailable('notRun') : { ...result.failure, verdict: 'notRun' as const }
-    const patience = this.deps.timers.after(recordPatienceMs, () => running.answerForNow(failure))
-    const written = await this.writeUntilKnown(program, { type: 'settle', key: running.call.key, verdict: 'notRun' })
+    const failure = result.ok ? failures.logUnavailable('notRun') : { ...result.failure, verdict: 'notRun' as const }
+    const patience = this.deps.timers.after(turnWriter.recordPatienceMs, () => running.answerForNow(failure))
+    const written = await this.turns.writeUntilKnown(program, { type: 'settle', key: running.call.key, verdict: 'notRun' })
     patience.cancel()
     return written
   }
 
-  private async knownEnd (attempt: Attempt, intent: Pick<resolving.IntentRef, 'upstream' | 'dispatchTo' | 'position' | 'at'>, result: errors.Result<types.DispatchAnswer>): Promise<resolving.IntentEnd> {
+  private async knownEnd (attempt: attempts.Attempt, intent: Pick<resolving.IntentRef, 'upstream' | 'dispatchTo' | 'position' | 'at'>, result: errors.Result<types.DispatchAnswer>): Promise<resolving.IntentEnd> {
     if (result.ok) return { type: 'answered', answer: result.value }
     const { failure } = result
     if (failure.verdict === 'notRun') return { type: 'notRun' }
@@ -303,7 +280,7 @@
     return known === undefined ? await this.deps.hosts.askIncarnation(host) : errors.ok(known)
   }
 
-  private async send (attempt: Attempt, placed: Extract<placeCall.Placement, { type: 'placed' }>, intent: types.DispatchIntent | null): Promise<errors.Result<types.DispatchAnswer>> {
+  private async send (attempt: attempts.Attempt, placed: Extract<placeCall.Placement, { type: 'placed' }>, intent: types.DispatchIntent | null): Promise<errors.Result<types.DispatchAnswer>> {
     const { running, deadline, ctx } = attempt
     const { timers, upstreams, dispatchPort, metrics } = this.deps
     running.sink.onPlaced({ upstream: placed.upstream, host: placed.host })
@@ -322,7 +299,7 @@
     return result
   }
 
-  private dispatchOf (attempt: Attempt, upstream: types.UpstreamId, intent: types.DispatchIntent | null, timeoutMs: number): types.Dispatch {
+  private dispatchOf (attempt: attempts.Attempt, upstream: types.UpstreamId, intent: types.DispatchIntent | null, timeoutMs: number): types.Dispatch {
     const { program, running } = attempt
     const cfg = this.deps.config()
     return {
@@ -337,7 +314,7 @@
     }
   }
 
-  private payloadOf (cfg: configState.Config, attempt: Attempt): types.DispatchPayload {
+  private payloadOf (cfg: configState.Config, attempt: attempts.Attempt): types.DispatchPayload {
     const { target, branch } = attempt.running.call
     switch (target.type) {
       case 'model': {
@@ -352,46 +329,6 @@
     }
   }
 
-  private async recordAnswer (attempt: Attempt, end: Extract<AttemptEnd, { type: 'answered' }>): Promise<runningCalls.CallResult> {
-    const { program, running } = attempt
-    const { tokens, outcome } = end.answer
-    const usage = reserve.usageOf(this.deps.config(), running.call.target, tokens)
-    const result = await this.recordTurn(attempt, { outcome, usage, tokens, upstream: end.upstream, startedAt: end.startedAt })
-    if (result.ok && running.call.target.type === 'model') {
-      program.lastUpstream = end.upstream
-      program.lastHost = end.host
-      program.cachedTokens = tokens.prompt + tokens.generated
-      this.deps.learning.noteStretch(this.deps.timers.now() - end.startedAt, end.answer.ranMs)
-      this.deps.learning.holdPrefix(program)
-    }
-    return result
-  }
-
-  private async recordFailure (attempt: Attempt, end: Extract<AttemptEnd, { type: 'recordFailure' }>): Promise<runningCalls.CallResult> {
-    const tokens = { prompt: 0, cached: 0, generated: 0 }
-    return await this.recordTurn(attempt, { outcome: end.outcome, usage: attempt.need.usage, tokens, upstream: end.upstream, startedAt: end.startedAt })
-  }
-
-  /** Writes the turn until its fate is known. Those who wait are answered for now once it takes long. */
-  private async recordTurn (attempt: Attempt, parts: Pick<types.Turn, 'outcome' | 'usage' | 'tokens' | 'upstream' | 'startedAt'>): Promise<runningCalls.CallResult> {
-    const { program, running } = attempt
-    const { key, branch, seq, target } = running.call
-    const { timers } = this.deps
-    const verdict = parts.outcome.type === 'failed' ? parts.outcome.verdict : 'ran'
-    const turn: types.Turn = { key, branch, seq, digest: running.digest, target, ...parts, endedAt: timers.now() as types.EpochMs }
-    const patience = timers.after(recordPatienceMs, () => running.answerForNow(logUnavailable(verdict)))
-    const span = this.deps.tracer.startSpan('log append', attempt.ctx.traceparent, { program: program.id })
-    this.unconfirmed += 1
-    try {
-      const written = await this.writeUntilKnown(program, { type: 'turn', turn, allowance: allowances.nextAllowance(this.deps.config(), program, attempt.need.usage, attempt.need.usage) })
-      return written.ok ? errors.ok(checkCall.endOfTurn(turn, false)) : errors.fail({ ...written.failure, verdict })
-    } finally {
-      patience.cancel()
-      span.end('ok')
-      this.unconfirmed -= 1
-    }
-  }
-
   /** A call whose intent an earlier home wrote. */
   private async resumeIntent (program: local.LocalProgram, call: types.Call, digest: string, sink: types.CallSink): Promise<runningCalls.CallResult> {
     const running = new runningCalls.RunningCall(call, digest)
@@ -404,12 +341,12 @@
   async settleIntent (program: local.LocalProgram, running: runningCalls.RunningCall): Promise<void> {
     const { key } = running.call
     const intent = programState.findIntent(program.state, key)
-    let result: runningCalls.CallResult = errors.fail(logUnavailable('mayHaveRun'))
+    let result: runningCalls.CallResult = errors.fail(failures.logUnavailable('mayHaveRun'))
     if (intent !== undefined) {
       const need = { promptTokens: 0, maxTokens: 0, usage: intent.reserved }
       const startedAt = this.deps.timers.monotonic()
-      const attempt: Attempt = { program, running, need, ctx: { traceparent: '' }, startedAt, deadline: startedAt + running.call.timeoutMs }
-      const lost: errors.Result<types.DispatchAnswer> = errors.fail({ tag: 'peerUnavailable', verdict: 'mayHaveRun', message: 'an earlier home dispatched it', retryAfterMs: logRetryMs })
+      const attempt: attempts.Attempt = { program, running, need, ctx: { traceparent: '' }, startedAt, deadline: startedAt + running.call.timeoutMs }
+      const lost: errors.Result<types.DispatchAnswer> = errors.fail({ tag: 'peerUnavailable', verdict: 'mayHaveRun', message: 'an earlier home dispatched it', retryAfterMs: failures.logRetryMs })
       const end = await this.endOfIntent(attempt, { upstream: intent.upstream, host: intent.dispatchTo.host }, intent.dispatchTo, program.state.term, intent.at, lost)
       result = await this.recordEnd(attempt, end)
     }
@@ -417,10 +354,10 @@
     running.end(result)
   }
 
-  private async recordEnd (attempt: Attempt, end: AttemptEnd): Promise<runningCalls.CallResult> {
+  private async recordEnd (attempt: attempts.Attempt, end: attempts.AttemptEnd): Promise<runningCalls.CallResult> {
     switch (end.type) {
-      case 'answered': return await this.recordAnswer(attempt, end)
-      case 'recordFailure': return await this.recordFailure(attempt, end)
+      case 'answered': return await this.turns.recordAnswer(attempt, end)
+      case 'recordFailure': return await this.turns.recordFailure(attempt, end)
       case 'failed': return errors.fail(end.failure)
       default: return errors.unreachable(end)
     }
@@ -434,8 +371,3 @@
 function joinPath (prefix: string, path: string): string {
   return `${prefix.replace(/\/$/, '')}/${path.replace(/^\//, '')}`
 }
-
-export function logUnavailable (verdict: types.Verdict): errors.Failure {
-  const message = verdict === 'ran' ? 'the answer is whole, its record waits for the log; ask again with the same key' : 'the log is not available'
-  return { tag: 'logUnavailable', verdict, message, retryAfterMs: logRetryMs }
-}
--- a/packages/program-home/src/program-home.ts
+++ b/packages/program-home/src/program-home.ts
@@ -8,6 +8,7 @@
 import type * as types from '@eelgrasswind/types'
 import * as allowances from './allowance.js'
 import * as callRunner from './call-runner.js'
+import * as failures from './home-failures.js'
 import * as homeMetrics from './home-metrics.js'
 import * as journalWriter from './journal-writer.js'
 import * as learnings from './learning.js'
@@ -54,7 +55,7 @@
     if (this.draining) return errors.fail(this.leavingFailure())
     const known = this.programs.get(req.program)
     if (known !== undefined) return this.sameStart(known.state, req)
-    if (!this.deps.journal.available()) return errors.fail(callRunner.logUnavailable('notRun'))
+    if (!this.deps.journal.available()) return errors.fail(failures.logUnavailable('notRun'))
     const head = await this.deps.journal.head(req.program)
     if (!head.ok) return errors.fail({ ...head.failure, verdict: 'notRun' })
     if (head.value !== undefined) return await this.startAgain(req)
@@ -113,7 +114,7 @@
   }
 
   private async openNow (program: types.ProgramId): Promise<errors.Result<local.LocalProgram>> {
-    if (!this.deps.journal.available()) return errors.fail(callRunner.logUnavailable('notRun'))
+    if (!this.deps.journal.available()) return errors.fail(failures.logUnavailable('notRun'))
     const state = await takeOvers.takeOver({ ...this.deps, onClaimed: () => this.metrics.programTakenOver() }, program)
     if (!state.ok) return state
     const opened = new local.LocalProgram(state.value, this.retryBudget())
