--- a/packages/load/src/measure/program-pool.ts
+++ b/packages/load/src/measure/program-pool.ts
@@ -29,7 +29,12 @@
   async prepare (calls: number): Promise<void> {
     const missing = Math.ceil(Math.max(0, calls - this.slots.length) / callsPerProgram)
     const names = Array.from({ length: missing }, () => `${this.prefix}-${this.programs++}`)
+    const started = [...names]
     await inParallel(names, (name) => this.start(name))
+    // Calls that follow one another are of different programs: the records of one program are written one by one.
+    for (let call = 0; call < callsPerProgram; call += 1) {
+      for (const program of started) this.slots.push({ program, place: { key: `k${call}`, branch: `b${call}`, seq: 1 } })
+    }
   }
 
   /** Ends all programs, so that they do not weigh on the starts and the memory of what is measured next. */
@@ -49,9 +54,6 @@
       await new Promise((resolve) => { setTimeout(resolve, retryAfterMs) })
     }
     this.running.add(program)
-    for (let call = 0; call < callsPerProgram; call += 1) {
-      this.slots.push({ program, place: { key: `k${call}`, branch: `b${call}`, seq: 1 } })
-    }
   }
 
   take (): CallSlot {
