--- a/packages/load/src/run-load.ts
+++ b/packages/load/src/run-load.ts
@@ -13,8 +13,8 @@
 ]
 
 /** Resolves with the exit code. */
-export async function runLoad (args: readonly string[]): Promise<number> {
+export async function runLoad (args: readonly string[], context: Partial<clipanion.BaseContext> = {}): Promise<number> {
   const cli = new clipanion.Cli({ binaryLabel: 'Eelgrasswind load', binaryName: 'eelgrasswind-load', binaryVersion: version })
   for (const command of [clipanion.Builtins.HelpCommand, clipanion.Builtins.VersionCommand, ...commands]) cli.register(command)
-  return await cli.run([...args], clipanion.Cli.defaultContext)
+  return await cli.run([...args], { ...clipanion.Cli.defaultContext, ...context })
 }
