--- a/packages/entry/src/forward.ts
+++ b/packages/entry/src/forward.ts
@@ -21,6 +21,8 @@
 const retrySettings: decideRetry.RetrySettings = { maxAttempts: 10, firstWaitMs: 50, maxWaitMs: 500 }
 /** Attempts after which the next host is asked at once, without waiting. */
 const maxDirectMoves = 3
+/** A home answers by its own time limit; this much later its silence is final, in milliseconds. */
+const answerGraceMs = 5_000
 /** Homes remembered where they are not the first choice. */
 const maxHints = 10_000
 const noHomeRetryMs = 1_000
@@ -39,7 +41,7 @@
     const unreachable = new Set<types.HostId>()
     for (let attempt = 1; ; attempt += 1) {
       const host = this.homeOf(program, unreachable)
-      const result = host === undefined ? errors.fail(noHome) : await this.deps.ask(host, send)
+      const result = host === undefined ? errors.fail(noHome) : await this.askUntil(host, send, deadline)
       if (result.ok) return result
       worst = worse(worst, result.failure.verdict)
       if (!concernsHome(result.failure)) return errors.fail(withVerdict(result.failure, worst))
@@ -50,6 +52,21 @@
     }
   }
 
+  /** A home that says nothing until its time is up, and a little longer, is given up: the caller gets its final answer. */
+  private async askUntil<T> (host: types.HostId, send: (peer: sidecarClient.PeerClient) => Promise<errors.Result<T>>, deadline: number): Promise<errors.Result<T>> {
+    const { timers } = this.deps
+    const leftMs = Math.max(0, deadline - timers.monotonic()) + answerGraceMs
+    let giveUp: timerService.Subscription | undefined
+    const silence = new Promise<errors.Result<T>>((resolve) => {
+      giveUp = timers.after(leftMs, () => resolve(errors.fail(silentHome(host, leftMs))))
+    })
+    try {
+      return await Promise.race([this.deps.ask(host, send), silence])
+    } finally {
+      giveUp?.cancel()
+    }
+  }
+
   private waitBefore (failure: errors.Failure, attempt: number, deadline: number): number | undefined {
     const decision = decideRetry.decideRetry({
       failure,
@@ -87,6 +104,10 @@
   }
 }
 
+function silentHome (host: types.HostId, afterMs: number): errors.Failure {
+  return { tag: 'timeout', verdict: 'mayHaveRun', message: `no answer from ${host}; ask again with the same key`, afterMs }
+}
+
 /** Failures that say that the request did not find its home, or lost it on the way. */
 function concernsHome (failure: errors.Failure): boolean {
   return failure.tag === 'notHome' || failure.tag === 'peerUnavailable' || failure.tag === 'shuttingDown'
