--- a/packages/append-journal/src/journal.test.ts
+++ b/packages/append-journal/src/journal.test.ts
@@ -3,7 +3,7 @@
 import * as logger from '@eelgrasswind/logger'
 import * as programState from '@eelgrasswind/program-state'
 import * as timerService from '@eelgrasswind/timer-service'
-import type * as types from '@eelgrasswind/types'
+import * as types from '@eelgrasswind/types'
 import * as appendJournal from './index.js'
 import * as records from './test-records.js'
 import * as testLog from './test-log.js'
@@ -175,6 +175,35 @@
   t.equal(valueOf(await settled(world, b.load(records.programId('none')))), undefined)
 })
 
+tap.test('a load takes in what is written meanwhile', async (t) => {
+  const world = createWorld()
+  const [a, b] = [await world.open(), await world.open()]
+  await beginAt(world, a, p1)
+  await beginAt(world, a, p2)
+  for (let round = 0; round < 10; round += 1) {
+    await addTurns(world, a, p1, 1)
+    await addTurns(world, a, p2, 5)
+  }
+  const { n, term } = await loaded(world, a, p1)
+  valueOf(await settled(world, b.catchUp(0)))
+  const loading = b.load(p1)
+  await world.timers.advanceAsync(2)
+  world.log.put(stream, programState.encodeBatch([records.turn({ program: p1, n: n + 1, term }, 11, 'x')]))
+  void b.catchUp(0)
+  const state = valueOf(await settled(world, loading))
+  t.equal(state?.turns.length, 11)
+})
+
+tap.test('a reader that missed records that expired no longer trusts what it knew', async (t) => {
+  const world = createWorld()
+  const [a, b] = [await world.open(), await world.open()]
+  await beginAt(world, a, p1)
+  t.match(valueOf(await settled(world, b.head(p1))), { n: 1 })
+  await addTurns(world, a, p1, 3)
+  world.log.expire(stream, 3)
+  t.match(await settled(world, b.head(p1)), { ok: false, failure: { tag: 'historyIncomplete' } })
+})
+
 tap.test('an expired beginning is loud, and a confirmed snapshot stands for it', async (t) => {
   const world = createWorld()
   const a = await world.open()
@@ -197,6 +226,31 @@
   t.equal((await loaded(world, late, records.programId('p3'))).n, 1)
 })
 
+tap.test('a process reads no further back than the retention', async (t) => {
+  const world = createWorld()
+  const put = (name: string) => world.log.put(stream, programState.encodeBatch([records.begin(records.programId(name), homeA, world.timers.now())]))
+  for (let made = 0; made < 1000; made += 1) put(`old-${made}`)
+  world.timers.advance(2 * hourMs)
+  for (let made = 0; made < 10; made += 1) put(`new-${made}`)
+  const journal = await world.open({ retentionMs: hourMs })
+  t.equal(valueOf(await settled(world, journal.head(records.programId('old-999')))), undefined)
+  t.match(valueOf(await settled(world, journal.head(records.programId('new-0')))), { n: 1, term: types.positionOf(1000 as types.LogOffset, 0) })
+  t.match(journal.counters(), { recordsFolded: 10 })
+  t.ok(journal.counters().reads < 15, `${journal.counters().reads} reads`)
+})
+
+tap.test('a process that wrote from the first record on goes on from there', async (t) => {
+  const world = createWorld()
+  const journal = await world.open({ retentionMs: 2 * hourMs })
+  await beginAt(world, journal, p1)
+  for (let minutes = 0; minutes < 150; minutes += 50) {
+    world.timers.advance(50 * 60_000)
+    await beginAt(world, journal, records.programId(`q${minutes}`))
+  }
+  t.match(valueOf(await settled(world, journal.head(records.programId('q50')))), { n: 1 })
+  t.same(world.superseded, [])
+})
+
 tap.test('local programs need a snapshot before half of the retention', async (t) => {
   const world = createWorld()
   const journal = await world.open({ retentionMs: 10 * hourMs })
