--- /dev/null
+++ b/packages/front/src/dispatch.ts
@@ -0,0 +1,239 @@
+/** Sends a request to an upstream of its service, and again elsewhere as long as that is safe and of use. */
+import * as decideRetry from '@eelgrasswind/decide-retry'
+import * as errors from '@eelgrasswind/errors'
+import type * as logger from '@eelgrasswind/logger'
+import type * as sendHttp from '@eelgrasswind/send-http'
+import type * as timerService from '@eelgrasswind/timer-service'
+import * as trackUpstreams from '@eelgrasswind/track-upstreams'
+import type * as types from '@eelgrasswind/types'
+import type * as dialects from './dialect.js'
+import type * as inbound from './inbound.js'
+
+export interface DispatchPorts {
+  readonly upstreams: trackUpstreams.UpstreamList
+  readonly sender: sendHttp.Sender
+  readonly dialect: dialects.Dialect
+  readonly timers: timerService.TimerService
+  readonly logger: logger.Logger
+  readonly zone: types.AvailabilityZoneId
+}
+
+export interface DispatchOptions {
+  readonly body: Uint8Array
+  /** The upstream to choose where its load allows it. */
+  readonly preferred: types.UpstreamId | undefined
+  readonly urgency: number | undefined
+}
+
+/** What comes of a dispatch. */
+export interface DispatchSink {
+  /** An upstream has answered; only signed answers to this very request get here. */
+  readonly head: (head: sendHttp.Head, upstream: types.UpstreamId) => void
+  readonly data: (chunk: Buffer) => void
+  readonly end: () => void
+  /** There is no answer, or it broke off after its head. */
+  readonly fail: (failure: DispatchFailure) => void
+}
+
+export interface DispatchFailure {
+  readonly failure: errors.Failure
+  /** Whether any upstream may have worked on it: false promises that none did and none will. */
+  readonly mayHaveRun: boolean
+}
+
+/** Time for a connection to an upstream, in ms: links take about one ms, so only an unreachable host takes longer. */
+const connectTimeoutMs = 250
+/** Time to come back where every upstream is full, in ms: about one request of a plain service. */
+const fullRetryMs = 150
+/** Time to come back where no upstream is known or reachable, in ms: a crashed one is replaced within a second or two. */
+const noUpstreamRetryMs = 500
+/** Attempts where a route names no limit. */
+export const defaultMaxAttempts = 3
+/** A dispatch of less time than this, in ms, would be in vain. */
+const leastTimeMs = 5
+
+const unlimited: decideRetry.RetryAllowance = { retriesLeft: Infinity }
+
+/** One request on its way to one upstream after another. */
+export class Dispatch {
+  private readonly tried = new Set<types.UpstreamId>()
+  private attempts = 0
+  private mayHaveRun = false
+  private exchange: sendHttp.Exchange | undefined
+  private over = false
+  private release: (() => void) | undefined
+
+  constructor (
+    private readonly ports: DispatchPorts,
+    private readonly req: inbound.Inbound,
+    private readonly options: DispatchOptions,
+    private readonly sink: DispatchSink
+  ) {}
+
+  /** Whether an upstream may have worked on the request. */
+  get ran (): boolean {
+    return this.mayHaveRun
+  }
+
+  start (): void {
+    this.attempt()
+  }
+
+  /** Gives the request up; the sink hears nothing more. */
+  cancel (): void {
+    this.over = true
+    this.release?.()
+    this.exchange?.cancel()
+  }
+
+  pause (): void {
+    this.exchange?.pause()
+  }
+
+  resume (): void {
+    this.exchange?.resume()
+  }
+
+  private attempt (): void {
+    const { timers, upstreams, zone } = this.ports
+    const leftMs = this.req.deadlineAt - timers.monotonic()
+    if (leftMs < leastTimeMs) {
+      this.fail({ tag: 'timeout', verdict: this.mayHaveRun ? 'mayHaveRun' : 'notRun', message: 'no time left', afterMs: 0 })
+      return
+    }
+    const upstream = trackUpstreams.chooseUpstream({
+      candidates: upstreams.ofService(this.req.service),
+      tried: this.tried,
+      preferred: this.options.preferred,
+      zone,
+      now: timers.monotonic(),
+      random: Math.random
+    })
+    if (upstream === undefined) {
+      const retryAfterMs = this.tried.size > 0 ? fullRetryMs : noUpstreamRetryMs
+      this.fail({ tag: 'overloaded', verdict: 'notRun', message: 'no upstream may take the request', retryAfterMs })
+      return
+    }
+    this.sendTo(upstream, leftMs)
+  }
+
+  private sendTo (upstream: trackUpstreams.Upstream, leftMs: number): void {
+    const { dialect, sender, timers } = this.ports
+    const { body, urgency } = this.options
+    const id = upstream.listed.id
+    this.tried.add(id)
+    this.attempts += 1
+    upstream.running += 1
+    this.release = () => {
+      upstream.running -= 1
+      this.release = undefined
+    }
+    let accepted = false
+    this.exchange = sender.send({
+      address: upstream.listed.address,
+      method: this.req.method,
+      path: this.req.path,
+      headers: dialect.upstreamHeaders(this.req.rawHeaders, { deadlineMs: Math.floor(leftMs), upstream: id, urgency, bodyBytes: body.length }),
+      body,
+      connectTimeoutMs,
+      reuse: true
+    }, {
+      head: (head) => {
+        const problem = this.checkHead(head, upstream)
+        if (problem === undefined) {
+          accepted = true
+          this.mayHaveRun = true
+          this.sink.head(head, id)
+          return
+        }
+        // The rest of an answer that is of no use is not read.
+        this.exchange?.cancel()
+        this.failedAt(upstream, problem)
+      },
+      data: (chunk) => { if (accepted) this.sink.data(chunk) },
+      end: () => {
+        if (!accepted) return
+        this.release?.()
+        trackUpstreams.noteSuccess(upstream)
+        this.sink.end()
+      },
+      fail: (failure) => {
+        trackUpstreams.noteFailure(upstream, timers.monotonic())
+        const broken: errors.Failure = failure.verdict === 'notRun'
+          ? { tag: 'upstreamUnavailable', verdict: 'notRun', message: failure.detail, retryAfterMs: 0 }
+          : { tag: 'answerBroken', verdict: 'mayHaveRun', message: failure.cause, detail: failure.detail }
+        if (accepted) {
+          this.release?.()
+          this.fail(broken)
+          return
+        }
+        // A connection that was never made reached nobody.
+        if (failure.verdict === 'notRun') this.attempts -= 1
+        this.failedAt(upstream, broken)
+      }
+    })
+  }
+
+  /** What makes the head of an answer unusable; `undefined` where it may be passed on. */
+  private checkHead (head: sendHttp.Head, upstream: trackUpstreams.Upstream): errors.Failure | undefined {
+    const facts = this.ports.dialect.answerFacts(head)
+    const now = this.ports.timers.monotonic()
+    if (facts.requestId !== undefined && facts.requestId !== this.req.attempt.id) {
+      return { tag: 'answerBroken', verdict: 'mayHaveRun', message: 'answer to another request', detail: facts.requestId }
+    }
+    if (facts.wrongIncarnation) {
+      trackUpstreams.noteFailure(upstream, now)
+      return { tag: 'wrongIncarnation', verdict: 'notRun', message: 'another incarnation has the address' }
+    }
+    if (facts.notRun) {
+      trackUpstreams.noteFull(upstream, now)
+      return { tag: 'upstreamUnavailable', verdict: 'notRun', message: `refused with ${head.status}`, retryAfterMs: 0 }
+    }
+    if (!facts.signed) return { tag: 'answerBroken', verdict: 'mayHaveRun', message: 'answer without signature', detail: String(head.status) }
+    if (head.headers['content-encoding'] !== undefined) {
+      return { tag: 'answerBroken', verdict: 'mayHaveRun', message: 'encoded answer', detail: head.headers['content-encoding'] }
+    }
+    return undefined
+  }
+
+  private failedAt (upstream: trackUpstreams.Upstream, failure: errors.Failure): void {
+    this.release?.()
+    if (this.over) return
+    if (failure.verdict !== 'notRun') this.mayHaveRun = true
+    const now = this.ports.timers.monotonic()
+    const decision = decideRetry.decideRetry({
+      failure,
+      idempotent: this.req.route.repeatability === 'idempotent',
+      attempt: this.attempts,
+      programBudget: unlimited,
+      processBudget: unlimited,
+      now,
+      deadline: this.req.deadlineAt,
+      random: Math.random
+    }, { maxAttempts: this.req.route.maxAttempts, firstWaitMs: 0, maxWaitMs: 0 })
+    this.ports.logger.info({
+      event: 'sendFailed',
+      request: this.req.attempt.id,
+      upstream: upstream.listed.id,
+      attempt: this.attempts,
+      failure,
+      decision,
+      leftMs: Math.round(this.req.deadlineAt - now)
+    }, 'send failed')
+    if (decision.type === 'retry') this.attempt()
+    else this.fail(failure)
+  }
+
+  private fail (failure: errors.Failure): void {
+    if (this.over) return
+    this.over = true
+    this.sink.fail({ failure, mayHaveRun: this.mayHaveRun })
+  }
+}
+
+/** The refusal that a failed dispatch ends with. */
+export function refusalOf ({ failure, mayHaveRun }: DispatchFailure): inbound.Refusal {
+  if (failure.tag === 'timeout') return mayHaveRun ? { type: 'timeout' } : { type: 'upstreamsFull', retryAfterMs: fullRetryMs }
+  if (mayHaveRun) return { type: 'answerLost', detail: failure.message }
+  return { type: 'upstreamsFull', retryAfterMs: errors.retryAfterMs(failure) || fullRetryMs }
+}
--- /dev/null
+++ b/packages/front/src/forward-header.ts
@@ -0,0 +1,37 @@
+/** What the front processes tell one another beside a request: the route that the first of them chose. */
+import type * as http from 'node:http'
+import type * as routeRequest from '@eelgrasswind/route-request'
+import type * as types from '@eelgrasswind/types'
+import type * as inbound from './inbound.js'
+
+const routeHeader = 'eelgrasswind-route'
+const notOwnerHeader = 'eelgrasswind-not-owner'
+
+/** The choices of the process that took the request; the owner keeps to them, also when its configuration is older or newer. */
+export interface Forwarded {
+  readonly route: routeRequest.Route
+  readonly service: types.ServiceId
+  readonly tokensPerEvent: number
+}
+
+export function encode (req: inbound.Inbound): string[] {
+  const forwarded: Forwarded = { route: req.route, service: req.service, tokensPerEvent: req.tokensPerEvent }
+  return [routeHeader, encodeURIComponent(JSON.stringify(forwarded))]
+}
+
+/** `undefined` where the header is missing or can't be read. */
+export function decode (headers: http.IncomingHttpHeaders): Forwarded | undefined {
+  const text = headers[routeHeader]
+  if (typeof text !== 'string') return undefined
+  try {
+    return JSON.parse(decodeURIComponent(text)) as Forwarded
+  } catch {
+    return undefined
+  }
+}
+
+export const notOwner: readonly string[] = [notOwnerHeader, '1']
+
+export function saysNotOwner (headers: http.IncomingHttpHeaders): boolean {
+  return headers[notOwnerHeader] !== undefined
+}
--- /dev/null
+++ b/packages/front/src/front.ts
@@ -0,0 +1,300 @@
+/** The front process: its listeners, its share of the programs, and its end. */
+import * as http from 'node:http'
+import * as followRecords from '@eelgrasswind/follow-records'
+import type * as logger from '@eelgrasswind/logger'
+import * as ownShards from '@eelgrasswind/own-shards'
+import * as routeRequest from '@eelgrasswind/route-request'
+import * as sendHttp from '@eelgrasswind/send-http'
+import type * as shardLog from '@eelgrasswind/shard-log'
+import type * as timerService from '@eelgrasswind/timer-service'
+import * as trackUpstreams from '@eelgrasswind/track-upstreams'
+import type * as types from '@eelgrasswind/types'
+import type * as dialects from './dialect.js'
+import * as forwardHeader from './forward-header.js'
+import * as inbound from './inbound.js'
+import * as memberName from './member-name.js'
+import * as promptPlaces from './prompt-places.js'
+import * as readRequest from './read-request.js'
+import * as routeTurn from './route-turn.js'
+import * as serveCall from './serve-call.js'
+import type * as settings from './settings.js'
+
+/** How the published documents are written; the adapter implements it. */
+export interface DocumentFormat {
+  /** Where the operator's routing stands. */
+  readonly routing: { readonly partition: shardLog.Partition, readonly key: string }
+  readonly upstreams: shardLog.Partition
+  readonly decodeRouting: (value: Uint8Array) => routeRequest.Routing
+  readonly decodeUpstream: (key: string, value: Uint8Array) => trackUpstreams.ListedUpstream
+}
+
+export interface FrontPorts {
+  readonly log: shardLog.ShardLog
+  readonly dialect: dialects.Dialect
+  readonly documents: DocumentFormat
+  readonly timers: timerService.TimerService
+  readonly logger: logger.Logger
+}
+
+/** Idle connections are given up after this time, in ms: below the shortest idle limit of an upstream that is known, 5 s. */
+const idleMs = 2_000
+/** Pause between two reads of the list of upstreams, in ms: a leaving upstream is known well within the 2 s that it goes on serving. */
+const upstreamsPollMs = 400
+/** The store holds a read of the routing this long, in ms: a change arrives at once, a silent connection is noticed soon. */
+const routingWaitMs = 900
+/** Entries that are missing when the store comes back have this time to return, in ms, before they count as gone. */
+const returnGraceMs = 2_500
+/** The longest that a handover of a shard waits for its turns, in ms: most turns take less. */
+const handoverMs = 900
+/** Time between two looks at the owners of all shards, in ms. */
+const ownersMs = 1_000
+/** After the signal to stop, new connections still come for this long, in ms: the balancer needs two questions to notice. */
+const lingerMs = 3_000
+/** The process ends this long before it would be ended by force, in ms. */
+const endMarginMs = 700
+const largestHeaderBytes = 65_536
+/** An idle client connection is kept this much longer than the published limit, so that a limit that grows cuts nobody off. */
+const idleFactor = 1.5
+
+export class Front {
+  private readonly upstreams = new trackUpstreams.UpstreamList()
+  private readonly sender = sendHttp.createSender({ idleMs })
+  private readonly shards: ownShards.ShardOwner
+  private readonly turnPorts: routeTurn.RouteTurnPorts
+  private readonly routingFollower: followRecords.RecordFollower
+  private readonly upstreamFollower: followRecords.RecordFollower
+  private readonly clientServer: http.Server
+  private readonly peerServer: http.Server
+  private readonly readyServer: http.Server
+  private routing: routeRequest.Routing | undefined
+  private routes: routeRequest.RouteTable = routeRequest.createRouteTable([])
+  private upstreamsKnown = false
+  private stopping = false
+  private underWay = 0
+
+  constructor (private readonly cfg: settings.FrontSettings, private readonly ports: FrontPorts) {
+    const { log, timers } = ports
+    this.shards = new ownShards.ShardOwner({
+      group: 'homes',
+      member: memberName.memberName(cfg.host, cfg.peerAddress),
+      topics: shardTopics(cfg.shardTopics),
+      parts: cfg.storeParts,
+      leaseMs: cfg.leaseMs,
+      heartbeatMs: cfg.heartbeatMs,
+      ownersMs,
+      handoverMs
+    }, ports)
+    this.turnPorts = {
+      upstreams: this.upstreams,
+      sender: this.sender,
+      dialect: ports.dialect,
+      timers,
+      logger: ports.logger,
+      zone: cfg.availabilityZone as types.AvailabilityZoneId,
+      places: new promptPlaces.PromptPlaces(this.upstreams),
+      shards: this.shards
+    }
+    const { routing, upstreams } = ports.documents
+    this.routingFollower = new followRecords.RecordFollower({ partition: routing.partition, pollMs: 0, waitMs: routingWaitMs }, { ...ports, log }, {
+      onSnapshot: (found) => {
+        const value = found.get(routing.key)
+        if (value !== undefined) this.takeRouting(value)
+      },
+      onPut: (key, value) => { if (key === routing.key) this.takeRouting(value) },
+      onRemove: () => {}
+    })
+    this.upstreamFollower = new followRecords.RecordFollower({ partition: upstreams, pollMs: upstreamsPollMs, waitMs: 0 }, { ...ports, log }, {
+      onSnapshot: (found) => { this.takeUpstreams(found) },
+      onPut: (key, value) => { this.putUpstream(key, value) },
+      onRemove: (key) => { this.removeUpstream(key as types.UpstreamId) }
+    })
+    this.clientServer = http.createServer({ maxHeaderSize: largestHeaderBytes, requestTimeout: 0 }, (req, res) => { this.onClientRequest(req, res) })
+    this.peerServer = http.createServer({ maxHeaderSize: largestHeaderBytes, requestTimeout: 0, keepAliveTimeout: 10 * idleMs }, (req, res) => { this.onPeerRequest(req, res) })
+    this.readyServer = http.createServer((_req, res) => {
+      res.writeHead(this.ready ? 200 : 503)
+      res.end()
+    })
+  }
+
+  /** Whether new clients should be sent here. */
+  get ready (): boolean {
+    return !this.stopping && this.routing !== undefined && this.upstreamsKnown
+  }
+
+  async start (): Promise<void> {
+    const { logger } = this.ports
+    await Promise.all([
+      listen(this.clientServer, this.cfg.clientAddress),
+      listen(this.peerServer, this.cfg.peerAddress),
+      listen(this.readyServer, this.cfg.readyAddress)
+    ])
+    this.routingFollower.start()
+    this.upstreamFollower.start()
+    this.shards.start()
+    logger.info({ event: 'started', client: this.cfg.clientAddress, peer: this.cfg.peerAddress, zone: this.cfg.availabilityZone }, 'started')
+  }
+
+  /** Takes no new clients, hands the shards over, and resolves when the requests under way have ended. */
+  async stop (): Promise<void> {
+    const { timers, logger } = this.ports
+    if (this.stopping) return
+    this.stopping = true
+    const stopAt = timers.monotonic()
+    logger.info({ event: 'stopping', underWay: this.underWay }, 'stopping')
+    await this.shards.leave()
+    const lingerLeft = lingerMs - (timers.monotonic() - stopAt)
+    await pause(timers, Math.max(0, lingerLeft))
+    this.clientServer.close()
+    const endAt = stopAt + this.cfg.graceMs - endMarginMs
+    while (this.underWay > 0 && timers.monotonic() < endAt) await pause(timers, 20)
+    logger.info({ event: 'stopped', underWay: this.underWay, tookMs: Math.round(timers.monotonic() - stopAt) }, 'stopped')
+  }
+
+  private onClientRequest (req: http.IncomingMessage, res: http.ServerResponse): void {
+    const arrivedAt = this.ports.timers.monotonic()
+    if (this.stopping) res.setHeader('Connection', 'close')
+    const reply = new inbound.Reply(res)
+    const { routing } = this
+    if (routing === undefined) {
+      reply.refuse({ type: 'notReady', retryAfterMs: 500 })
+      return
+    }
+    const problem = readRequest.checkHeaders(req, routing.bounds)
+    if (problem !== undefined) {
+      reply.refuse(problem, ['Connection', 'close'])
+      return
+    }
+    readRequest.readBody(req, routing.bounds.maxBodyBytes, (body) => {
+      if (body === undefined) reply.refuse({ type: 'bodyTooLarge', limitBytes: routing.bounds.maxBodyBytes }, ['Connection', 'close'])
+      else this.serve(req, res, reply, body, arrivedAt)
+    })
+  }
+
+  private serve (req: http.IncomingMessage, res: http.ServerResponse, reply: inbound.Reply, body: Buffer, arrivedAt: number): void {
+    const decoded = this.ports.dialect.decodeAttempt(req.headers)
+    if (decoded.type === 'invalid') {
+      reply.refuse(decoded)
+      return
+    }
+    const path = req.url ?? '/'
+    const route = this.routes.find(req.headers.host ?? '', path)
+    const service = route === undefined ? undefined : routeRequest.chooseService(route, Math.random)
+    if (route === undefined || service === undefined) {
+      this.ports.logger.info({ event: 'unknownRoute', request: decoded.attempt.id, host: req.headers.host, path, version: this.routing?.version }, 'no route')
+      reply.refuse({ type: 'unknownRoute' })
+      return
+    }
+    this.count(res)
+    const { attempt } = decoded
+    const request: inbound.Inbound = {
+      attempt,
+      method: req.method ?? 'GET',
+      path,
+      rawHeaders: req.rawHeaders,
+      body,
+      route,
+      service,
+      tokensPerEvent: this.routing?.services.get(service)?.engine?.tokensPerEvent ?? 1,
+      deadlineAt: arrivedAt + Math.min(route.timeoutMs, attempt.deadlineMs ?? Infinity),
+      reply
+    }
+    if (route.retain !== undefined && attempt.turn !== undefined) void routeTurn.routeTurn(this.turnPorts, request, attempt.turn)
+    else serveCall.serveCall(this.turnPorts, request)
+  }
+
+  private onPeerRequest (req: http.IncomingMessage, res: http.ServerResponse): void {
+    const arrivedAt = this.ports.timers.monotonic()
+    const reply = new inbound.Reply(res)
+    const forwarded = forwardHeader.decode(req.headers)
+    const decoded = this.ports.dialect.decodeAttempt(req.headers)
+    if (forwarded === undefined || decoded.type === 'invalid' || decoded.attempt.turn === undefined) {
+      reply.refuse({ type: 'invalid', field: 'forwarded request', expected: 'a turn with its route' })
+      return
+    }
+    const { attempt } = decoded
+    const { turn } = decoded.attempt
+    readRequest.readBody(req, Infinity, (body) => {
+      if (body === undefined) return
+      this.count(res)
+      const request: inbound.Inbound = {
+        ...forwarded,
+        attempt,
+        method: req.method ?? 'POST',
+        path: req.url ?? '/',
+        rawHeaders: req.rawHeaders,
+        body,
+        deadlineAt: arrivedAt + (attempt.deadlineMs ?? forwarded.route.timeoutMs),
+        reply
+      }
+      void routeTurn.servePassedOn(this.turnPorts, request, turn, () => {
+        reply.refuse({ type: 'shardMoving', retryAfterMs: 0 }, forwardHeader.notOwner)
+      })
+    })
+  }
+
+  private count (res: http.ServerResponse): void {
+    this.underWay += 1
+    res.once('close', () => { this.underWay -= 1 })
+  }
+
+  /** Versions only rise within the life of a process. */
+  private takeRouting (value: Uint8Array): void {
+    let next: routeRequest.Routing
+    try {
+      next = this.ports.documents.decodeRouting(value)
+    } catch (err) {
+      this.ports.logger.error({ event: 'routingUnreadable', err, version: this.routing?.version }, 'routing not understood; the former one stays in force')
+      return
+    }
+    if (this.routing !== undefined && next.version <= this.routing.version) return
+    this.ports.logger.info({ event: 'routing', version: next.version, former: this.routing?.version, routes: next.routes.length }, 'routing in force')
+    this.routing = next
+    this.routes = routeRequest.createRouteTable(next.routes)
+    this.clientServer.keepAliveTimeout = Math.round(next.bounds.idleTimeoutMs * idleFactor)
+    this.clientServer.headersTimeout = next.bounds.headerTimeoutMs
+  }
+
+  private takeUpstreams (found: ReadonlyMap<string, Uint8Array>): void {
+    for (const [key, value] of found) this.putUpstream(key, value)
+    for (const { listed } of [...this.upstreams.all()]) {
+      if (!found.has(listed.id)) this.removeUpstream(listed.id)
+    }
+    this.upstreamsKnown = true
+  }
+
+  private putUpstream (key: string, value: Uint8Array): void {
+    try {
+      const listed = this.ports.documents.decodeUpstream(key, value)
+      const known = this.upstreams.get(listed.id)
+      if (known === undefined || known.listed.leaving !== listed.leaving) {
+        this.ports.logger.info({ event: 'upstream', upstream: listed.id, service: listed.service, address: listed.address, leaving: listed.leaving }, 'upstream listed')
+      }
+      this.upstreams.put(listed)
+    } catch (err) {
+      this.ports.logger.error({ event: 'upstreamUnreadable', key, err }, 'entry of an upstream not understood')
+    }
+  }
+
+  private removeUpstream (id: types.UpstreamId): void {
+    const graceMs = Math.max(0, returnGraceMs - this.upstreamFollower.sinceReturnMs())
+    this.ports.logger.info({ event: 'upstreamGone', upstream: id, graceMs: Math.round(graceMs) }, 'upstream no longer listed')
+    this.upstreams.remove(id)
+  }
+}
+
+function shardTopics (count: number): string[] {
+  return Array.from({ length: count }, (_, index) => `keyed.turns-${index}`)
+}
+
+function listen (server: http.Server, address: string): Promise<void> {
+  const [host, port] = address.split(':')
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(Number(port), host, () => { resolve() })
+  })
+}
+
+function pause (timers: timerService.TimerService, ms: number): Promise<void> {
+  return new Promise((resolve) => { timers.after(ms, resolve) })
+}
+
--- /dev/null
+++ b/packages/front/src/route-turn.ts
@@ -0,0 +1,74 @@
+/** Brings a turn to the owner of its program: here, or at another front process. */
+import type * as ownShards from '@eelgrasswind/own-shards'
+import type * as shardLog from '@eelgrasswind/shard-log'
+import * as timerService from '@eelgrasswind/timer-service'
+import type * as dialects from './dialect.js'
+import * as forwardTurn from './forward-turn.js'
+import type * as inbound from './inbound.js'
+import * as memberName from './member-name.js'
+import * as serveTurn from './serve-turn.js'
+
+export interface RouteTurnPorts extends serveTurn.TurnPorts {
+  readonly shards: ownShards.ShardOwner
+}
+
+/** How long a turn waits for a shard that changes hands, in ms: a planned handover takes less; after a crash the lease takes longer. */
+const patienceMs = 250
+/** Pause between two looks, in ms. */
+const lookMs = 20
+
+export async function routeTurn (ports: RouteTurnPorts, req: inbound.Inbound, turn: dialects.TurnFields): Promise<void> {
+  const { timers, shards } = ports
+  const partition = shards.partitionOf(turn.program)
+  const startedAt = timers.monotonic()
+  let last: unknown
+  do {
+    const place = shards.locate(partition)
+    const step = await tryPlace(ports, req, turn, place)
+    if (step.type === 'done') return
+    last = { place: describe(place), step }
+    void shards.refreshOwners()
+    await timerService.sleep(timers, lookMs)
+  } while (!req.reply.over && timers.monotonic() - startedAt < patienceMs)
+  ports.logger.info({ event: 'turnRefused', request: req.attempt.id, program: turn.program, partition, waitedMs: Math.round(timers.monotonic() - startedAt), last }, 'nobody serves the shard now')
+  req.reply.refuse({ type: 'shardMoving', retryAfterMs: serveTurn.shardRetryMs })
+}
+
+type Step =
+  | { readonly type: 'done' }
+  /** Nothing ran; worth another look. */
+  | { readonly type: 'again', readonly reason: string }
+
+async function tryPlace (ports: RouteTurnPorts, req: inbound.Inbound, turn: dialects.TurnFields, place: ownShards.Location): Promise<Step> {
+  switch (place.type) {
+    case 'unknown': return { type: 'again', reason: 'no owner known' }
+    case 'here':
+      if (place.shard.state !== 'serving') return { type: 'again', reason: place.shard.state }
+      await serveTurn.serveTurn(ports, req, turn, place.shard)
+      return { type: 'done' }
+    case 'member': {
+      const address = memberName.addressOf(place.member)
+      const outcome = await forwardTurn.forwardTurn(ports, req, address)
+      if (outcome.type === 'answered') return { type: 'done' }
+      return { type: 'again', reason: outcome.type }
+    }
+  }
+}
+
+/** Serves a turn that a peer passed on: never passed on again. */
+export async function servePassedOn (ports: RouteTurnPorts, req: inbound.Inbound, turn: dialects.TurnFields, notOwner: () => void): Promise<void> {
+  const place = ports.shards.locate(ports.shards.partitionOf(turn.program))
+  if (place.type !== 'here' || place.shard.state !== 'serving') {
+    notOwner()
+    return
+  }
+  await serveTurn.serveTurn(ports, req, turn, place.shard)
+}
+
+function describe (place: ownShards.Location): { readonly type: string, readonly state?: string, readonly member?: string, readonly partition?: shardLog.Partition } {
+  switch (place.type) {
+    case 'unknown': return { type: 'unknown' }
+    case 'member': return { type: 'member', member: place.member }
+    case 'here': return { type: 'here', state: place.shard.state }
+  }
+}
--- /dev/null
+++ b/packages/front/src/serve-call.ts
@@ -0,0 +1,35 @@
+/** Serves requests that belong to no chain of turns: any front process sends them to an upstream by itself. */
+import type * as sendHttp from '@eelgrasswind/send-http'
+import * as dispatch from './dispatch.js'
+import type * as inbound from './inbound.js'
+
+/** Calls its service, reads the whole answer and passes it on; an answer that breaks off reaches no client. */
+export function serveCall (ports: dispatch.DispatchPorts, req: inbound.Inbound): void {
+  const { reply } = req
+  const { timers } = ports
+  let head: sendHttp.Head | undefined
+  const chunks: Buffer[] = []
+  const sent = new dispatch.Dispatch(ports, req, { body: req.body, preferred: undefined, urgency: undefined }, {
+    head: (answer) => { head = answer },
+    data: (chunk) => { chunks.push(chunk) },
+    end: () => {
+      limit.cancel()
+      if (head !== undefined) reply.whole(head.status, ports.dialect.answerHeaders(head.rawHeaders), Buffer.concat(chunks))
+    },
+    fail: (failure) => {
+      limit.cancel()
+      reply.refuse(dispatch.refusalOf(failure))
+    }
+  })
+  const limit = timers.after(req.deadlineAt - timers.monotonic(), () => {
+    const { ran } = sent
+    sent.cancel()
+    ports.logger.info({ event: 'timedOut', request: req.attempt.id, ran }, 'no answer in time')
+    reply.refuse({ type: 'timeout' })
+  })
+  reply.onGone(() => {
+    limit.cancel()
+    sent.cancel()
+  })
+  sent.start()
+}
--- /dev/null
+++ b/packages/front/src/settings.ts
@@ -0,0 +1,23 @@
+/** Settings of the front process. */
+import * as z from 'zod'
+
+const milliseconds = (describe: string, preset: number) => z.number().int().positive().default(preset).describe(describe)
+const address = (describe: string) => z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'IP:PORT').describe(describe)
+
+export const frontSettings = z.object({
+  host: z.string().min(1).describe('Name of the host.'),
+  availabilityZone: z.string().min(1).describe('Availability zone of the host.'),
+  clientAddress: address('Where clients connect.'),
+  readyAddress: address('Where the balancer asks whether this process is ready.'),
+  peerAddress: address('Where the other front processes connect.'),
+  metricsAddress: address('Where counters and histograms are served.').optional(),
+  storeAddress: address('The store that keeps programs and configuration.'),
+  storeParts: z.number().int().positive().describe('Partitions of each topic of the store.'),
+  shardTopics: z.number().int().positive().default(2).describe('Topics that the shards are spread over; each adds as many shards as a topic has partitions.'),
+  leaseMs: milliseconds('Lease of this process in the group that shares the shards, in ms.', 1_500),
+  heartbeatMs: milliseconds('Time between two renewals of the lease, in ms.', 400),
+  graceMs: milliseconds('Time between the signal to stop and the end of the process by force, in ms.', 8_000),
+  logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal']).default('info').describe('Least level of the lines that are written.')
+})
+
+export type FrontSettings = z.output<typeof frontSettings>
--- /dev/null
+++ b/packages/own-shards/src/owned-shard.ts
@@ -0,0 +1,129 @@
+/** One shard that this process owns: fences the former owner, loads the ledger, then serves. */
+import type * as types from '@eelgrasswind/types'
+import type * as logger from '@eelgrasswind/logger'
+import type * as shardLog from '@eelgrasswind/shard-log'
+import type * as timerService from '@eelgrasswind/timer-service'
+import * as turnLedger from '@eelgrasswind/turn-ledger'
+import * as shardWriter from './shard-writer.js'
+
+export type ShardState =
+  /** The former owner is being fenced, or the records are being read. */
+  | 'opening'
+  | 'serving'
+  /** Finishes the turns under way, takes no new ones. */
+  | 'closing'
+  | 'lost'
+
+export interface OwnedShardPorts {
+  readonly log: shardLog.ShardLog
+  readonly timers: timerService.TimerService
+  readonly logger: logger.Logger
+  readonly onLost: (shard: OwnedShard, reason: string) => void
+}
+
+/** Pause before a page that could not be read is asked for again, in ms. */
+const readRetryMs = 60
+
+export class OwnedShard {
+  readonly ledger = new turnLedger.TurnLedger()
+  private readonly writer: shardWriter.ShardWriter
+  private current: ShardState = 'opening'
+  /** Turns that run and will write once more. */
+  private turnsUnderWay = 0
+  private idle: (() => void) | undefined
+
+  constructor (readonly partition: shardLog.Partition, readonly epoch: number, private readonly ports: OwnedShardPorts) {
+    this.writer = new shardWriter.ShardWriter(partition, epoch, {
+      log: ports.log,
+      timers: ports.timers,
+      logger: ports.logger,
+      onLost: (reason) => { this.lose(reason) }
+    })
+  }
+
+  get state (): ShardState {
+    return this.current
+  }
+
+  /** Resolves when the shard serves, or is lost. */
+  async open (): Promise<void> {
+    const startedAt = this.ports.timers.monotonic()
+    const fenced = await this.writer.open()
+    if (fenced.type === 'lost') return
+    const count = await this.load()
+    if (this.current !== 'opening') return
+    this.ledger.finishLoad()
+    this.current = 'serving'
+    const tookMs = Math.round(this.ports.timers.monotonic() - startedAt)
+    this.ports.logger.info({ event: 'shardOpened', partition: this.partition, epoch: this.epoch, records: count, tookMs }, 'shard opened')
+  }
+
+  commit (writes: readonly turnLedger.LedgerWrite[]): Promise<shardWriter.Commit> {
+    return this.writer.commit(writes)
+  }
+
+  /** Asks the store whether this process still owns the shard; what the ledger doesn't hold then doesn't exist. */
+  confirm (): Promise<shardWriter.Commit> {
+    return this.writer.commit([])
+  }
+
+  beginTurn (): void {
+    this.turnsUnderWay += 1
+  }
+
+  endTurn (): void {
+    this.turnsUnderWay -= 1
+    if (this.turnsUnderWay === 0) this.idle?.()
+  }
+
+  /** Takes no new turns; resolves when those under way have ended, or after the time given. */
+  async drain (limitMs: number): Promise<void> {
+    if (this.current === 'serving') this.current = 'closing'
+    if (this.turnsUnderWay === 0) return
+    await new Promise<void>((resolve) => {
+      this.idle = resolve
+      this.ports.timers.after(limitMs, resolve)
+    })
+  }
+
+  /** Gives the shard up at once. */
+  close (): void {
+    this.current = 'lost'
+    this.writer.close()
+  }
+
+  /** Removes what is past its retention. Not awaited: what is not removed now is removed by the next owner. */
+  expire (now: types.EpochMs): void {
+    if (this.current !== 'serving') return
+    const writes = this.ledger.expire(now)
+    if (writes.length > 0) void this.writer.commit(writes)
+  }
+
+  private lose (reason: string): void {
+    if (this.current === 'lost') return
+    this.current = 'lost'
+    this.ports.onLost(this, reason)
+  }
+
+  private async load (): Promise<number> {
+    let after: string | undefined
+    let count = 0
+    while (this.current === 'opening') {
+      const page = await this.ports.log.newest(this.partition, after)
+      if (page.type !== 'page') {
+        this.ports.logger.warn({ partition: this.partition, failure: page }, 'shard not read yet')
+        await timerSleep(this.ports.timers, readRetryMs)
+        continue
+      }
+      for (const record of page.records) this.ledger.load(record.key, record.value)
+      count += page.records.length
+      if (page.after === undefined) return count
+      after = page.after
+    }
+    return count
+  }
+}
+
+function timerSleep (timers: timerService.TimerService, ms: number): Promise<void> {
+  return new Promise((resolve) => { timers.after(ms, resolve) })
+}
--- /dev/null
+++ b/packages/own-shards/src/shard-owner.ts
@@ -0,0 +1,182 @@
+/** This process's part in the group that shares the shards: its lease, what it owns, and who owns the rest. */
+import type * as types from '@eelgrasswind/types'
+import type * as logger from '@eelgrasswind/logger'
+import * as shardLog from '@eelgrasswind/shard-log'
+import * as hashText from '@eelgrasswind/hash-text'
+import type * as timerService from '@eelgrasswind/timer-service'
+import * as ownedShard from './owned-shard.js'
+
+export interface ShardOwnerSettings {
+  readonly group: string
+  /** Name in the group: stable over restarts, so that a process that comes back soon keeps its shards. */
+  readonly member: string
+  readonly topics: readonly string[]
+  /** Partitions of each topic. */
+  readonly parts: number
+  /** Lease of a member that falls silent, in ms. */
+  readonly leaseMs: number
+  /** Time between two renewals of the lease, in ms. */
+  readonly heartbeatMs: number
+  /** Time between two looks at who owns what, in ms. */
+  readonly ownersMs: number
+  /** The longest that a shard waits for its turns before it is handed over, in ms. */
+  readonly handoverMs: number
+}
+
+export interface ShardOwnerPorts {
+  readonly log: shardLog.ShardLog
+  readonly timers: timerService.TimerService
+  readonly logger: logger.Logger
+}
+
+/** Where the programs of a shard are served. */
+export type Location =
+  | { readonly type: 'here', readonly shard: ownedShard.OwnedShard }
+  | { readonly type: 'member', readonly member: string }
+  /** Nobody is known to own it now. */
+  | { readonly type: 'unknown' }
+
+/** Two looks on demand are at least this far apart, in ms: a burst of failures costs one call. */
+const ownersOnDemandMs = 120
+/** Time between two removals of records past their retention, in ms. */
+const expireMs = 5_000
+/** Room below each generation for epochs that are taken within it. */
+const epochsPerGeneration = 1e9
+/** Resolution of the epochs within a generation, in ms. */
+const epochStepMs = 100
+/** How far an epoch goes ahead after it was fenced at once: more than clocks differ. */
+const fencedEpochSteps = 600
+
+export class ShardOwner {
+  private readonly owned = new Map<shardLog.PartitionName, ownedShard.OwnedShard>()
+  private owners = new Map<shardLog.PartitionName, string>()
+  private generation = 0
+  private epochBump = 0
+  private ownersAt = -Infinity
+  private askingOwners: Promise<void> | undefined
+  private stopped = false
+  private joining = false
+
+  constructor (private readonly settings: ShardOwnerSettings, private readonly ports: ShardOwnerPorts) {}
+
+  /** Joins the group and keeps the lease until `leave`. */
+  start (): void {
+    const { timers } = this.ports
+    void this.join()
+    timers.every(this.settings.heartbeatMs, () => { void this.join() })
+    timers.every(this.settings.ownersMs, () => { void this.refreshOwners() })
+    timers.every(expireMs, () => { this.expire() })
+    void this.refreshOwners()
+  }
+
+  /** The shard that a program belongs to. */
+  partitionOf (program: types.ProgramId): shardLog.Partition {
+    const { topics, parts } = this.settings
+    const index = hashText.hashText(program) % (topics.length * parts)
+    return { topic: topics[Math.floor(index / parts)]!, part: index % parts }
+  }
+
+  locate (partition: shardLog.Partition): Location {
+    const name = shardLog.partitionName(partition)
+    const shard = this.owned.get(name)
+    if (shard !== undefined && shard.state !== 'lost') return { type: 'here', shard }
+    const member = this.owners.get(name)
+    if (member === undefined || member === this.settings.member) return { type: 'unknown' }
+    return { type: 'member', member }
+  }
+
+  /** Looks again at who owns what, unless it was done just now. */
+  async refreshOwners (): Promise<void> {
+    const { timers, log, logger } = this.ports
+    if (this.askingOwners !== undefined) return this.askingOwners
+    if (timers.monotonic() - this.ownersAt < ownersOnDemandMs) return
+    this.ownersAt = timers.monotonic()
+    this.askingOwners = log.owners(this.settings.group).then((answer) => {
+      this.askingOwners = undefined
+      if (answer.type === 'owners') this.owners = new Map(answer.owners.map(({ partition, member }) => [shardLog.partitionName(partition), member]))
+      else logger.warn({ failure: answer }, 'owners not read')
+    })
+    return this.askingOwners
+  }
+
+  /** Hands every shard over: new turns go elsewhere, those under way end here. */
+  async leave (): Promise<void> {
+    this.stopped = true
+    await Promise.all([...this.owned.values()].map((shard) => shard.drain(this.settings.handoverMs)))
+    for (const shard of this.owned.values()) shard.close()
+    this.owned.clear()
+    const left = await this.ports.log.leave(this.settings.group, this.settings.member)
+    this.ports.logger.info({ event: 'groupLeft', outcome: left }, 'left the group')
+    this.ownersAt = -Infinity
+    await this.refreshOwners()
+  }
+
+  private async join (): Promise<void> {
+    if (this.stopped || this.joining) return
+    this.joining = true
+    const { group, member, topics, leaseMs } = this.settings
+    const answer = await this.ports.log.join({ group, member, topics, ttlMs: leaseMs, generation: this.generation })
+    this.joining = false
+    if (this.stopped) return
+    if (answer.type !== 'assigned') {
+      this.ports.logger.warn({ failure: answer }, 'lease not renewed')
+      return
+    }
+    await this.follow(answer)
+  }
+
+  /** Opens what is new, hands over what is gone; the next join tells the group that it is done. */
+  private async follow (assignment: shardLog.Assignment): Promise<void> {
+    const listed = new Map(assignment.partitions.map((partition) => [shardLog.partitionName(partition), partition]))
+    const gone = [...this.owned].filter(([name]) => !listed.has(name))
+    for (const [name, partition] of listed) {
+      if (!this.owned.has(name)) this.open(partition, assignment.generation)
+    }
+    const changed = assignment.generation !== this.generation
+    if (gone.length > 0) await this.handOver(gone)
+    this.generation = assignment.generation
+    if (!changed) return
+    this.ports.logger.info({ event: 'assignment', generation: assignment.generation, owned: listed.size, handedOver: gone.length }, 'assignment changed')
+    void this.refreshOwners()
+    void this.join()
+  }
+
+  private async handOver (gone: readonly (readonly [shardLog.PartitionName, ownedShard.OwnedShard])[]): Promise<void> {
+    this.joining = true
+    await Promise.all(gone.map(async ([name, shard]) => {
+      await shard.drain(this.settings.handoverMs)
+      shard.close()
+      if (this.owned.get(name) === shard) this.owned.delete(name)
+    }))
+    this.joining = false
+  }
+
+  private open (partition: shardLog.Partition, generation: number): void {
+    const shard = new ownedShard.OwnedShard(partition, this.epochFor(generation), {
+      ...this.ports,
+      onLost: (lost, reason) => { this.onLost(lost, reason) }
+    })
+    this.owned.set(shardLog.partitionName(partition), shard)
+    void shard.open()
+  }
+
+  /** Rises with the generation, and within it with time: a process that came back fences its own former life. */
+  private epochFor (generation: number): number {
+    const step = Math.floor(this.ports.timers.now() / epochStepMs) + this.epochBump
+    return generation * epochsPerGeneration + step % epochsPerGeneration
+  }
+
+  private onLost (shard: ownedShard.OwnedShard, reason: string): void {
+    const name = shardLog.partitionName(shard.partition)
+    this.ports.logger.warn({ event: 'shardLost', partition: shard.partition, epoch: shard.epoch, reason }, 'shard lost')
+    if (this.owned.get(name) === shard) this.owned.delete(name)
+    this.epochBump += fencedEpochSteps
+    void this.refreshOwners()
+    void this.join()
+  }
+
+  private expire (): void {
+    const now = this.ports.timers.now() as types.EpochMs
+    for (const shard of this.owned.values()) shard.expire(now)
+  }
+}
--- /dev/null
+++ b/packages/send-http/src/index.ts
@@ -0,0 +1,2 @@
+/** One HTTP request to an upstream or a peer: connection reuse, checked framing, cancellation, and a verdict on every failure. */
+export * from './send-http.js'
--- /dev/null
+++ b/packages/send-http/src/send-http.ts
@@ -0,0 +1,170 @@
+/** Sends one HTTP/1.1 request and reports what comes back piece by piece. */
+import * as http from 'node:http'
+import type * as types from '@eelgrasswind/types'
+
+/** What is sent. Headers are name and value in turn, complete but for the connection's own. */
+export interface Outgoing {
+  /** IP:PORT. */
+  readonly address: string
+  readonly method: string
+  readonly path: string
+  readonly headers: readonly string[]
+  readonly body: Uint8Array
+  /** Time for a new connection to be established, in ms. */
+  readonly connectTimeoutMs: number
+  /** False: a connection of its own, for requests that must not meet one that the other side is closing. */
+  readonly reuse: boolean
+}
+
+export interface Head {
+  readonly status: number
+  readonly headers: http.IncomingHttpHeaders
+  /** Name and value in turn, as received. */
+  readonly rawHeaders: readonly string[]
+}
+
+/** Why there is no complete answer, and what that says of the request. */
+export interface SendFailure {
+  readonly verdict: types.Verdict
+  readonly cause: 'connect' | 'reset' | 'malformed' | 'truncated' | 'cancelled'
+  readonly detail: string
+}
+
+/** Receives the answer. After `end` or `fail` nothing follows. */
+export interface AnswerSink {
+  readonly head: (head: Head) => void
+  readonly data: (chunk: Buffer) => void
+  /** The answer is complete. */
+  readonly end: () => void
+  readonly fail: (failure: SendFailure) => void
+}
+
+export interface Exchange {
+  /** Closes the connection; the sink hears nothing more. */
+  readonly cancel: () => void
+  /** The connection showed something odd: it is closed once the answer has ended. */
+  readonly retire: () => void
+  /** Stops and starts the reading of the answer. */
+  readonly pause: () => void
+  readonly resume: () => void
+}
+
+export interface Sender {
+  readonly send: (request: Outgoing, sink: AnswerSink) => Exchange
+  readonly close: () => void
+}
+
+export interface SenderSettings {
+  /** An idle connection is given up after this time, in ms: well before any upstream's own limit. */
+  readonly idleMs: number
+}
+
+/** Node's own connection pool; the longest idle connections go first. */
+export function createSender (settings: SenderSettings): Sender {
+  const agent = new http.Agent({ keepAlive: true, scheduling: 'lifo', timeout: settings.idleMs, maxSockets: Infinity })
+  return {
+    send: (request, sink) => startExchange(agent, request, sink),
+    close: () => { agent.destroy() }
+  }
+}
+
+function startExchange (agent: http.Agent, request: Outgoing, sink: AnswerSink): Exchange {
+  const colon = request.address.lastIndexOf(':')
+  const req = http.request({
+    agent,
+    host: request.address.slice(0, colon),
+    port: Number(request.address.slice(colon + 1)),
+    method: request.method,
+    path: request.path,
+    headers: request.headers as unknown as http.OutgoingHttpHeaders,
+    setHost: false
+  })
+  return new HttpExchange(req, request, sink)
+}
+
+class HttpExchange implements Exchange {
+  private res: http.IncomingMessage | undefined
+  private done = false
+  private connected = false
+  private retired = false
+  private connectTimer: NodeJS.Timeout | undefined
+
+  constructor (private readonly req: http.ClientRequest, request: Outgoing, private readonly sink: AnswerSink) {
+    req.on('socket', (socket) => {
+      if (socket.connecting) socket.once('connect', () => { this.onConnect() })
+      else this.onConnect()
+    })
+    this.connectTimer = setTimeout(() => { this.failWith('connect', 'connection not established in time') }, request.connectTimeoutMs)
+    req.on('response', (res) => { this.onResponse(res) })
+    req.on('error', (err) => { this.onError(err) })
+    req.on('close', () => { this.failWith('reset', 'connection closed') })
+    if (!request.reuse) req.shouldKeepAlive = false
+    req.end(request.body)
+  }
+
+  cancel (): void {
+    this.finish()
+    this.req.destroy()
+  }
+
+  retire (): void {
+    this.retired = true
+  }
+
+  pause (): void {
+    this.res?.pause()
+  }
+
+  resume (): void {
+    this.res?.resume()
+  }
+
+  private onConnect (): void {
+    this.connected = true
+    clearTimeout(this.connectTimer)
+  }
+
+  private onResponse (res: http.IncomingMessage): void {
+    if (this.done) return
+    clearTimeout(this.connectTimer)
+    this.res = res
+    // An answer that came before the request was out leaves bytes on the way that belong to this request.
+    if (!this.req.writableFinished) this.retired = true
+    res.on('data', (chunk: Buffer) => { if (!this.done) this.sink.data(chunk) })
+    res.on('end', () => { this.onEnd(res) })
+    res.on('error', (err) => { this.onError(err) })
+    this.sink.head({ status: res.statusCode ?? 0, headers: res.headers, rawHeaders: res.rawHeaders })
+  }
+
+  private onEnd (res: http.IncomingMessage): void {
+    if (this.done) return
+    if (!res.complete) {
+      this.failWith('truncated', 'connection closed within the answer')
+      return
+    }
+    this.finish()
+    if (this.retired) this.req.destroy()
+    this.sink.end()
+  }
+
+  private onError (err: Error): void {
+    const code = (err as NodeJS.ErrnoException).code ?? ''
+    const malformed = code.startsWith('HPE_')
+    if (malformed) this.failWith('malformed', `${code} ${err.message}`)
+    else this.failWith(this.res === undefined ? 'reset' : 'truncated', `${code} ${err.message}`)
+  }
+
+  /** Nothing can have run before the connection was made. */
+  private failWith (cause: SendFailure['cause'], detail: string): void {
+    if (this.done) return
+    const before = !this.connected
+    this.finish()
+    this.req.destroy()
+    this.sink.fail({ verdict: before ? 'notRun' : 'mayHaveRun', cause: before ? 'connect' : cause, detail })
+  }
+
+  private finish (): void {
+    this.done = true
+    clearTimeout(this.connectTimer)
+  }
+}
--- /dev/null
+++ b/packages/track-upstreams/src/index.ts
@@ -0,0 +1,3 @@
+/** Which upstreams of a service are live, what this process has running there, and which one takes the next request. */
+export * from './upstream-list.js'
+export * from './choose-upstream.js'
--- /dev/null
+++ b/packages/track-upstreams/src/upstream-list.ts
@@ -0,0 +1,91 @@
+/** The upstreams of every service as this process believes them, with what it has running there. */
+import type * as types from '@eelgrasswind/types'
+
+/** What the list of upstreams says of one incarnation. */
+export interface ListedUpstream {
+  readonly id: types.UpstreamId
+  readonly service: types.ServiceId
+  readonly address: string
+  readonly zone: types.AvailabilityZoneId
+  /** Requests that it runs at once. */
+  readonly slots: number
+  readonly leaving: boolean
+}
+
+/** An upstream with this process's own view of it. */
+export interface Upstream {
+  listed: ListedUpstream
+  /** Requests of this process that run there now. */
+  running: number
+  /** Failed connections and broken answers in a row. */
+  failures: number
+  /** Nothing is sent there before this time unless there is no other, monotonic ms. */
+  avoidUntil: number
+  /** It said that it was full; believed until this time, monotonic ms. */
+  fullUntil: number
+}
+
+/** First pause after a failure; doubles with each further one. Long enough that a crashed upstream costs few tries. */
+const firstAvoidMs = 150
+const maxAvoidMs = 2_400
+/** A full upstream frees a slot within about one request; asking again sooner is mostly in vain. */
+const fullMs = 40
+
+export class UpstreamList {
+  private readonly upstreams = new Map<types.UpstreamId, Upstream>()
+  private readonly services = new Map<types.ServiceId, Upstream[]>()
+
+  get size (): number {
+    return this.upstreams.size
+  }
+
+  get (id: types.UpstreamId): Upstream | undefined {
+    return this.upstreams.get(id)
+  }
+
+  /** The upstreams of a service, leaving ones included. */
+  ofService (service: types.ServiceId): readonly Upstream[] {
+    return this.services.get(service) ?? []
+  }
+
+  all (): Iterable<Upstream> {
+    return this.upstreams.values()
+  }
+
+  put (listed: ListedUpstream): void {
+    const known = this.upstreams.get(listed.id)
+    if (known !== undefined && known.listed.service === listed.service) {
+      known.listed = listed
+      return
+    }
+    this.remove(listed.id)
+    const upstream: Upstream = { listed, running: 0, failures: 0, avoidUntil: 0, fullUntil: 0 }
+    this.upstreams.set(listed.id, upstream)
+    this.services.set(listed.service, [...this.ofService(listed.service), upstream])
+  }
+
+  remove (id: types.UpstreamId): void {
+    const known = this.upstreams.get(id)
+    if (known === undefined) return
+    this.upstreams.delete(id)
+    const service = known.listed.service
+    this.services.set(service, this.ofService(service).filter((upstream) => upstream !== known))
+  }
+}
+
+/** A connection failed or an answer broke off. */
+export function noteFailure (upstream: Upstream, now: number): void {
+  upstream.failures += 1
+  const pause = Math.min(maxAvoidMs, firstAvoidMs * 2 ** (upstream.failures - 1))
+  upstream.avoidUntil = now + pause
+}
+
+/** The upstream refused since its queue is full. */
+export function noteFull (upstream: Upstream, now: number): void {
+  upstream.fullUntil = now + fullMs
+}
+
+export function noteSuccess (upstream: Upstream): void {
+  upstream.failures = 0
+  upstream.avoidUntil = 0
+}
--- /dev/null
+++ b/packages/turn-ledger/src/records.ts
@@ -0,0 +1,80 @@
+/** The keyed records that a ledger keeps: one for each turn and one for each program. MessagePack by a library. */
+import * as msgpack from '@msgpack/msgpack'
+import type * as types from '@eelgrasswind/types'
+
+/** Id of one client attempt at a turn. */
+export type TurnId = types.Branded<string, 'TurnId'>
+
+/** A turn that was answered whole. */
+export interface TurnRecord {
+  readonly program: types.ProgramId
+  /** The turn that it continues from; `undefined` at the start of a chain. */
+  readonly previous: TurnId | undefined
+  readonly input: Uint8Array
+  /** What the engine made, as later turns of the chain repeat it. */
+  readonly output: Uint8Array
+  /** End of its retention, ms since the epoch. */
+  readonly keepUntil: types.EpochMs
+}
+
+/** What a program has used of its budget. */
+export interface ProgramRecord {
+  /** Tokens of ended turns; a turn that broke off counts at its most. */
+  readonly spentTokens: number
+  /** Turns under way, each with the most tokens it may make. */
+  readonly open: ReadonlyMap<TurnId, number>
+  /** End of its retention, ms since the epoch. */
+  readonly keepUntil: types.EpochMs
+}
+
+/** A record that can't be read. */
+export class RecordError extends Error {
+  override readonly name = 'RecordError'
+}
+
+const turnPrefix = 't'
+const programPrefix = 'p'
+
+export function turnKey (turn: TurnId): string {
+  return turnPrefix + turn
+}
+
+export function programKey (program: types.ProgramId): string {
+  return programPrefix + program
+}
+
+/** What a key of the ledger stands for. */
+export type LedgerKey =
+  | { readonly type: 'turn', readonly turn: TurnId }
+  | { readonly type: 'program', readonly program: types.ProgramId }
+
+export function parseKey (key: string): LedgerKey {
+  const id = key.slice(1)
+  if (key.startsWith(turnPrefix)) return { type: 'turn', turn: id as TurnId }
+  if (key.startsWith(programPrefix)) return { type: 'program', program: id as types.ProgramId }
+  throw new RecordError(`unknown key ${key}`)
+}
+
+export function encodeTurn (record: TurnRecord): Uint8Array {
+  return msgpack.encode([record.program, record.previous ?? null, record.input, record.output, record.keepUntil])
+}
+
+export function decodeTurn (value: Uint8Array): TurnRecord {
+  const [program, previous, input, output, keepUntil] = decodeRow(value, 5) as [types.ProgramId, TurnId | null, Uint8Array, Uint8Array, types.EpochMs]
+  return { program, previous: previous ?? undefined, input, output, keepUntil }
+}
+
+export function encodeProgram (record: ProgramRecord): Uint8Array {
+  return msgpack.encode([record.spentTokens, [...record.open], record.keepUntil])
+}
+
+export function decodeProgram (value: Uint8Array): ProgramRecord {
+  const [spentTokens, open, keepUntil] = decodeRow(value, 3) as [number, [TurnId, number][], types.EpochMs]
+  return { spentTokens, open: new Map(open), keepUntil }
+}
+
+function decodeRow (value: Uint8Array, fields: number): unknown[] {
+  const row = msgpack.decode(value)
+  if (!Array.isArray(row) || row.length !== fields) throw new RecordError(`expected ${fields} fields`)
+  return row
+}
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -12,11 +12,12 @@
 
 function testFiles () {
   const files = []
-  for (const name of fs.readdirSync('packages').sort()) {
-    const src = path.join('packages', name, 'src')
+  const dirs = [...fs.readdirSync('packages').sort().map((name) => path.join('packages', name)), 'platform']
+  for (const dir of dirs) {
+    const src = path.join(dir, 'src')
     if (!fs.existsSync(src)) continue
     for (const file of fs.readdirSync(src, { recursive: true })) {
-      if (file.endsWith('.test.ts')) files.push(path.join('packages', name, 'dist', 'src', file.replace(/\.ts$/, '.js')))
+      if (file.endsWith('.test.ts')) files.push(path.join(dir, 'dist', 'src', file.replace(/\.ts$/, '.js')))
     }
   }
   return files.filter((file) => filters.length === 0 || filters.some((filter) => file.includes(filter)))
--- a/scripts/sync-references.mjs
+++ b/scripts/sync-references.mjs
@@ -4,7 +4,8 @@
 
 const check = process.argv.includes('--check')
 const scope = '@eelgrasswind/'
-const dirs = fs.readdirSync('packages').filter((dir) => fs.existsSync(path.join('packages', dir, 'package.json')))
+const dirs = [...fs.readdirSync('packages').map((name) => path.join('packages', name)), 'platform']
+  .filter((dir) => fs.existsSync(path.join(dir, 'package.json')))
 let stale = 0
 
 function write (file, value) {
@@ -16,16 +17,16 @@
 }
 
 for (const dir of dirs) {
-  const manifest = JSON.parse(fs.readFileSync(path.join('packages', dir, 'package.json'), 'utf8'))
+  const manifest = JSON.parse(fs.readFileSync(path.join(dir, 'package.json'), 'utf8'))
   const deps = Object.keys({ ...manifest.dependencies, ...manifest.devDependencies })
     .filter((dep) => dep.startsWith(scope))
-    .map((dep) => ({ path: `../${dep.slice(scope.length)}` }))
-  write(path.join('packages', dir, 'tsconfig.json'), {
-    extends: '../../tsconfig.base.json',
+    .map((dep) => ({ path: path.relative(dir, path.join('packages', dep.slice(scope.length))) }))
+  write(path.join(dir, 'tsconfig.json'), {
+    extends: path.relative(dir, 'tsconfig.base.json'),
     compilerOptions: { rootDir: '.', outDir: 'dist', tsBuildInfoFile: 'dist/tsconfig.tsbuildinfo' },
     include: ['src'],
     references: deps
   })
 }
-write('tsconfig.json', { files: [], references: dirs.map((dir) => ({ path: `packages/${dir}` })) })
+write('tsconfig.json', { files: [], references: dirs.map((dir) => ({ path: dir })) })
 process.exit(check && stale > 0 ? 1 : 0)
