--- a/packages/own-shards/src/shard-writer.ts
+++ b/packages/own-shards/src/shard-writer.ts
@@ -92,7 +92,8 @@
       const outcome = await this.ports.log.append(request)
       switch (outcome.type) {
         case 'appended':
-          this.sequence += 1
+          // An empty append only confirms the epoch: the store does not count it.
+          if (request.records.length > 0) this.sequence += 1
           return { type: 'committed' }
         case 'fenced': return this.lose('a newer owner has fenced this one')
         case 'outOfSequence': return this.lose(`the store holds another sequence: ${outcome.detail}`)
