--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,7 +16,7 @@
 }))
 
 export default [
-  { ignores: ['**/dist/**', '**/gen/**', '**/node_modules/**', 'out/**', '.tap/**'] },
+  { ignores: ['target/**', '**/dist/**', '**/gen/**', '**/node_modules/**', 'out/**', '.tap/**'] },
   ...neostandard({ ts: true }),
   {
     files: ['packages/**/*.ts'],
--- a/packages/front/src/dispatch.ts
+++ b/packages/front/src/dispatch.ts
@@ -59,6 +59,8 @@
   private readonly tried = new Set<types.UpstreamId>()
   private attempts = 0
   private mayHaveRun = false
+  /** A request is on its way to an upstream, or runs there. */
+  private inFlight = false
   private exchange: sendHttp.Exchange | undefined
   private over = false
   private release: (() => void) | undefined
@@ -72,7 +74,7 @@
 
   /** Whether an upstream may have worked on the request. */
   get ran (): boolean {
-    return this.mayHaveRun
+    return this.mayHaveRun || this.inFlight
   }
 
   start (): void {
@@ -129,6 +131,7 @@
       this.release = undefined
     }
     let accepted = false
+    this.inFlight = true
     this.exchange = sender.send({
       address: upstream.listed.address,
       method: this.req.method,
@@ -136,7 +139,7 @@
       headers: dialect.upstreamHeaders(this.req.rawHeaders, { deadlineMs: Math.floor(leftMs), upstream: id, urgency, bodyBytes: body.length }),
       body,
       connectTimeoutMs,
-      reuse: true
+      confirmMs: undefined
     }, {
       head: (head) => {
         const problem = this.checkHead(head, upstream)
@@ -198,6 +201,7 @@
 
   private failedAt (upstream: trackUpstreams.Upstream, failure: errors.Failure): void {
     this.release?.()
+    this.inFlight = false
     if (this.over) return
     if (failure.verdict !== 'notRun') this.mayHaveRun = true
     const now = this.ports.timers.monotonic()
--- a/packages/front/src/forward-turn.ts
+++ b/packages/front/src/forward-turn.ts
@@ -10,11 +10,16 @@
   | { readonly type: 'answered' }
   /** The other process does not own the program; nothing ran. */
   | { readonly type: 'notOwner' }
-  /** No connection; nothing ran. */
+  /** No connection or no go-ahead; nothing ran. */
   | { readonly type: 'unreachable', readonly detail: string }
 
 /** Time for a connection to a peer, in ms: links take about one ms, so only an unreachable host takes longer. */
 const connectTimeoutMs = 200
+/**
+ * Time for the owner to say that it takes the turn, in ms. A stopped process is found out after this, and the turn
+ * has certainly not run there; a slow machine, or one whose processor share is used up, answers within about 120.
+ */
+const confirmMs = 250
 
 export function forwardTurn (ports: dispatch.DispatchPorts, req: inbound.Inbound, address: string): Promise<ForwardOutcome> {
   const { dialect, sender, timers } = ports
@@ -29,7 +34,7 @@
       headers: [...dialect.peerHeaders(req.rawHeaders, { deadlineMs: leftMs, bodyBytes: req.body.length }), ...forwardHeader.encode(req)],
       body: req.body,
       connectTimeoutMs,
-      reuse: true
+      confirmMs
     }, {
       head: (head) => {
         if (forwardHeader.saysNotOwner(head.headers)) {
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -3,6 +3,7 @@
 import * as followRecords from '@eelgrasswind/follow-records'
 import type * as logger from '@eelgrasswind/logger'
 import * as ownShards from '@eelgrasswind/own-shards'
+import * as relayStore from '@eelgrasswind/relay-store'
 import * as routeRequest from '@eelgrasswind/route-request'
 import * as sendHttp from '@eelgrasswind/send-http'
 import type * as shardLog from '@eelgrasswind/shard-log'
@@ -10,14 +11,16 @@
 import * as trackUpstreams from '@eelgrasswind/track-upstreams'
 import type * as types from '@eelgrasswind/types'
 import type * as dialects from './dialect.js'
-import * as forwardHeader from './forward-header.js'
 import * as inbound from './inbound.js'
 import * as memberName from './member-name.js'
+import * as peerCalls from './peer-calls.js'
+import * as peerListener from './peer-listener.js'
 import * as promptPlaces from './prompt-places.js'
 import * as readRequest from './read-request.js'
 import * as routeTurn from './route-turn.js'
 import * as serveCall from './serve-call.js'
 import type * as settings from './settings.js'
+import * as upstreamDirectory from './upstream-directory.js'
 
 /** How the published documents are written; the adapter implements it. */
 export interface DocumentFormat {
@@ -42,9 +45,7 @@
 const upstreamsPollMs = 400
 /** The store holds a read of the routing this long, in ms: a change arrives at once, a silent connection is noticed soon. */
 const routingWaitMs = 900
-/** Entries that are missing when the store comes back have this time to return, in ms, before they count as gone. */
-const returnGraceMs = 2_500
-/** The longest that a handover of a shard waits for its turns, in ms: most turns take less. */
+/** The longest that a handover of a shard waits for the store's last answers, in ms: a slow one takes about 300. */
 const handoverMs = 900
 /** Time between two looks at the owners of all shards, in ms. */
 const ownersMs = 1_000
@@ -52,6 +53,10 @@
 const lingerMs = 3_000
 /** The process ends this long before it would be ended by force, in ms. */
 const endMarginMs = 700
+/** A call to the store through a peer takes at most this, in ms: the peer's own limit and the way. */
+const relayTimeoutMs = 1_600
+/** Idle connections between the processes are kept by the answering side for this, in ms: longer than the asking side does. */
+const peerIdleMs = 10 * idleMs
 const largestHeaderBytes = 65_536
 /** An idle client connection is kept this much longer than the published limit, so that a limit that grows cuts nobody off. */
 const idleFactor = 1.5
@@ -63,28 +68,37 @@
   private readonly turnPorts: routeTurn.RouteTurnPorts
   private readonly routingFollower: followRecords.RecordFollower
   private readonly upstreamFollower: followRecords.RecordFollower
+  private readonly directory: upstreamDirectory.UpstreamDirectory
   private readonly clientServer: http.Server
   private readonly peerServer: http.Server
   private readonly readyServer: http.Server
   private routing: routeRequest.Routing | undefined
   private routes: routeRequest.RouteTable = routeRequest.createRouteTable([])
-  private upstreamsKnown = false
   private stopping = false
   private underWay = 0
 
   constructor (private readonly cfg: settings.FrontSettings, private readonly ports: FrontPorts) {
-    const { log, timers } = ports
+    const { timers } = ports
+    const self = memberName.memberName(cfg.host, cfg.peerAddress)
+    const log = new relayStore.RelayedLog({
+      direct: ports.log,
+      peers: () => this.shards.members().filter((member) => member !== self).map(memberName.addressOf),
+      callPeer: (address, call) => peerCalls.callPeer(this.sender, address, { type: 'store', call }, relayTimeoutMs),
+      timers,
+      logger: ports.logger
+    }).log
     this.shards = new ownShards.ShardOwner({
       group: 'homes',
-      member: memberName.memberName(cfg.host, cfg.peerAddress),
+      member: self,
       topics: shardTopics(cfg.shardTopics),
       parts: cfg.storeParts,
       leaseMs: cfg.leaseMs,
       heartbeatMs: cfg.heartbeatMs,
       ownersMs,
       handoverMs
-    }, ports)
+    }, { ...ports, log })
     this.turnPorts = {
+      suspects: new routeTurn.Suspects(),
       upstreams: this.upstreams,
       sender: this.sender,
       dialect: ports.dialect,
@@ -104,12 +118,19 @@
       onRemove: () => {}
     })
     this.upstreamFollower = new followRecords.RecordFollower({ partition: upstreams, pollMs: upstreamsPollMs, waitMs: 0 }, { ...ports, log }, {
-      onSnapshot: (found) => { this.takeUpstreams(found) },
-      onPut: (key, value) => { this.putUpstream(key, value) },
-      onRemove: (key) => { this.removeUpstream(key as types.UpstreamId) }
+      onSnapshot: (found) => { this.directory.replace(found) },
+      onPut: (key, value) => { this.directory.put(key, value) },
+      onRemove: (key) => { this.directory.remove(key) }
+    })
+    this.directory = new upstreamDirectory.UpstreamDirectory({
+      upstreams: this.upstreams,
+      timers,
+      logger: ports.logger,
+      decode: ports.documents.decodeUpstream,
+      sinceReturnMs: () => this.upstreamFollower.sinceReturnMs()
     })
     this.clientServer = http.createServer({ maxHeaderSize: largestHeaderBytes, requestTimeout: 0 }, (req, res) => { this.onClientRequest(req, res) })
-    this.peerServer = http.createServer({ maxHeaderSize: largestHeaderBytes, requestTimeout: 0, keepAliveTimeout: 10 * idleMs }, (req, res) => { this.onPeerRequest(req, res) })
+    this.peerServer = peerListener.createPeerServer({ ...this.turnPorts, directLog: ports.log, onRequest: (res) => { this.count(res) } }, peerIdleMs)
     this.readyServer = http.createServer((_req, res) => {
       res.writeHead(this.ready ? 200 : 503)
       res.end()
@@ -118,7 +139,7 @@
 
   /** Whether new clients should be sent here. */
   get ready (): boolean {
-    return !this.stopping && this.routing !== undefined && this.upstreamsKnown
+    return !this.stopping && this.routing !== undefined && this.directory.known
   }
 
   async start (): Promise<void> {
@@ -202,36 +223,6 @@
     else serveCall.serveCall(this.turnPorts, request)
   }
 
-  private onPeerRequest (req: http.IncomingMessage, res: http.ServerResponse): void {
-    const arrivedAt = this.ports.timers.monotonic()
-    const reply = new inbound.Reply(res)
-    const forwarded = forwardHeader.decode(req.headers)
-    const decoded = this.ports.dialect.decodeAttempt(req.headers)
-    if (forwarded === undefined || decoded.type === 'invalid' || decoded.attempt.turn === undefined) {
-      reply.refuse({ type: 'invalid', field: 'forwarded request', expected: 'a turn with its route' })
-      return
-    }
-    const { attempt } = decoded
-    const { turn } = decoded.attempt
-    readRequest.readBody(req, Infinity, (body) => {
-      if (body === undefined) return
-      this.count(res)
-      const request: inbound.Inbound = {
-        ...forwarded,
-        attempt,
-        method: req.method ?? 'POST',
-        path: req.url ?? '/',
-        rawHeaders: req.rawHeaders,
-        body,
-        deadlineAt: arrivedAt + (attempt.deadlineMs ?? forwarded.route.timeoutMs),
-        reply
-      }
-      void routeTurn.servePassedOn(this.turnPorts, request, turn, () => {
-        reply.refuse({ type: 'shardMoving', retryAfterMs: 0 }, forwardHeader.notOwner)
-      })
-    })
-  }
-
   private count (res: http.ServerResponse): void {
     this.underWay += 1
     res.once('close', () => { this.underWay -= 1 })
@@ -253,33 +244,6 @@
     this.clientServer.keepAliveTimeout = Math.round(next.bounds.idleTimeoutMs * idleFactor)
     this.clientServer.headersTimeout = next.bounds.headerTimeoutMs
   }
-
-  private takeUpstreams (found: ReadonlyMap<string, Uint8Array>): void {
-    for (const [key, value] of found) this.putUpstream(key, value)
-    for (const { listed } of [...this.upstreams.all()]) {
-      if (!found.has(listed.id)) this.removeUpstream(listed.id)
-    }
-    this.upstreamsKnown = true
-  }
-
-  private putUpstream (key: string, value: Uint8Array): void {
-    try {
-      const listed = this.ports.documents.decodeUpstream(key, value)
-      const known = this.upstreams.get(listed.id)
-      if (known === undefined || known.listed.leaving !== listed.leaving) {
-        this.ports.logger.info({ event: 'upstream', upstream: listed.id, service: listed.service, address: listed.address, leaving: listed.leaving }, 'upstream listed')
-      }
-      this.upstreams.put(listed)
-    } catch (err) {
-      this.ports.logger.error({ event: 'upstreamUnreadable', key, err }, 'entry of an upstream not understood')
-    }
-  }
-
-  private removeUpstream (id: types.UpstreamId): void {
-    const graceMs = Math.max(0, returnGraceMs - this.upstreamFollower.sinceReturnMs())
-    this.ports.logger.info({ event: 'upstreamGone', upstream: id, graceMs: Math.round(graceMs) }, 'upstream no longer listed')
-    this.upstreams.remove(id)
-  }
 }
 
 function shardTopics (count: number): string[] {
@@ -297,4 +261,3 @@
 function pause (timers: timerService.TimerService, ms: number): Promise<void> {
   return new Promise((resolve) => { timers.after(ms, resolve) })
 }
-
--- /dev/null
+++ b/packages/front/src/peer-calls.ts
@@ -0,0 +1,79 @@
+/** Short calls between front processes: MessagePack over HTTP, on the connections that also carry passed-on turns. */
+import type * as http from 'node:http'
+import * as msgpack from '@msgpack/msgpack'
+import type * as sendHttp from '@eelgrasswind/send-http'
+import type * as shardLog from '@eelgrasswind/shard-log'
+import type * as turnLedger from '@eelgrasswind/turn-ledger'
+
+/** A turn that ended at a former owner, to be kept by the present one. */
+export interface SettleCall {
+  readonly type: 'settle'
+  readonly request: turnLedger.TurnRequest
+  readonly end: Extract<turnLedger.TurnEnd, { type: 'whole' }>
+}
+
+/** A call that the store did not take from the asking process. */
+export interface RelayCall {
+  readonly type: 'store'
+  readonly call: shardLog.StoreCall
+}
+
+export type PeerCall = SettleCall | RelayCall
+
+export type SettleAnswer =
+  | { readonly type: 'kept' }
+  /** The asked process does not own the program. */
+  | { readonly type: 'notOwner' }
+  /** No tokens are reserved for such a turn: it can't be kept. */
+  | { readonly type: 'unknown' }
+
+const path = '/peer-call'
+const connectTimeoutMs = 200
+
+export function isPeerCall (req: http.IncomingMessage): boolean {
+  return req.url === path && req.method === 'PUT'
+}
+
+export function decodeCall (body: Buffer): PeerCall {
+  return msgpack.decode(body, { }) as PeerCall
+}
+
+export function encodeAnswer (answer: SettleAnswer | shardLog.StoreAnswer): Buffer {
+  return encode(answer)
+}
+
+/** Makes the call; `undefined` where no answer came within the time, in ms. */
+export function callPeer<Answer> (sender: sendHttp.Sender, address: string, call: PeerCall, timeoutMs: number): Promise<Answer | undefined> {
+  const body = encode(call)
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = []
+    let status = 0
+    const exchange = sender.send({
+      address,
+      method: 'PUT',
+      path,
+      headers: ['Host', address, 'Content-Length', String(body.length)],
+      body,
+      connectTimeoutMs,
+      confirmMs: undefined
+    }, {
+      head: (head) => { status = head.status },
+      data: (chunk) => { chunks.push(chunk) },
+      end: () => { finish(status === 200 ? msgpack.decode(Buffer.concat(chunks)) as Answer : undefined) },
+      fail: () => { finish(undefined) }
+    })
+    const limit = setTimeout(() => {
+      exchange.cancel()
+      finish(undefined)
+    }, timeoutMs)
+    const finish = (answer: Answer | undefined): void => {
+      clearTimeout(limit)
+      resolve(answer)
+    }
+  })
+}
+
+function encode (value: unknown): Buffer {
+  const bytes = msgpack.encode(value, { ignoreUndefined: true })
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
+}
--- /dev/null
+++ b/packages/front/src/peer-listener.ts
@@ -0,0 +1,87 @@
+/** Takes what other front processes pass on: turns, settled ends, and calls to the store. */
+import * as http from 'node:http'
+import type * as shardLog from '@eelgrasswind/shard-log'
+import * as shardLogs from '@eelgrasswind/shard-log'
+import * as forwardHeader from './forward-header.js'
+import * as inbound from './inbound.js'
+import * as peerCalls from './peer-calls.js'
+import * as readRequest from './read-request.js'
+import * as routeTurn from './route-turn.js'
+import * as settleTurn from './settle-turn.js'
+
+export interface PeerListenerPorts extends routeTurn.RouteTurnPorts {
+  /** The store as this process itself reaches it. */
+  readonly directLog: shardLog.ShardLog
+  readonly onRequest: (res: http.ServerResponse) => void
+}
+
+const largestHeaderBytes = 131_072
+
+export function createPeerServer (ports: PeerListenerPorts, keepAliveTimeout: number): http.Server {
+  const server = http.createServer({ maxHeaderSize: largestHeaderBytes, requestTimeout: 0, keepAliveTimeout }, (req, res) => { onCall(ports, req, res) })
+  server.on('checkContinue', (req: http.IncomingMessage, res: http.ServerResponse) => { onTurn(ports, req, res) })
+  return server
+}
+
+/** A turn: its sender waits for the go-ahead and knows until then that nothing ran. */
+function onTurn (ports: PeerListenerPorts, req: http.IncomingMessage, res: http.ServerResponse): void {
+  const arrivedAt = ports.timers.monotonic()
+  const reply = new inbound.Reply(res)
+  const forwarded = forwardHeader.decode(req.headers)
+  const decoded = ports.dialect.decodeAttempt(req.headers)
+  if (forwarded === undefined || decoded.type === 'invalid' || decoded.attempt.turn === undefined) {
+    reply.refuse({ type: 'invalid', field: 'passed-on request', expected: 'a turn with its route' }, ['Connection', 'close'])
+    return
+  }
+  const { attempt } = decoded
+  const { turn } = decoded.attempt
+  const shard = routeTurn.servingShard(ports, turn.program)
+  if (shard === undefined) {
+    reply.refuse({ type: 'shardMoving', retryAfterMs: 0 }, [...forwardHeader.notOwner, 'Connection', 'close'])
+    return
+  }
+  res.writeContinue()
+  ports.onRequest(res)
+  readRequest.readBody(req, Infinity, (body) => {
+    if (body === undefined) return
+    void routeTurn.serveHere(ports, {
+      ...forwarded,
+      attempt,
+      method: req.method ?? 'POST',
+      path: req.url ?? '/',
+      rawHeaders: req.rawHeaders,
+      body,
+      deadlineAt: arrivedAt + (attempt.deadlineMs ?? forwarded.route.timeoutMs),
+      reply
+    }, turn, shard)
+  })
+}
+
+function onCall (ports: PeerListenerPorts, req: http.IncomingMessage, res: http.ServerResponse): void {
+  const reply = new inbound.Reply(res)
+  if (!peerCalls.isPeerCall(req)) {
+    reply.refuse({ type: 'unknownRoute' })
+    return
+  }
+  readRequest.readBody(req, Infinity, (body) => {
+    if (body === undefined) return
+    answerCall(ports, peerCalls.decodeCall(body)).then(
+      (answer) => { reply.whole(200, [], peerCalls.encodeAnswer(answer)) },
+      (err: unknown) => {
+        ports.logger.error({ event: 'peerCallFailed', err }, 'call of a peer failed')
+        reply.refuse({ type: 'answerLost', detail: 'internal' })
+      }
+    )
+  })
+}
+
+async function answerCall (ports: PeerListenerPorts, call: peerCalls.PeerCall): Promise<peerCalls.SettleAnswer | shardLog.StoreAnswer> {
+  switch (call.type) {
+    case 'store': return shardLogs.runStoreCall(ports.directLog, call.call)
+    case 'settle': {
+      const shard = routeTurn.servingShard(ports, call.request.program)
+      if (shard === undefined) return { type: 'notOwner' }
+      return settleTurn.keepAt(ports, shard, call.request, call.end)
+    }
+  }
+}
--- a/packages/front/src/route-turn.ts
+++ b/packages/front/src/route-turn.ts
@@ -1,6 +1,7 @@
 /** Brings a turn to the owner of its program: here, or at another front process. */
 import type * as ownShards from '@eelgrasswind/own-shards'
 import type * as shardLog from '@eelgrasswind/shard-log'
+import type * as types from '@eelgrasswind/types'
 import * as timerService from '@eelgrasswind/timer-service'
 import type * as dialects from './dialect.js'
 import * as forwardTurn from './forward-turn.js'
@@ -9,9 +10,26 @@
 import * as serveTurn from './serve-turn.js'
 
 export interface RouteTurnPorts extends serveTurn.TurnPorts {
-  readonly shards: ownShards.ShardOwner
+  /** Peers that did not answer lately. */
+  readonly suspects: Suspects
 }
 
+/** Peers that did not answer are left alone for a while, so that only the first turn waits for them. */
+export class Suspects {
+  private readonly until = new Map<string, number>()
+
+  add (member: string, now: number): void {
+    this.until.set(member, now + suspectMs)
+  }
+
+  has (member: string, now: number): boolean {
+    return (this.until.get(member) ?? -Infinity) > now
+  }
+}
+
+/** Shorter than the time in which a client that was refused comes back. */
+const suspectMs = 350
+
 /** How long a turn waits for a shard that changes hands, in ms: a planned handover takes less; after a crash the lease takes longer. */
 const patienceMs = 250
 /** Pause between two looks, in ms. */
@@ -47,22 +65,20 @@
       await serveTurn.serveTurn(ports, req, turn, place.shard)
       return { type: 'done' }
     case 'member': {
+      if (ports.suspects.has(place.member, ports.timers.monotonic())) return { type: 'again', reason: 'the owner did not answer just now' }
       const address = memberName.addressOf(place.member)
       const outcome = await forwardTurn.forwardTurn(ports, req, address)
       if (outcome.type === 'answered') return { type: 'done' }
+      if (outcome.type === 'unreachable') ports.suspects.add(place.member, ports.timers.monotonic())
       return { type: 'again', reason: outcome.type }
     }
   }
 }
 
-/** Serves a turn that a peer passed on: never passed on again. */
-export async function servePassedOn (ports: RouteTurnPorts, req: inbound.Inbound, turn: dialects.TurnFields, notOwner: () => void): Promise<void> {
-  const place = ports.shards.locate(ports.shards.partitionOf(turn.program))
-  if (place.type !== 'here' || place.shard.state !== 'serving') {
-    notOwner()
-    return
-  }
-  await serveTurn.serveTurn(ports, req, turn, place.shard)
+/** The shard of a program, if this process serves it now. */
+export function servingShard (ports: Pick<RouteTurnPorts, 'shards'>, program: types.ProgramId): ownShards.OwnedShard | undefined {
+  const place = ports.shards.locate(ports.shards.partitionOf(program))
+  return place.type === 'here' && place.shard.state === 'serving' ? place.shard : undefined
 }
 
 function describe (place: ownShards.Location): { readonly type: string, readonly state?: string, readonly member?: string, readonly partition?: shardLog.Partition } {
@@ -72,3 +88,5 @@
     case 'here': return { type: 'here', state: place.shard.state }
   }
 }
+
+export { serveTurn as serveHere } from './serve-turn.js'
--- a/packages/front/src/serve-turn.ts
+++ b/packages/front/src/serve-turn.ts
@@ -1,25 +1,38 @@
 /** Serves a turn at the owner of its program: checks chain and budget, puts the prompt together, keeps what was said. */
 import type * as ownShards from '@eelgrasswind/own-shards'
 import type * as sendHttp from '@eelgrasswind/send-http'
-import * as turnLedger from '@eelgrasswind/turn-ledger'
+import * as timerService from '@eelgrasswind/timer-service'
+import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
 import * as dispatch from './dispatch.js'
 import type * as dialects from './dialect.js'
 import * as eventSplitter from './event-splitter.js'
 import type * as inbound from './inbound.js'
 import type * as promptPlaces from './prompt-places.js'
+import * as settleTurn from './settle-turn.js'
 
 export interface TurnPorts extends dispatch.DispatchPorts {
+  readonly shards: ownShards.ShardOwner
   readonly places: promptPlaces.PromptPlaces
 }
 
 /** Time to come back where the shard is changing hands, in ms: a lease lapses or a handover ends within about this. */
 export const shardRetryMs = 400
 
+/** An append that is this long without an answer, in ms, says that the store is away: a slow one takes about 300. */
+const stalledMs = 600
+/** The longest that a refusal waits for the store to confirm it, in ms. */
+const confirmMs = 400
+
 const lineFeed = Buffer.from('\n')
 
 /** Serves one turn on a shard that this process owns and that serves. */
 export async function serveTurn (ports: TurnPorts, req: inbound.Inbound, turn: dialects.TurnFields, shard: ownShards.OwnedShard): Promise<void> {
+  if (shard.unansweredMs > stalledMs) {
+    ports.logger.info({ event: 'turnRefused', request: req.attempt.id, program: turn.program, epoch: shard.epoch, unansweredMs: Math.round(shard.unansweredMs) }, 'the store does not answer')
+    req.reply.refuse({ type: 'storeAway', retryAfterMs: shardRetryMs })
+    return
+  }
   const request: turnLedger.TurnRequest = {
     turn: req.attempt.id,
     program: turn.program,
@@ -39,9 +52,10 @@
 
 /** Says no for good only when the store confirms that nobody else may know more. */
 async function refuseTurn (ports: TurnPorts, req: inbound.Inbound, turn: dialects.TurnFields, shard: ownShards.OwnedShard, admission: Exclude<turnLedger.Admission, { type: 'admitted' }>): Promise<void> {
-  const confirmed = await shard.confirm()
+  const late: Promise<{ readonly type: 'late' }> = timerService.sleep(ports.timers, confirmMs).then(() => ({ type: 'late' }))
+  const confirmed = await Promise.race([shard.confirm(), late])
   ports.logger.info({ event: 'turnRefused', request: req.attempt.id, program: turn.program, previous: turn.previous, epoch: shard.epoch, confirmed: confirmed.type, admission }, 'turn refused')
-  if (confirmed.type === 'lost') req.reply.refuse({ type: 'shardMoving', retryAfterMs: shardRetryMs })
+  if (confirmed.type !== 'committed') req.reply.refuse({ type: 'shardMoving', retryAfterMs: shardRetryMs })
   else if (admission.type === 'unknownPrevious') req.reply.refuse({ type: 'unknownTurn' })
   else req.reply.refuse({ type: 'overBudget' })
 }
@@ -71,7 +85,6 @@
 
   start (admission: Extract<turnLedger.Admission, { type: 'admitted' }>): void {
     const { ports, req, shard } = this
-    shard.beginTurn()
     this.reserved = shard.commit([admission.write])
     void this.reserved.then((commit) => { this.onReserved(commit) })
     const body = Buffer.concat([...admission.chain, req.body])
@@ -155,10 +168,8 @@
     }
     this.settled = true
     this.limit?.cancel()
-    const writes = this.shard.ledger.end(this.request, end, this.ports.timers.now() as types.EpochMs)
-    const commit = await this.shard.commit(writes)
-    this.shard.endTurn()
-    if (commit.type === 'committed') this.req.reply.end()
+    const kept = await settleTurn.settleWhole(this.ports, this.shard, this.request, end, this.req.deadlineAt)
+    if (kept) this.req.reply.end()
     else this.req.reply.abort()
   }
 
@@ -181,7 +192,7 @@
   private settle (end: turnLedger.TurnEnd): void {
     this.settled = true
     this.limit?.cancel()
+    // Not stored: what is reserved durably covers it, and the next write of the program carries it.
     this.shard.ledger.end(this.request, end, this.ports.timers.now() as types.EpochMs)
-    this.shard.endTurn()
   }
 }
--- a/packages/own-shards/src/owned-shard.ts
+++ b/packages/own-shards/src/owned-shard.ts
@@ -10,7 +10,7 @@
   /** The former owner is being fenced, or the records are being read. */
   | 'opening'
   | 'serving'
-  /** Finishes the turns under way, takes no new ones. */
+  /** Takes no new turns; waits for the store's last answers. */
   | 'closing'
   | 'lost'
 
@@ -28,9 +28,6 @@
   readonly ledger = new turnLedger.TurnLedger()
   private readonly writer: shardWriter.ShardWriter
   private current: ShardState = 'opening'
-  /** Turns that run and will write once more. */
-  private turnsUnderWay = 0
-  private idle: (() => void) | undefined
 
   constructor (readonly partition: shardLog.Partition, readonly epoch: number, private readonly ports: OwnedShardPorts) {
     this.writer = new shardWriter.ShardWriter(partition, epoch, {
@@ -67,23 +64,20 @@
     return this.writer.commit([])
   }
 
-  beginTurn (): void {
-    this.turnsUnderWay += 1
+  /** How long the store has left an append of this shard unanswered, in ms. */
+  get unansweredMs (): number {
+    return this.writer.unansweredMs
   }
 
-  endTurn (): void {
-    this.turnsUnderWay -= 1
-    if (this.turnsUnderWay === 0) this.idle?.()
-  }
-
-  /** Takes no new turns; resolves when those under way have ended, or after the time given. */
-  async drain (limitMs: number): Promise<void> {
+  /**
+   * Takes no new turns and gives the shard up once the store has answered what is under way, or after the time given.
+   * Turns that still run are settled with the next owner.
+   */
+  async handOver (limitMs: number): Promise<void> {
     if (this.current === 'serving') this.current = 'closing'
-    if (this.turnsUnderWay === 0) return
-    await new Promise<void>((resolve) => {
-      this.idle = resolve
-      this.ports.timers.after(limitMs, resolve)
-    })
+    const limit = timerSleep(this.ports.timers, limitMs)
+    await Promise.race([this.writer.commit([]), limit])
+    this.close()
   }
 
   /** Gives the shard up at once. */
--- a/packages/own-shards/src/shard-owner.ts
+++ b/packages/own-shards/src/shard-owner.ts
@@ -19,7 +19,7 @@
   readonly heartbeatMs: number
   /** Time between two looks at who owns what, in ms. */
   readonly ownersMs: number
-  /** The longest that a shard waits for its turns before it is handed over, in ms. */
+  /** The longest that a handover waits for the store's last answers, in ms. */
   readonly handoverMs: number
 }
 
@@ -85,6 +85,11 @@
     return { type: 'member', member }
   }
 
+  /** Every member that is known to own a shard. */
+  members (): string[] {
+    return [...new Set(this.owners.values())]
+  }
+
   /** Looks again at who owns what, unless it was done just now. */
   async refreshOwners (): Promise<void> {
     const { timers, log, logger } = this.ports
@@ -99,11 +104,10 @@
     return this.askingOwners
   }
 
-  /** Hands every shard over: new turns go elsewhere, those under way end here. */
+  /** Hands every shard over: new turns go elsewhere, those under way end here and are settled with the next owners. */
   async leave (): Promise<void> {
     this.stopped = true
-    await Promise.all([...this.owned.values()].map((shard) => shard.drain(this.settings.handoverMs)))
-    for (const shard of this.owned.values()) shard.close()
+    await Promise.all([...this.owned.values()].map((shard) => shard.handOver(this.settings.handoverMs)))
     this.owned.clear()
     const left = await this.ports.log.leave(this.settings.group, this.settings.member)
     this.ports.logger.info({ event: 'groupLeft', outcome: left }, 'left the group')
@@ -144,8 +148,7 @@
   private async handOver (gone: readonly (readonly [shardLog.PartitionName, ownedShard.OwnedShard])[]): Promise<void> {
     this.joining = true
     await Promise.all(gone.map(async ([name, shard]) => {
-      await shard.drain(this.settings.handoverMs)
-      shard.close()
+      await shard.handOver(this.settings.handoverMs)
       if (this.owned.get(name) === shard) this.owned.delete(name)
     }))
     this.joining = false
--- a/packages/own-shards/src/shard-writer.ts
+++ b/packages/own-shards/src/shard-writer.ts
@@ -33,6 +33,8 @@
   private waiting: Waiting[] = []
   private busy = false
   private closed = false
+  /** When the append under way was first sent, monotonic ms. */
+  private sentAt: number | undefined
 
   constructor (
     private readonly partition: shardLog.Partition,
@@ -54,6 +56,11 @@
     })
   }
 
+  /** How long the append under way has been without an answer, in ms; 0 where there is none. */
+  get unansweredMs (): number {
+    return this.sentAt === undefined ? 0 : this.ports.timers.monotonic() - this.sentAt
+  }
+
   /** Gives the shard up; what waits is told that it is lost. */
   close (): void {
     this.closed = true
@@ -64,7 +71,10 @@
     this.busy = true
     while (this.waiting.length > 0 && !this.closed) {
       const batch = this.takeBatch()
-      this.settle(batch, await this.appendBatch(batch))
+      this.sentAt = this.ports.timers.monotonic()
+      const commit = await this.appendBatch(batch)
+      this.sentAt = undefined
+      this.settle(batch, commit)
     }
     this.busy = false
   }
--- a/packages/send-http/src/send-http.ts
+++ b/packages/send-http/src/send-http.ts
@@ -12,8 +12,11 @@
   readonly body: Uint8Array
   /** Time for a new connection to be established, in ms. */
   readonly connectTimeoutMs: number
-  /** False: a connection of its own, for requests that must not meet one that the other side is closing. */
-  readonly reuse: boolean
+  /**
+   * Sends the body only once the other side has said `100 Continue`, and gives up if it does not within this time,
+   * in ms: until then it certainly did not run. `undefined` sends everything at once.
+   */
+  readonly confirmMs: number | undefined
 }
 
 export interface Head {
@@ -26,7 +29,7 @@
 /** Why there is no complete answer, and what that says of the request. */
 export interface SendFailure {
   readonly verdict: types.Verdict
-  readonly cause: 'connect' | 'reset' | 'malformed' | 'truncated' | 'cancelled'
+  readonly cause: 'connect' | 'unconfirmed' | 'reset' | 'malformed' | 'truncated' | 'cancelled'
   readonly detail: string
 }
 
@@ -70,13 +73,15 @@
 
 function startExchange (agent: http.Agent, request: Outgoing, sink: AnswerSink): Exchange {
   const colon = request.address.lastIndexOf(':')
+  const headers = request.confirmMs === undefined ? request.headers : [...request.headers, 'Expect', '100-continue']
   const req = http.request({
     agent,
     host: request.address.slice(0, colon),
     port: Number(request.address.slice(colon + 1)),
     method: request.method,
     path: request.path,
-    headers: request.headers as unknown as http.OutgoingHttpHeaders,
+    // An array is sent as it stands; the types do not know that.
+    headers: headers as unknown as http.OutgoingHttpHeaders,
     setHost: false
   })
   return new HttpExchange(req, request, sink)
@@ -86,20 +91,33 @@
   private res: http.IncomingMessage | undefined
   private done = false
   private connected = false
+  /** Something was sent that the other side may act on. */
+  private sent = false
   private retired = false
-  private connectTimer: NodeJS.Timeout | undefined
+  private startTimer: NodeJS.Timeout | undefined
 
-  constructor (private readonly req: http.ClientRequest, request: Outgoing, private readonly sink: AnswerSink) {
+  constructor (private readonly req: http.ClientRequest, private readonly request: Outgoing, private readonly sink: AnswerSink) {
     req.on('socket', (socket) => {
       if (socket.connecting) socket.once('connect', () => { this.onConnect() })
       else this.onConnect()
     })
-    this.connectTimer = setTimeout(() => { this.failWith('connect', 'connection not established in time') }, request.connectTimeoutMs)
+    this.startTimer = setTimeout(() => { this.failWith('connect', 'connection not established in time') }, request.connectTimeoutMs)
     req.on('response', (res) => { this.onResponse(res) })
     req.on('error', (err) => { this.onError(err) })
     req.on('close', () => { this.failWith('reset', 'connection closed') })
-    if (!request.reuse) req.shouldKeepAlive = false
-    req.end(request.body)
+    if (request.confirmMs === undefined) {
+      req.end(request.body)
+      return
+    }
+    req.on('continue', () => { this.sendBody() })
+    req.flushHeaders()
+  }
+
+  private sendBody (): void {
+    if (this.done) return
+    clearTimeout(this.startTimer)
+    this.sent = true
+    this.req.end(this.request.body)
   }
 
   cancel (): void {
@@ -121,12 +139,15 @@
 
   private onConnect (): void {
     this.connected = true
-    clearTimeout(this.connectTimer)
+    clearTimeout(this.startTimer)
+    const { confirmMs } = this.request
+    if (confirmMs === undefined) this.sent = true
+    else if (!this.done) this.startTimer = setTimeout(() => { this.failWith('unconfirmed', 'no go-ahead in time') }, confirmMs)
   }
 
   private onResponse (res: http.IncomingMessage): void {
     if (this.done) return
-    clearTimeout(this.connectTimer)
+    clearTimeout(this.startTimer)
     this.res = res
     // An answer that came before the request was out leaves bytes on the way that belong to this request.
     if (!this.req.writableFinished) this.retired = true
@@ -154,17 +175,17 @@
     else this.failWith(this.res === undefined ? 'reset' : 'truncated', `${code} ${err.message}`)
   }
 
-  /** Nothing can have run before the connection was made. */
+  /** Nothing can have run before the connection was made and the body was asked for. */
   private failWith (cause: SendFailure['cause'], detail: string): void {
     if (this.done) return
-    const before = !this.connected
+    const actual = this.connected ? cause : 'connect'
     this.finish()
     this.req.destroy()
-    this.sink.fail({ verdict: before ? 'notRun' : 'mayHaveRun', cause: before ? 'connect' : cause, detail })
+    this.sink.fail({ verdict: this.sent ? 'mayHaveRun' : 'notRun', cause: actual, detail })
   }
 
   private finish (): void {
     this.done = true
-    clearTimeout(this.connectTimer)
+    clearTimeout(this.startTimer)
   }
 }
--- /dev/null
+++ b/packages/shard-log/src/store-call.ts
@@ -0,0 +1,45 @@
+/** The calls of the shard log as values, so that one process can make them for another. */
+import type * as shardLog from './shard-log.js'
+
+export type StoreCall =
+  | { readonly type: 'append', readonly request: shardLog.FencedAppend }
+  | { readonly type: 'newest', readonly partition: shardLog.Partition, readonly after: string | undefined }
+  | { readonly type: 'read', readonly request: shardLog.ReadRequest }
+  | { readonly type: 'join', readonly request: shardLog.JoinRequest }
+  | { readonly type: 'leave', readonly group: string, readonly member: string }
+  | { readonly type: 'owners', readonly group: string }
+
+export type StoreAnswer = Awaited<ReturnType<shardLog.ShardLog[keyof shardLog.ShardLog]>>
+
+export function runStoreCall (log: shardLog.ShardLog, call: StoreCall): Promise<StoreAnswer> {
+  switch (call.type) {
+    case 'append': return log.append(call.request)
+    case 'newest': return log.newest(call.partition, call.after)
+    case 'read': return log.read(call.request)
+    case 'join': return log.join(call.request)
+    case 'leave': return log.leave(call.group, call.member)
+    case 'owners': return log.owners(call.group)
+  }
+}
+
+/** A shard log whose calls go through one function. */
+export function shardLogOver (run: (call: StoreCall) => Promise<StoreAnswer>): shardLog.ShardLog {
+  // Each call gets the answer of its own method: `runStoreCall` returns no other.
+  return {
+    append: (request) => run({ type: 'append', request }) as ReturnType<shardLog.ShardLog['append']>,
+    newest: (partition, after) => run({ type: 'newest', partition, after }) as ReturnType<shardLog.ShardLog['newest']>,
+    read: (request) => run({ type: 'read', request }) as ReturnType<shardLog.ShardLog['read']>,
+    join: (request) => run({ type: 'join', request }) as ReturnType<shardLog.ShardLog['join']>,
+    leave: (group, member) => run({ type: 'leave', group, member }) as ReturnType<shardLog.ShardLog['leave']>,
+    owners: (group) => run({ type: 'owners', group }) as ReturnType<shardLog.ShardLog['owners']>
+  }
+}
+
+/** Statuses with which a store turns a caller away rather than answers it. */
+const turnedAway: ReadonlySet<number> = new Set([429, 503])
+
+/** Whether the caller, or the way to the store, is at fault, so that another process may fare better. */
+export function isUnserved (answer: StoreAnswer): answer is shardLog.StoreFailure {
+  if (answer.type === 'noAnswer') return true
+  return answer.type === 'refused' && turnedAway.has(answer.status)
+}
--- /dev/null
+++ b/packages/turn-ledger/src/turn-ledger.test.ts
@@ -0,0 +1,109 @@
+import tap from 'tap'
+import * as fc from 'fast-check'
+import type * as types from '@eelgrasswind/types'
+import type * as records from './records.js'
+import * as turnLedger from './turn-ledger.js'
+
+const now = 1_000_000 as types.EpochMs
+const program = 'roster-7' as types.ProgramId
+
+function turnRequest (id: string, previous?: string, budgetTokens?: number): turnLedger.TurnRequest {
+  return { turn: id as records.TurnId, program, previous: previous as records.TurnId | undefined, maxTokens: 40, budgetTokens, retainMs: 60_000 }
+}
+
+function whole (text: string, tokens = 20): turnLedger.TurnEnd {
+  return { type: 'whole', input: Buffer.from(`in ${text};`), output: Buffer.from(`out ${text};`), tokens }
+}
+
+function play (ledger: turnLedger.TurnLedger, id: string, previous?: string): readonly turnLedger.LedgerWrite[] {
+  ledger.admit(turnRequest(id, previous), now)
+  const outcome = ledger.end(turnRequest(id, previous), whole(id), now)
+  if (outcome.type !== 'settled') throw new Error(outcome.type)
+  return outcome.writes
+}
+
+function promptOf (ledger: turnLedger.TurnLedger, previous: string): string | undefined {
+  const admission = ledger.admit(turnRequest('probe', previous), now)
+  return admission.type === 'admitted' ? Buffer.concat(admission.chain).toString() : undefined
+}
+
+tap.test('a prompt repeats the chain, oldest turn first', (t) => {
+  const ledger = new turnLedger.TurnLedger()
+  play(ledger, 'a')
+  play(ledger, 'b', 'a')
+  play(ledger, 'c', 'a')
+  t.equal(promptOf(ledger, 'b'), 'in a;out a;in b;out b;')
+  t.equal(promptOf(ledger, 'c'), 'in a;out a;in c;out c;')
+  t.end()
+})
+
+tap.test('a turn of another program is unknown', (t) => {
+  const ledger = new turnLedger.TurnLedger()
+  play(ledger, 'a')
+  const forged = ledger.admit({ ...turnRequest('x', 'a'), program: 'other' as types.ProgramId }, now)
+  t.equal(forged.type, 'unknownPrevious')
+  t.end()
+})
+
+tap.test('a turn that is under way or broke off can not be continued', (t) => {
+  const ledger = new turnLedger.TurnLedger()
+  ledger.admit(turnRequest('a'), now)
+  t.equal(promptOf(ledger, 'a'), undefined)
+  ledger.end(turnRequest('a'), { type: 'broken' }, now)
+  t.equal(promptOf(ledger, 'a'), undefined)
+  t.end()
+})
+
+tap.test('the next owner keeps chains, budgets and open turns', (t) => {
+  const former = new turnLedger.TurnLedger()
+  const writes = [...play(former, 'a'), ...play(former, 'b', 'a')]
+  const open = former.admit(turnRequest('c', 'b'), now)
+  if (open.type !== 'admitted') throw new Error(open.type)
+  const next = new turnLedger.TurnLedger()
+  for (const { key, value } of [...writes, open.write]) next.load(key, value!)
+  next.finishLoad()
+  t.equal(promptOf(next, 'b'), 'in a;out a;in b;out b;')
+  t.equal(next.end(turnRequest('c', 'b'), whole('c'), now).type, 'settled')
+  t.equal(next.end(turnRequest('c', 'b'), whole('c'), now).type, 'alreadyKept')
+  t.equal(next.end(turnRequest('never', 'b'), whole('never'), now).type, 'unknown')
+  t.end()
+})
+
+tap.test('a chain is kept as long as its newest turn', (t) => {
+  const ledger = new turnLedger.TurnLedger()
+  play(ledger, 'a')
+  const later = now + 50_000 as types.EpochMs
+  ledger.admit(turnRequest('b', 'a'), later)
+  ledger.end(turnRequest('b', 'a'), whole('b'), later)
+  t.same(ledger.expire(now + 90_000 as types.EpochMs), [])
+  const dropped = ledger.expire(now + 130_000 as types.EpochMs).map(({ key }) => key)
+  t.same(dropped.sort(), ['proster-7', 'ta', 'tb'])
+  t.end()
+})
+
+tap.test('tokens handed out never pass the budget, whatever breaks off or moves', (t) => {
+  const step = fc.record({ how: fc.constantFrom('whole', 'broken', 'notRun', 'leave', 'move'), tokens: fc.integer({ min: 0, max: 40 }) })
+  fc.assert(fc.property(fc.array(step, { maxLength: 60 }), fc.integer({ min: 0, max: 400 }), (steps, budget) => {
+    let ledger = new turnLedger.TurnLedger()
+    const stored = new Map<string, Uint8Array>()
+    let handedOut = 0
+    steps.forEach(({ how, tokens }, index) => {
+      const request = turnRequest(`t${index}`, undefined, budget)
+      const admission = ledger.admit(request, now)
+      if (admission.type !== 'admitted') return
+      stored.set(admission.write.key, admission.write.value!)
+      if (how === 'whole' || how === 'broken' || how === 'leave') handedOut += tokens
+      if (how === 'leave') return
+      if (how === 'move') {
+        ledger = new turnLedger.TurnLedger()
+        for (const [key, value] of stored) ledger.load(key, value)
+        return
+      }
+      const end: turnLedger.TurnEnd = how === 'whole' ? whole('x', tokens) : { type: how }
+      const outcome = ledger.end(request, end, now)
+      if (how === 'whole' && outcome.type === 'settled') for (const { key, value } of outcome.writes) stored.set(key, value!)
+    })
+    return handedOut <= budget
+  }), { seed: 7, numRuns: 500 })
+  t.end()
+})
--- a/packages/turn-ledger/src/turn-ledger.ts
+++ b/packages/turn-ledger/src/turn-ledger.ts
@@ -30,6 +30,15 @@
   /** Chain: the parts of the prompt before the new input, oldest first. The write reserves the turn's tokens. */
   | { readonly type: 'admitted', readonly chain: readonly Uint8Array[], readonly write: LedgerWrite }
 
+/** What a settled end needs. */
+export type EndOutcome =
+  /** The writes make it durable, in the order in which they must be stored. */
+  | { readonly type: 'settled', readonly writes: readonly LedgerWrite[] }
+  /** The turn is kept already: its end was stored before. */
+  | { readonly type: 'alreadyKept' }
+  /** No tokens are reserved for such a turn here. */
+  | { readonly type: 'unknown' }
+
 /** How a turn ended, for its budget. */
 export type TurnEnd =
   /** Answered whole: kept, and its tokens are known. */
@@ -56,14 +65,10 @@
   private readonly programs = new Map<types.ProgramId, ProgramState>()
   private readonly turns = new Map<records.TurnId, TurnState>()
 
-  /** Turns under way by this owner. */
-  get openTurns (): number {
-    let count = 0
-    for (const program of this.programs.values()) count += program.open.size
-    return count
-  }
-
-  /** Takes over a stored record. Turns that a former owner had open have ended somehow: they count at their most. */
+  /**
+   * Takes over a stored record. Turns that a former owner had open stay open, so that it can still settle them here;
+   * what it never settles counts at its most.
+   */
   load (key: string, value: Uint8Array): void {
     const parsed = records.parseKey(key)
     switch (parsed.type) {
@@ -72,8 +77,7 @@
         return
       case 'program': {
         const record = records.decodeProgram(value)
-        const openTokens = sum(record.open.values())
-        this.programs.set(parsed.program, { spentTokens: record.spentTokens + openTokens, open: new Map(), keepUntil: record.keepUntil })
+        this.programs.set(parsed.program, { spentTokens: record.spentTokens, open: new Map(record.open), keepUntil: record.keepUntil })
       }
     }
   }
@@ -93,10 +97,11 @@
     return { type: 'admitted', chain, write: this.programWrite(request.program, program) }
   }
 
-  /** Settles a turn; the writes make it durable and are in the order in which they must be stored. */
-  end (request: TurnRequest, end: TurnEnd, now: types.EpochMs): readonly LedgerWrite[] {
+  /** Settles a turn whose tokens are reserved here. */
+  end (request: TurnRequest, end: TurnEnd, now: types.EpochMs): EndOutcome {
+    if (this.turns.has(request.turn)) return { type: 'alreadyKept' }
     const program = this.programs.get(request.program)
-    if (program === undefined || !program.open.delete(request.turn)) return []
+    if (program === undefined || !program.open.delete(request.turn)) return { type: 'unknown' }
     switch (end.type) {
       case 'notRun': break
       case 'broken':
@@ -104,9 +109,9 @@
         break
       case 'whole':
         program.spentTokens += end.tokens
-        return [this.keepTurn(request, end, now), this.programWrite(request.program, program)]
+        return { type: 'settled', writes: [this.keepTurn(request, end, now), this.programWrite(request.program, program)] }
     }
-    return [this.programWrite(request.program, program)]
+    return { type: 'settled', writes: [this.programWrite(request.program, program)] }
   }
 
   /** Drops what is past its retention; the writes remove it from the store. */
@@ -118,7 +123,8 @@
       writes.push({ key: records.turnKey(turn), value: undefined })
     }
     for (const [id, program] of this.programs) {
-      if (program.keepUntil >= now || program.open.size > 0) continue
+      // A turn that is still open now was left behind by a former owner: retention outlasts every turn.
+      if (program.keepUntil >= now) continue
       this.programs.delete(id)
       writes.push({ key: records.programKey(id), value: undefined })
     }
--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -3,11 +3,13 @@
 // Each layer may import the layers before it; `pure` and `peers` packages also import their own layer where listed.
 const base = ['types', 'errors', 'logger', 'timer-service']
 const pure = ['parse-settings', 'program-state', 'config-state', 'choose-home', 'place-call', 'order-queue',
-  'admit-program', 'retain-prefix', 'limit-client', 'decide-retry', 'membership']
+  'admit-program', 'retain-prefix', 'limit-client', 'decide-retry', 'membership', 'hash-text', 'route-request', 'turn-ledger',
+  'track-upstreams']
 const peers = ['log-client', 'host-list-client', 'engine-client', 'service-client', 'weight-store-client',
-  'sidecar-client', 'caller-server', 'caller-client', 'metrics', 'tracing']
-const parts = ['append-journal', 'follow-config', 'guard-upstream', 'program-home', 'process-base']
-const binaries = ['entry', 'sidecar', 'cli', 'load']
+  'sidecar-client', 'send-http', 'shard-log', 'caller-server', 'caller-client', 'metrics', 'tracing']
+const parts = ['append-journal', 'follow-config', 'guard-upstream', 'program-home', 'process-base', 'follow-records', 'own-shards',
+  'relay-store']
+const binaries = ['front', 'entry', 'sidecar', 'cli', 'load']
 const bench = ['stand-ins', 'test-utils', 'model-engines', 'slopes', 'demo', 'system-tests']
 
 function layer (names, allowed) {
@@ -23,6 +25,6 @@
   ...layer(peers, [...base]),
   ...layer(parts, [...base, ...pure, ...peers, 'append-journal', 'follow-config']),
   ...layer(binaries, [...base, ...pure, ...peers, ...parts]),
-  ...layer(['stand-ins'], base),
+  ...layer(['stand-ins'], [...base, 'shard-log']),
   ...layer(bench.filter((name) => name !== 'stand-ins'), [...base, ...pure, ...peers, ...parts, ...binaries, ...bench])
 ]
