A turn may continue from a turn of another program; the relay keeps to a peer that works

Ruled out: records missing at takeover (16 shards opened with all records), pagination (545 records read in two pages). Change: all owners are asked, the chain is copied into the new program's shard with its first reservation; unknown is said only when the owners of all shards have confirmed it.

--- /dev/null
+++ b/packages/front/src/find-chain.ts
@@ -0,0 +1,51 @@
+/** Finds a turn of any program: a program may continue from a turn of another one, which lies in another shard. */
+import type * as ownShards from '@eelgrasswind/own-shards'
+import type * as sendHttp from '@eelgrasswind/send-http'
+import * as shardLog from '@eelgrasswind/shard-log'
+import type * as turnLedger from '@eelgrasswind/turn-ledger'
+import * as memberName from './member-name.js'
+import * as peerCalls from './peer-calls.js'
+
+export interface FindPorts {
+  readonly shards: ownShards.ShardOwner
+  readonly sender: sendHttp.Sender
+}
+
+export type Found =
+  | { readonly type: 'found', readonly chain: readonly turnLedger.KeptTurn[] }
+  /** No shard holds it, and the store has confirmed every owner that says so. */
+  | { readonly type: 'absent' }
+  /** Some shards have no owner that could be asked. */
+  | { readonly type: 'unsure', readonly asked: number }
+
+/** Time for a peer's answer, in ms: it asks the store once. */
+const peerTimeoutMs = 400
+
+export async function findEverywhere (ports: FindPorts, turn: turnLedger.TurnId): Promise<Found> {
+  const { shards, sender } = ports
+  const asked = shards.members().map((member) => {
+    if (shards.isSelf(member)) return findHere(shards, turn)
+    return peerCalls.callPeer<peerCalls.FindChainAnswer>(sender, memberName.addressOf(member), { type: 'findChain', turn }, peerTimeoutMs)
+  })
+  const absent = new Set<shardLog.PartitionName>()
+  for (const answer of await Promise.all(asked)) {
+    if (answer === undefined) continue
+    if (answer.type === 'found') return answer
+    for (const partition of answer.partitions) absent.add(partition)
+  }
+  return absent.size >= shards.shardCount ? { type: 'absent' } : { type: 'unsure', asked: absent.size }
+}
+
+/** Looks in the shards of this process. */
+export async function findHere (shards: ownShards.ShardOwner, turn: turnLedger.TurnId): Promise<peerCalls.FindChainAnswer> {
+  const serving = shards.serving()
+  for (const shard of serving) {
+    const chain = shard.ledger.exportChain(turn)
+    if (chain !== undefined) return { type: 'found', chain }
+  }
+  const confirmed = await Promise.all(serving.map(async (shard) => {
+    const commit = await shard.confirm()
+    return commit.type === 'committed' ? [shardLog.partitionName(shard.partition)] : []
+  }))
+  return { type: 'absent', partitions: confirmed.flat() }
+}
--- a/packages/front/src/peer-calls.ts
+++ b/packages/front/src/peer-calls.ts
@@ -12,13 +12,24 @@
   readonly end: Extract<turnLedger.TurnEnd, { type: 'whole' }>
 }
 
+/** Asks for a turn that a program of another shard continues from. */
+export interface FindChainCall {
+  readonly type: 'findChain'
+  readonly turn: turnLedger.TurnId
+}
+
+export type FindChainAnswer =
+  | { readonly type: 'found', readonly chain: readonly turnLedger.KeptTurn[] }
+  /** None of these shards holds it, as the store has confirmed. */
+  | { readonly type: 'absent', readonly partitions: readonly shardLog.PartitionName[] }
+
 /** A call that the store did not take from the asking process. */
 export interface RelayCall {
   readonly type: 'store'
   readonly call: shardLog.StoreCall
 }
 
-export type PeerCall = SettleCall | RelayCall
+export type PeerCall = SettleCall | FindChainCall | RelayCall
 
 export type SettleAnswer =
   | { readonly type: 'kept' }
@@ -38,7 +49,9 @@
   return msgpack.decode(body, { }) as PeerCall
 }
 
-export function encodeAnswer (answer: SettleAnswer | shardLog.StoreAnswer): Buffer {
+export type PeerAnswer = SettleAnswer | FindChainAnswer | shardLog.StoreAnswer
+
+export function encodeAnswer (answer: PeerAnswer): Buffer {
   return encode(answer)
 }
 
--- a/packages/front/src/peer-listener.ts
+++ b/packages/front/src/peer-listener.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http'
 import type * as shardLog from '@eelgrasswind/shard-log'
 import * as shardLogs from '@eelgrasswind/shard-log'
+import * as findChain from './find-chain.js'
 import * as forwardHeader from './forward-header.js'
 import * as inbound from './inbound.js'
 import * as peerCalls from './peer-calls.js'
@@ -75,9 +76,10 @@
   })
 }
 
-async function answerCall (ports: PeerListenerPorts, call: peerCalls.PeerCall): Promise<peerCalls.SettleAnswer | shardLog.StoreAnswer> {
+async function answerCall (ports: PeerListenerPorts, call: peerCalls.PeerCall): Promise<peerCalls.PeerAnswer> {
   switch (call.type) {
     case 'store': return shardLogs.runStoreCall(ports.directLog, call.call)
+    case 'findChain': return findChain.findHere(ports.shards, call.turn)
     case 'settle': {
       const shard = routeTurn.servingShard(ports, call.request.program)
       if (shard === undefined) return { type: 'notOwner' }
--- a/packages/front/src/serve-turn.ts
+++ b/packages/front/src/serve-turn.ts
@@ -7,6 +7,7 @@
 import * as dispatch from './dispatch.js'
 import type * as dialects from './dialect.js'
 import * as eventSplitter from './event-splitter.js'
+import * as findChain from './find-chain.js'
 import type * as inbound from './inbound.js'
 import type * as promptPlaces from './prompt-places.js'
 import * as settleTurn from './settle-turn.js'
@@ -41,23 +42,48 @@
     budgetTokens: turn.budgetTokens,
     retainMs: req.route.retain?.retainMs ?? 0
   }
-  const admission = shard.ledger.admit(request, ports.timers.now() as types.EpochMs)
-  if (admission.type !== 'admitted') {
-    await refuseTurn(ports, req, turn, shard, admission)
-    return
+  const now = ports.timers.now() as types.EpochMs
+  const admission = shard.ledger.admit(request, now)
+  switch (admission.type) {
+    case 'admitted':
+      new TurnRun(ports, req, turn, request, shard).start(admission, [])
+      return
+    case 'overBudget':
+      await refuseOverBudget(ports, req, request, shard, admission)
+      return
+    case 'unknownPrevious':
+      await continueElsewhere(ports, req, turn, request, shard)
+  }
+}
+
+/** A final refusal is true only if the store confirms that nobody else may know more. */
+async function refuseOverBudget (ports: TurnPorts, req: inbound.Inbound, request: turnLedger.TurnRequest, shard: ownShards.OwnedShard, admission: turnLedger.Admission): Promise<void> {
+  const confirmed = await withinTime(ports, shard.confirm())
+  ports.logger.info({ event: 'turnRefused', request: request.turn, program: request.program, epoch: shard.epoch, confirmed, admission, budgetTokens: request.budgetTokens, maxTokens: request.maxTokens }, 'the budget does not hold the turn')
+  if (confirmed?.type === 'committed') req.reply.refuse({ type: 'overBudget' })
+  else req.reply.refuse({ type: 'shardMoving', retryAfterMs: shardRetryMs })
+}
+
+/** The turn before is not in this shard: it may be another program's, or not exist at all. */
+async function continueElsewhere (ports: TurnPorts, req: inbound.Inbound, turn: dialects.TurnFields, request: turnLedger.TurnRequest, shard: ownShards.OwnedShard): Promise<void> {
+  const previous = request.previous
+  const found = previous === undefined ? undefined : await withinTime(ports, findChain.findEverywhere(ports, previous))
+  if (found?.type === 'found' && shard.state === 'serving') {
+    const copied = shard.ledger.importChain(found.chain)
+    const admission = shard.ledger.admit(request, ports.timers.now() as types.EpochMs)
+    if (admission.type === 'admitted') {
+      new TurnRun(ports, req, turn, request, shard).start(admission, copied)
+      return
+    }
   }
-  const run = new TurnRun(ports, req, turn, request, shard)
-  run.start(admission)
+  ports.logger.info({ event: 'turnRefused', request: request.turn, program: request.program, previous, epoch: shard.epoch, found: found?.type }, 'the turn to continue from was not found')
+  if (found?.type === 'absent') req.reply.refuse({ type: 'unknownTurn' })
+  else req.reply.refuse({ type: 'shardMoving', retryAfterMs: shardRetryMs })
 }
 
-/** Says no for good only when the store confirms that nobody else may know more. */
-async function refuseTurn (ports: TurnPorts, req: inbound.Inbound, turn: dialects.TurnFields, shard: ownShards.OwnedShard, admission: Exclude<turnLedger.Admission, { type: 'admitted' }>): Promise<void> {
-  const late: Promise<{ readonly type: 'late' }> = timerService.sleep(ports.timers, confirmMs).then(() => ({ type: 'late' }))
-  const confirmed = await Promise.race([shard.confirm(), late])
-  ports.logger.info({ event: 'turnRefused', request: req.attempt.id, program: turn.program, previous: turn.previous, epoch: shard.epoch, confirmed: confirmed.type, admission }, 'turn refused')
-  if (confirmed.type !== 'committed') req.reply.refuse({ type: 'shardMoving', retryAfterMs: shardRetryMs })
-  else if (admission.type === 'unknownPrevious') req.reply.refuse({ type: 'unknownTurn' })
-  else req.reply.refuse({ type: 'overBudget' })
+/** The result, or `undefined` where it takes too long for a refusal to wait for. */
+function withinTime<T> (ports: TurnPorts, result: Promise<T>): Promise<T | undefined> {
+  return Promise.race([result, timerService.sleep(ports.timers, confirmMs).then(() => undefined)])
 }
 
 /** One turn under way. */
@@ -83,9 +109,10 @@
     private readonly shard: ownShards.OwnedShard
   ) {}
 
-  start (admission: Extract<turnLedger.Admission, { type: 'admitted' }>): void {
+  /** Copied: records of another shard's chain that the turn continues from. */
+  start (admission: Extract<turnLedger.Admission, { type: 'admitted' }>, copied: readonly turnLedger.LedgerWrite[]): void {
     const { ports, req, shard } = this
-    this.reserved = shard.commit([admission.write])
+    this.reserved = shard.commit([...copied, admission.write])
     void this.reserved.then((commit) => { this.onReserved(commit) })
     const body = Buffer.concat([...admission.chain, req.body])
     const preferred = ports.places.find(req.service, this.turn)
--- a/packages/own-shards/src/shard-owner.ts
+++ b/packages/own-shards/src/shard-owner.ts
@@ -85,6 +85,19 @@
     return { type: 'member', member }
   }
 
+  /** The shards that this process serves now. */
+  serving (): ownedShard.OwnedShard[] {
+    return [...this.owned.values()].filter((shard) => shard.state === 'serving')
+  }
+
+  isSelf (member: string): boolean {
+    return member === this.settings.member
+  }
+
+  get shardCount (): number {
+    return this.settings.topics.length * this.settings.parts
+  }
+
   /** Every member that is known to own a shard. */
   members (): string[] {
     return [...new Set(this.owners.values())]
--- a/packages/relay-store/src/relayed-log.ts
+++ b/packages/relay-store/src/relayed-log.ts
@@ -18,14 +18,14 @@
   readonly logger: logger.Logger
 }
 
-/** While calls go through peers, the store itself is tried again this often, in ms. */
-const probeMs = 700
+/** Peers that one call asks at most: where the store turns a third of the hosts away, 1 call in 27 finds none of 3. */
+const maxPeers = 3
 /** After neither way worked, peers are left alone this long, in ms: the store is most likely away for all. */
-const awayMs = 400
+const awayMs = 300
 
 export class RelayedLog {
-  private relaying = false
-  private directTriedAt = -Infinity
+  /** The peer that made the last call; `undefined` while the store serves this process. */
+  private peer: string | undefined
   private awayUntil = -Infinity
   private nextPeer = 0
 
@@ -34,41 +34,49 @@
   readonly log: shardLog.ShardLog = shardLog.shardLogOver((call) => this.run(call))
 
   private async run (call: shardLog.StoreCall): Promise<shardLog.StoreAnswer> {
-    const { timers, direct } = this.ports
-    const probe = timers.monotonic() - this.directTriedAt >= probeMs
-    if (!this.relaying || probe) {
-      this.directTriedAt = timers.monotonic()
-      const answer = await shardLog.runStoreCall(direct, call)
-      if (!shardLog.isUnserved(answer)) {
-        this.noteDirect()
-        return answer
-      }
-      return this.relay(call, answer)
+    if (this.peer !== undefined && !isProbe(call)) {
+      const answer = await this.ask(this.peer, call)
+      if (answer !== undefined) return answer
     }
-    return this.relay(call, { type: 'noAnswer', detail: 'the store does not serve this process' })
+    const answer = await shardLog.runStoreCall(this.ports.direct, call)
+    if (shardLog.isUnserved(answer)) return this.relay(call, answer)
+    if (this.peer !== undefined) this.ports.logger.info({ event: 'storeDirect', peer: this.peer }, 'the store serves this process again')
+    this.peer = undefined
+    return answer
   }
 
   private async relay (call: shardLog.StoreCall, failure: shardLog.StoreFailure): Promise<shardLog.StoreAnswer> {
-    const { timers, peers, callPeer, logger } = this.ports
-    const addresses = peers()
-    if (addresses.length === 0 || timers.monotonic() < this.awayUntil) return failure
-    this.nextPeer = (this.nextPeer + 1) % addresses.length
-    const address = addresses[this.nextPeer]!
-    const answer = await callPeer(address, call)
-    if (answer === undefined || shardLog.isUnserved(answer)) {
-      // Another peer is asked next time; if this one was served lately, it is worth asking soon.
-      if (answer !== undefined) this.awayUntil = timers.monotonic() + awayMs
-      this.relaying = false
-      return answer ?? failure
+    const { timers, logger } = this.ports
+    if (timers.monotonic() < this.awayUntil) return failure
+    for (const address of this.candidates()) {
+      const answer = await this.ask(address, call)
+      if (answer === undefined) continue
+      if (this.peer !== address) logger.warn({ event: 'storeRelayed', peer: address, call: call.type, failure }, 'the store does not serve this process; calls go through a peer')
+      this.peer = address
+      return answer
     }
-    if (!this.relaying) logger.warn({ event: 'storeRelayed', peer: address, call: call.type, failure }, 'the store does not serve this process; calls go through a peer')
-    this.relaying = true
-    return answer
+    this.peer = undefined
+    this.awayUntil = timers.monotonic() + awayMs
+    return failure
+  }
+
+  /** Some peers, others each time. */
+  private candidates (): string[] {
+    const peers = this.ports.peers()
+    const count = Math.min(maxPeers, peers.length)
+    const first = this.nextPeer
+    this.nextPeer += count
+    return Array.from({ length: count }, (_, index) => peers[(first + index) % peers.length]!)
   }
 
-  private noteDirect (): void {
-    if (!this.relaying) return
-    this.relaying = false
-    this.ports.logger.info({ event: 'storeDirect' }, 'the store serves this process again')
+  /** The store's answer by way of a peer; `undefined` where the peer can't reach the store either. */
+  private async ask (address: string, call: shardLog.StoreCall): Promise<shardLog.StoreAnswer | undefined> {
+    const answer = await this.ports.callPeer(address, call)
+    return answer === undefined || shardLog.isUnserved(answer) ? undefined : answer
   }
 }
+
+/** While calls go through a peer, this one also tries the store itself: it is made every second and nothing waits for it. */
+function isProbe (call: shardLog.StoreCall): boolean {
+  return call.type === 'owners'
+}
--- a/packages/turn-ledger/src/turn-ledger.ts
+++ b/packages/turn-ledger/src/turn-ledger.ts
@@ -11,6 +11,12 @@
   readonly value: Uint8Array | undefined
 }
 
+/** A turn with its id, as it is copied between shards. */
+export interface KeptTurn {
+  readonly turn: records.TurnId
+  readonly record: records.TurnRecord
+}
+
 /** A turn that asks to run. */
 export interface TurnRequest {
   readonly turn: records.TurnId
@@ -84,7 +90,7 @@
 
   /** Whether a turn may run; if so, its tokens are reserved. */
   admit (request: TurnRequest, now: types.EpochMs): Admission {
-    const chain = this.chainOf(request.previous, request.program)
+    const chain = this.chainOf(request.previous)
     if (chain === undefined) return { type: 'unknownPrevious' }
     const program = this.programs.get(request.program) ?? { spentTokens: 0, open: new Map<records.TurnId, number>(), keepUntil: now }
     const openTokens = sum(program.open.values())
@@ -155,13 +161,34 @@
     for (const state of [...this.turns.values()]) this.extendChain(state.previous, state.keepUntil)
   }
 
-  /** The parts of a chain, oldest first; `undefined` where a turn is missing or another program's. */
-  private chainOf (turn: records.TurnId | undefined, program: types.ProgramId): Uint8Array[] | undefined {
+  /** A turn with all before it, newest first, for a program of another shard; `undefined` where it is not kept here. */
+  exportChain (turn: records.TurnId): KeptTurn[] | undefined {
+    const chain: KeptTurn[] = []
+    let next: records.TurnId | undefined = turn
+    while (next !== undefined) {
+      const record = this.turns.get(next)
+      if (record === undefined) return undefined
+      chain.push({ turn: next, record })
+      next = record.previous
+    }
+    return chain
+  }
+
+  /** Takes a copy of another shard's chain in; the writes make it durable here. */
+  importChain (chain: readonly KeptTurn[]): LedgerWrite[] {
+    return chain.filter(({ turn }) => !this.turns.has(turn)).map(({ turn, record }) => {
+      this.turns.set(turn, { ...record })
+      return { key: records.turnKey(turn), value: records.encodeTurn(record) }
+    })
+  }
+
+  /** The parts of a chain, oldest first; `undefined` where a turn is missing. */
+  private chainOf (turn: records.TurnId | undefined): Uint8Array[] | undefined {
     const parts: Uint8Array[] = []
     let next = turn
     while (next !== undefined) {
       const state = this.turns.get(next)
-      if (state === undefined || state.program !== program) return undefined
+      if (state === undefined) return undefined
       parts.push(state.output, state.input)
       next = state.previous
     }
