--- a/eslint.config.js
+++ b/eslint.config.js
@@ -19,7 +19,7 @@
   { ignores: ['target/**', '**/dist/**', '**/gen/**', '**/node_modules/**', 'out/**', '.tap/**'] },
   ...neostandard({ ts: true }),
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     rules: {
       'no-redeclare': 'off',
       'no-void': ['error', { allowAsStatement: true }],
--- /dev/null
+++ b/packages/decision-log/src/decisions.ts
@@ -0,0 +1,141 @@
+/** The decisions that are logged. A new kind needs its fields here, a message and a level below. */
+import type * as types from '@eelgrasswind/types'
+
+export interface PartitionField {
+  readonly topic: string
+  readonly part: number
+}
+
+/** A failure of any kind, by its type. */
+export interface FailureField {
+  readonly type: string
+  readonly status?: number
+  readonly detail?: string
+}
+
+interface OfRequest {
+  /** Id of the client attempt. */
+  readonly request: string
+}
+
+interface OfTurn extends OfRequest {
+  readonly program: types.ProgramId
+}
+
+/** Decisions that touch one request. */
+export type RequestDecision =
+  | OfRequest & { readonly event: 'routed', readonly route: string, readonly service: string, readonly kind: RequestKind, readonly version: number, readonly leftMs: number }
+  | OfRequest & { readonly event: 'unknownRoute', readonly host: string | undefined, readonly path: string, readonly version: number | undefined }
+  /** Passed to the process that owns the program. */
+  | OfTurn & { readonly event: 'passedOn', readonly owner: string, readonly ownersAgeMs: number }
+  | OfTurn & { readonly event: 'turnAdmitted', readonly previous: string | undefined, readonly epoch: number, readonly promptBytes: number, readonly copied: number }
+  | OfTurn & { readonly event: 'turnRefused', readonly reason: string, readonly epoch?: number, readonly previous?: string | undefined, readonly detail: Readonly<Record<string, unknown>> }
+  | OfRequest & {
+    readonly event: 'sent'
+    readonly attempt: number
+    readonly upstream: types.UpstreamId
+    /** Whether it is the upstream that holds the prompt's beginning. */
+    readonly preferred: boolean
+    /** Requests of this process that run there, this one included. */
+    readonly running: number
+    readonly candidates: number
+    /** Age of the list of upstreams. */
+    readonly listAgeMs: number
+    readonly leftMs: number
+  }
+  | OfRequest & {
+    readonly event: 'sendFailed'
+    readonly attempt: number
+    readonly upstream: types.UpstreamId
+    readonly failure: { readonly tag: string, readonly verdict: types.Verdict, readonly message: string }
+    readonly next: string
+    readonly leftMs: number
+  }
+  | OfRequest & { readonly event: 'timedOut', readonly ran: boolean }
+  | OfRequest & { readonly event: 'peerAnswerLost', readonly peer: string, readonly cause: string, readonly detail: string }
+  | OfTurn & { readonly event: 'turnBroken', readonly ran: boolean, readonly events: number, readonly reason: string }
+  | OfTurn & { readonly event: 'turnSettledElsewhere' }
+  | OfTurn & { readonly event: 'turnNotKept', readonly epoch: number }
+  | OfRequest & { readonly event: 'ended', readonly kind: RequestKind, readonly outcome: RequestOutcome, readonly status: number, readonly reason?: string, readonly firstMs?: number | undefined, readonly tookMs: number }
+
+/** A call is served by any process; a turn by the owner of its program, for a client or for the process that passed it on. */
+export type RequestKind = 'call' | 'turn' | 'passedOnTurn'
+
+export type RequestOutcome = 'whole' | 'refused' | 'brokenOff' | 'clientGone'
+
+/** Decisions that change what this process believes. */
+export type BeliefDecision =
+  | { readonly event: 'started', readonly client: string, readonly peer: string, readonly zone: string, readonly settings: string }
+  | { readonly event: 'reload', readonly settings: string, readonly outcome: string }
+  | { readonly event: 'stopping', readonly underWay: number }
+  | { readonly event: 'stopped', readonly underWay: number, readonly tookMs: number }
+  | { readonly event: 'failedToStop', readonly err: unknown }
+  | { readonly event: 'routing', readonly version: number, readonly former: number | undefined, readonly routes: number }
+  | { readonly event: 'routingUnreadable', readonly version: number | undefined, readonly err: unknown }
+  | { readonly event: 'upstream', readonly upstream: types.UpstreamId, readonly service: string, readonly address: string, readonly leaving: boolean }
+  | { readonly event: 'upstreamGone', readonly upstream: types.UpstreamId, readonly graceMs: number }
+  | { readonly event: 'upstreamUnreadable', readonly key: string, readonly err: unknown }
+  | { readonly event: 'assignment', readonly generation: number, readonly owned: number, readonly handedOver: number }
+  | { readonly event: 'leaseNotRenewed', readonly failure: FailureField }
+  | { readonly event: 'groupLeft', readonly outcome: string }
+  | { readonly event: 'ownersNotRead', readonly failure: FailureField }
+  | { readonly event: 'shardOpened', readonly partition: PartitionField, readonly epoch: number, readonly records: number, readonly tookMs: number }
+  | { readonly event: 'shardNotRead', readonly partition: PartitionField, readonly failure: FailureField }
+  | { readonly event: 'shardLost', readonly partition: PartitionField, readonly epoch: number, readonly reason: string }
+  | { readonly event: 'appendUnanswered', readonly partition: PartitionField, readonly epoch: number, readonly attempt: number, readonly failure: FailureField }
+  | { readonly event: 'storeAway', readonly topic: string, readonly failure: FailureField }
+  | { readonly event: 'storeBack', readonly topic: string }
+  | { readonly event: 'changesMissed', readonly topic: string, readonly from: number }
+  | { readonly event: 'storeRelayed', readonly peer: string, readonly call: string, readonly failure: FailureField }
+  | { readonly event: 'storeDirect', readonly peer: string }
+  | { readonly event: 'peerCallFailed', readonly err: unknown }
+
+export type Decision = RequestDecision | BeliefDecision
+
+export type DecisionEvent = Decision['event']
+
+export interface EventInfo {
+  readonly level: 'info' | 'warn' | 'error'
+  readonly message: string
+}
+
+/** Level and message of every event. */
+export const eventTable: Readonly<Record<DecisionEvent, EventInfo>> = {
+  routed: { level: 'info', message: 'route chosen' },
+  unknownRoute: { level: 'info', message: 'no route matches' },
+  passedOn: { level: 'info', message: 'passed on to the owner of the program' },
+  turnAdmitted: { level: 'info', message: 'turn admitted, its tokens are being reserved' },
+  turnRefused: { level: 'info', message: 'turn refused' },
+  sent: { level: 'info', message: 'sent to an upstream' },
+  sendFailed: { level: 'warn', message: 'no usable answer from the upstream' },
+  timedOut: { level: 'warn', message: 'no answer in time' },
+  peerAnswerLost: { level: 'warn', message: 'no whole answer from the owner of the program' },
+  turnBroken: { level: 'warn', message: 'turn ended without a whole answer' },
+  turnSettledElsewhere: { level: 'info', message: 'turn kept by the next owner of its shard' },
+  turnNotKept: { level: 'warn', message: 'turn could not be kept, its answer is broken off' },
+  ended: { level: 'info', message: 'request ended' },
+  started: { level: 'info', message: 'started' },
+  reload: { level: 'info', message: 'settings read again' },
+  stopping: { level: 'info', message: 'stopping' },
+  stopped: { level: 'info', message: 'stopped' },
+  failedToStop: { level: 'error', message: 'did not end cleanly' },
+  routing: { level: 'info', message: 'routing in force' },
+  routingUnreadable: { level: 'error', message: 'routing not understood, the former one stays in force' },
+  upstream: { level: 'info', message: 'upstream listed' },
+  upstreamGone: { level: 'info', message: 'upstream no longer listed' },
+  upstreamUnreadable: { level: 'error', message: 'entry of an upstream not understood' },
+  assignment: { level: 'info', message: 'shards dealt anew' },
+  leaseNotRenewed: { level: 'warn', message: 'lease not renewed' },
+  groupLeft: { level: 'info', message: 'left the group that shares the shards' },
+  ownersNotRead: { level: 'warn', message: 'owners of the shards not read' },
+  shardOpened: { level: 'info', message: 'shard opened' },
+  shardNotRead: { level: 'warn', message: 'shard not read yet' },
+  shardLost: { level: 'warn', message: 'shard lost' },
+  appendUnanswered: { level: 'warn', message: 'append not acknowledged' },
+  storeAway: { level: 'warn', message: 'store does not answer' },
+  storeBack: { level: 'info', message: 'store answers again' },
+  changesMissed: { level: 'warn', message: 'changes expired before they were read' },
+  storeRelayed: { level: 'warn', message: 'the store does not serve this process, calls go through a peer' },
+  storeDirect: { level: 'info', message: 'the store serves this process again' },
+  peerCallFailed: { level: 'error', message: 'call of a peer failed' }
+}
--- a/packages/follow-records/src/record-follower.ts
+++ b/packages/follow-records/src/record-follower.ts
@@ -1,5 +1,5 @@
 /** Follows one keyed partition by polling, from its newest records on. */
-import type * as logger from '@eelgrasswind/logger'
+import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as shardLog from '@eelgrasswind/shard-log'
 import type * as timerService from '@eelgrasswind/timer-service'
 
@@ -14,7 +14,7 @@
 export interface FollowerPorts {
   readonly log: shardLog.ShardLog
   readonly timers: timerService.TimerService
-  readonly logger: logger.Logger
+  readonly decisions: decisionLog.DecisionLog
 }
 
 /** What the follower tells. */
@@ -76,7 +76,7 @@
         }
         return true
       case 'expired':
-        this.ports.logger.warn({ event: 'changesMissed', topic: this.settings.partition.topic, from }, 'changes expired before they were read')
+        this.ports.decisions.note({ event: 'changesMissed', topic: this.settings.partition.topic, from })
         this.next = undefined
         return true
       case 'refused':
@@ -110,12 +110,12 @@
     const now = this.ports.timers.monotonic()
     if (this.lastAnswerAt !== undefined && now - this.lastAnswerAt > outageMs + this.settings.waitMs) this.returnedAt = now
     this.lastAnswerAt = now
-    if (this.failing) this.ports.logger.info({ event: 'storeBack', topic: this.settings.partition.topic }, 'reading again')
+    if (this.failing) this.ports.decisions.note({ event: 'storeBack', topic: this.settings.partition.topic })
     this.failing = false
   }
 
   private noteFailure (failure: shardLog.StoreFailure): void {
-    if (!this.failing) this.ports.logger.warn({ event: 'storeAway', topic: this.settings.partition.topic, failure }, 'read failed')
+    if (!this.failing) this.ports.decisions.note({ event: 'storeAway', topic: this.settings.partition.topic, failure })
     this.failing = true
   }
 
--- a/packages/front/src/dispatch.ts
+++ b/packages/front/src/dispatch.ts
@@ -1,7 +1,7 @@
 /** Sends a request to an upstream of its service, and again elsewhere as long as that is safe and of use. */
+import type * as decisionLog from '@eelgrasswind/decision-log'
 import * as decideRetry from '@eelgrasswind/decide-retry'
 import * as errors from '@eelgrasswind/errors'
-import type * as logger from '@eelgrasswind/logger'
 import type * as sendHttp from '@eelgrasswind/send-http'
 import type * as timerService from '@eelgrasswind/timer-service'
 import * as trackUpstreams from '@eelgrasswind/track-upstreams'
@@ -14,8 +14,10 @@
   readonly sender: sendHttp.Sender
   readonly dialect: dialects.Dialect
   readonly timers: timerService.TimerService
-  readonly logger: logger.Logger
+  readonly decisions: decisionLog.DecisionLog
   readonly zone: types.AvailabilityZoneId
+  /** Age of the list of upstreams, in ms. */
+  readonly listAgeMs: () => number
 }
 
 export interface DispatchOptions {
@@ -130,6 +132,17 @@
       upstream.running -= 1
       this.release = undefined
     }
+    this.ports.decisions.note({
+      event: 'sent',
+      request: this.req.attempt.id,
+      attempt: this.attempts,
+      upstream: id,
+      preferred: id === this.options.preferred,
+      running: upstream.running,
+      candidates: this.ports.upstreams.ofService(this.req.service).length,
+      listAgeMs: Math.round(this.ports.listAgeMs()),
+      leftMs: Math.round(leftMs)
+    })
     let accepted = false
     this.inFlight = true
     this.exchange = sender.send({
@@ -215,15 +228,15 @@
       deadline: this.req.deadlineAt,
       random: Math.random
     }, { maxAttempts: this.req.route.maxAttempts, firstWaitMs: 0, maxWaitMs: 0 })
-    this.ports.logger.info({
+    this.ports.decisions.note({
       event: 'sendFailed',
       request: this.req.attempt.id,
       upstream: upstream.listed.id,
       attempt: this.attempts,
-      failure,
-      decision,
+      failure: { tag: failure.tag, verdict: failure.verdict, message: failure.message },
+      next: decision.type === 'retry' ? 'retry' : decision.reason,
       leftMs: Math.round(this.req.deadlineAt - now)
-    }, 'send failed')
+    })
     if (decision.type === 'retry') this.attempt()
     else this.fail(failure)
   }
--- a/packages/front/src/find-chain.ts
+++ b/packages/front/src/find-chain.ts
@@ -19,14 +19,21 @@
   | { readonly type: 'unsure', readonly asked: number }
 
 /** Time for a peer's answer, in ms: it asks the store once. */
-const peerTimeoutMs = 400
+const peerTimeoutMs = 250
 
+/** Asks once more where shards have changed hands since this process looked who owns them. */
 export async function findEverywhere (ports: FindPorts, turn: turnLedger.TurnId): Promise<Found> {
+  const found = await askOwners(ports, turn)
+  if (found.type !== 'unsure') return found
+  await ports.shards.refreshOwners()
+  return askOwners(ports, turn)
+}
+
+async function askOwners (ports: FindPorts, turn: turnLedger.TurnId): Promise<Found> {
   const { shards, sender } = ports
-  const asked = shards.members().map((member) => {
-    if (shards.isSelf(member)) return findHere(shards, turn)
-    return peerCalls.callPeer<peerCalls.FindChainAnswer>(sender, memberName.addressOf(member), { type: 'findChain', turn }, peerTimeoutMs)
-  })
+  const others = shards.members().filter((member) => !shards.isSelf(member))
+  const asked = others.map((member) => peerCalls.callPeer<peerCalls.FindChainAnswer>(sender, memberName.addressOf(member), { type: 'findChain', turn }, peerTimeoutMs))
+  asked.push(findHere(shards, turn))
   const absent = new Set<shardLog.PartitionName>()
   for (const answer of await Promise.all(asked)) {
     if (answer === undefined) continue
--- a/packages/front/src/forward-turn.ts
+++ b/packages/front/src/forward-turn.ts
@@ -66,7 +66,7 @@
         finish({ type: 'unreachable', detail: failure.detail })
         return
       }
-      ports.logger.info({ event: 'peerAnswerLost', request: req.attempt.id, peer: address, failure }, 'no whole answer from the owner')
+      ports.decisions.note({ event: 'peerAnswerLost', request: req.attempt.id, peer: address, cause: failure.cause, detail: failure.detail })
       if (relaying) reply.abort()
       else reply.refuse({ type: 'answerLost', detail: 'the connection to the owner of the program broke off' })
       finish({ type: 'answered' })
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -1,7 +1,7 @@
 /** The front process: its listeners, its share of the programs, and its end. */
+import type * as decisionLog from '@eelgrasswind/decision-log'
 import * as http from 'node:http'
 import * as followRecords from '@eelgrasswind/follow-records'
-import type * as logger from '@eelgrasswind/logger'
 import * as ownShards from '@eelgrasswind/own-shards'
 import * as relayStore from '@eelgrasswind/relay-store'
 import * as routeRequest from '@eelgrasswind/route-request'
@@ -36,7 +36,9 @@
   readonly dialect: dialects.Dialect
   readonly documents: DocumentFormat
   readonly timers: timerService.TimerService
-  readonly logger: logger.Logger
+  readonly decisions: decisionLog.DecisionLog
+  /** The settings that this process runs with, for its log. */
+  readonly settingsFile: string
 }
 
 /** Idle connections are given up after this time, in ms: below the shortest idle limit of an upstream that is known, 5 s. */
@@ -85,7 +87,7 @@
       peers: () => this.shards.members().filter((member) => member !== self).map(memberName.addressOf),
       callPeer: (address, call) => peerCalls.callPeer(this.sender, address, { type: 'store', call }, relayTimeoutMs),
       timers,
-      logger: ports.logger
+      decisions: ports.decisions
     }).log
     this.shards = new ownShards.ShardOwner({
       group: 'homes',
@@ -103,7 +105,8 @@
       sender: this.sender,
       dialect: ports.dialect,
       timers,
-      logger: ports.logger,
+      decisions: ports.decisions,
+      listAgeMs: () => this.upstreamFollower.ageMs(),
       zone: cfg.availabilityZone as types.AvailabilityZoneId,
       places: new promptPlaces.PromptPlaces(this.upstreams),
       shards: this.shards
@@ -125,12 +128,19 @@
     this.directory = new upstreamDirectory.UpstreamDirectory({
       upstreams: this.upstreams,
       timers,
-      logger: ports.logger,
+      decisions: ports.decisions,
       decode: ports.documents.decodeUpstream,
       sinceReturnMs: () => this.upstreamFollower.sinceReturnMs()
     })
     this.clientServer = http.createServer({ maxHeaderSize: largestHeaderBytes, requestTimeout: 0 }, (req, res) => { this.onClientRequest(req, res) })
-    this.peerServer = peerListener.createPeerServer({ ...this.turnPorts, directLog: ports.log, onRequest: (res) => { this.count(res) } }, peerIdleMs)
+    this.peerServer = peerListener.createPeerServer({
+      ...this.turnPorts,
+      directLog: ports.log,
+      onTurn: (res, reply, request) => {
+        this.count(res)
+        this.report(reply, request, 'passedOnTurn', timers.monotonic())
+      }
+    }, peerIdleMs)
     this.readyServer = http.createServer((_req, res) => {
       res.writeHead(this.ready ? 200 : 503)
       res.end()
@@ -142,8 +152,23 @@
     return !this.stopping && this.routing !== undefined && this.directory.known
   }
 
+  get shardsServed (): number {
+    return this.shards.serving().length
+  }
+
+  get requestsUnderWay (): number {
+    return this.underWay
+  }
+
+  get routingVersion (): number {
+    return this.routing?.version ?? 0
+  }
+
+  get upstreamCount (): number {
+    return this.upstreams.size
+  }
+
   async start (): Promise<void> {
-    const { logger } = this.ports
     await Promise.all([
       listen(this.clientServer, this.cfg.clientAddress),
       listen(this.peerServer, this.cfg.peerAddress),
@@ -152,23 +177,35 @@
     this.routingFollower.start()
     this.upstreamFollower.start()
     this.shards.start()
-    logger.info({ event: 'started', client: this.cfg.clientAddress, peer: this.cfg.peerAddress, zone: this.cfg.availabilityZone }, 'started')
+    this.ports.decisions.note({ event: 'started', client: this.cfg.clientAddress, peer: this.cfg.peerAddress, zone: this.cfg.availabilityZone, settings: this.ports.settingsFile })
   }
 
   /** Takes no new clients, hands the shards over, and resolves when the requests under way have ended. */
   async stop (): Promise<void> {
-    const { timers, logger } = this.ports
+    const { timers, decisions } = this.ports
     if (this.stopping) return
     this.stopping = true
     const stopAt = timers.monotonic()
-    logger.info({ event: 'stopping', underWay: this.underWay }, 'stopping')
+    decisions.note({ event: 'stopping', underWay: this.underWay })
     await this.shards.leave()
     const lingerLeft = lingerMs - (timers.monotonic() - stopAt)
     await pause(timers, Math.max(0, lingerLeft))
     this.clientServer.close()
     const endAt = stopAt + this.cfg.graceMs - endMarginMs
     while (this.underWay > 0 && timers.monotonic() < endAt) await pause(timers, 20)
-    logger.info({ event: 'stopped', underWay: this.underWay, tookMs: Math.round(timers.monotonic() - stopAt) }, 'stopped')
+    decisions.note({ event: 'stopped', underWay: this.underWay, tookMs: Math.round(timers.monotonic() - stopAt) })
+  }
+
+  /** Ends at once, as for tests: nothing is handed over. */
+  close (): void {
+    this.routingFollower.stop()
+    this.upstreamFollower.stop()
+    this.shards.close()
+    for (const server of [this.clientServer, this.peerServer, this.readyServer]) {
+      server.close()
+      server.closeAllConnections()
+    }
+    this.sender.close()
   }
 
   private onClientRequest (req: http.IncomingMessage, res: http.ServerResponse): void {
@@ -201,12 +238,14 @@
     const route = this.routes.find(req.headers.host ?? '', path)
     const service = route === undefined ? undefined : routeRequest.chooseService(route, Math.random)
     if (route === undefined || service === undefined) {
-      this.ports.logger.info({ event: 'unknownRoute', request: decoded.attempt.id, host: req.headers.host, path, version: this.routing?.version }, 'no route')
+      this.ports.decisions.note({ event: 'unknownRoute', request: decoded.attempt.id, host: req.headers.host, path, version: this.routing?.version })
       reply.refuse({ type: 'unknownRoute' })
       return
     }
     this.count(res)
     const { attempt } = decoded
+    const kind = route.retain !== undefined && attempt.turn !== undefined ? 'turn' : 'call'
+    this.report(reply, attempt.id, kind, arrivedAt)
     const request: inbound.Inbound = {
       attempt,
       method: req.method ?? 'GET',
@@ -219,10 +258,19 @@
       deadlineAt: arrivedAt + Math.min(route.timeoutMs, attempt.deadlineMs ?? Infinity),
       reply
     }
-    if (route.retain !== undefined && attempt.turn !== undefined) void routeTurn.routeTurn(this.turnPorts, request, attempt.turn)
+    this.ports.decisions.note({ event: 'routed', request: attempt.id, route: route.name, service, kind, version: this.routing?.version ?? 0, leftMs: Math.round(request.deadlineAt - arrivedAt) })
+    if (kind === 'turn' && attempt.turn !== undefined) void routeTurn.routeTurn(this.turnPorts, request, attempt.turn)
     else serveCall.serveCall(this.turnPorts, request)
   }
 
+  /** Logs how the request ended. */
+  private report (reply: inbound.Reply, request: string, kind: decisionLog.RequestKind, arrivedAt: number): void {
+    const elapsed = (): number => Math.round(this.ports.timers.monotonic() - arrivedAt)
+    let firstMs: number | undefined
+    reply.onHead(() => { firstMs = elapsed() })
+    reply.onEnd((end) => { this.ports.decisions.note({ event: 'ended', request, kind, ...end, firstMs, tookMs: elapsed() }) })
+  }
+
   private count (res: http.ServerResponse): void {
     this.underWay += 1
     res.once('close', () => { this.underWay -= 1 })
@@ -234,11 +282,11 @@
     try {
       next = this.ports.documents.decodeRouting(value)
     } catch (err) {
-      this.ports.logger.error({ event: 'routingUnreadable', err, version: this.routing?.version }, 'routing not understood; the former one stays in force')
+      this.ports.decisions.note({ event: 'routingUnreadable', err, version: this.routing?.version })
       return
     }
     if (this.routing !== undefined && next.version <= this.routing.version) return
-    this.ports.logger.info({ event: 'routing', version: next.version, former: this.routing?.version, routes: next.routes.length }, 'routing in force')
+    this.ports.decisions.note({ event: 'routing', version: next.version, former: this.routing?.version, routes: next.routes.length })
     this.routing = next
     this.routes = routeRequest.createRouteTable(next.routes)
     this.clientServer.keepAliveTimeout = Math.round(next.bounds.idleTimeoutMs * idleFactor)
--- a/packages/front/src/inbound.ts
+++ b/packages/front/src/inbound.ts
@@ -1,5 +1,6 @@
 /** One request as it came in, and the way its answer goes out. */
 import type * as http from 'node:http'
+import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as routeRequest from '@eelgrasswind/route-request'
 import type * as types from '@eelgrasswind/types'
 import type * as dialects from './dialect.js'
@@ -59,17 +60,39 @@
   }
 }
 
+/** How an answer ended. */
+export interface ReplyEnd {
+  readonly outcome: decisionLog.RequestOutcome
+  readonly status: number
+  /** Why it was refused. */
+  readonly reason?: string
+}
+
 /** The answer to one request. Nothing is written once the client is gone. */
 export class Reply {
   private gone: (() => void) | undefined
+  private ended: ((end: ReplyEnd) => void) | undefined
+  private headed: (() => void) | undefined
   private finished = false
 
   constructor (private readonly res: http.ServerResponse) {
     res.on('close', () => {
-      if (!this.finished) this.gone?.()
-      this.finished = true
+      if (this.finished) return
+      this.finish({ outcome: 'clientGone', status: res.statusCode })
+      this.gone?.()
     })
-    res.on('error', () => { this.finished = true })
+    // A failed write is followed by 'close', which tells what has to be told.
+    res.on('error', () => {})
+  }
+
+  /** Called once with the way in which the answer ended. */
+  onEnd (run: (end: ReplyEnd) => void): void {
+    this.ended = run
+  }
+
+  /** Called once when the head of an answer is sent. */
+  onHead (run: () => void): void {
+    this.headed = run
   }
 
   /** True once the answer has ended or the client is gone. */
@@ -88,8 +111,8 @@
 
   refuse (refusal: Refusal, extra: readonly string[] = []): void {
     if (this.finished) return
-    this.finished = true
     const { type, ...details } = refusal
+    this.finish({ outcome: 'refused', status: statusOf(refusal), reason: type })
     const body = JSON.stringify({ error: type, ...details })
     const headers = ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body)), ...extra]
     if ('retryAfterMs' in refusal) headers.push('Retry-After', (refusal.retryAfterMs / 1000).toFixed(2))
@@ -100,13 +123,15 @@
   /** Sends an answer whose body is known. */
   whole (status: number, headers: readonly string[], body: Buffer): void {
     if (this.finished) return
-    this.finished = true
+    this.headed?.()
+    this.finish({ outcome: 'whole', status })
     this.res.writeHead(status, [...headers, 'Content-Length', String(body.length)])
     this.res.end(body)
   }
 
   head (status: number, headers: readonly string[]): void {
     if (this.finished) return
+    this.headed?.()
     this.res.writeHead(status, [...headers])
     this.res.flushHeaders()
   }
@@ -122,14 +147,19 @@
 
   end (): void {
     if (this.finished) return
-    this.finished = true
+    this.finish({ outcome: 'whole', status: this.res.statusCode })
     this.res.end()
   }
 
   /** Breaks the answer off so that it can't be taken for complete. */
   abort (): void {
     if (this.finished) return
-    this.finished = true
+    this.finish({ outcome: 'brokenOff', status: this.res.statusCode })
     this.res.destroy()
   }
+
+  private finish (end: ReplyEnd): void {
+    this.finished = true
+    this.ended?.(end)
+  }
 }
--- a/packages/front/src/peer-listener.ts
+++ b/packages/front/src/peer-listener.ts
@@ -13,7 +13,8 @@
 export interface PeerListenerPorts extends routeTurn.RouteTurnPorts {
   /** The store as this process itself reaches it. */
   readonly directLog: shardLog.ShardLog
-  readonly onRequest: (res: http.ServerResponse) => void
+  /** Told of each turn that is taken. */
+  readonly onTurn: (res: http.ServerResponse, reply: inbound.Reply, request: string) => void
 }
 
 const largestHeaderBytes = 131_072
@@ -42,7 +43,7 @@
     return
   }
   res.writeContinue()
-  ports.onRequest(res)
+  ports.onTurn(res, reply, attempt.id)
   readRequest.readBody(req, Infinity, (body) => {
     if (body === undefined) return
     void routeTurn.serveHere(ports, {
@@ -69,7 +70,7 @@
     answerCall(ports, peerCalls.decodeCall(body)).then(
       (answer) => { reply.whole(200, [], peerCalls.encodeAnswer(answer)) },
       (err: unknown) => {
-        ports.logger.error({ event: 'peerCallFailed', err }, 'call of a peer failed')
+        ports.decisions.note({ event: 'peerCallFailed', err })
         reply.refuse({ type: 'answerLost', detail: 'internal' })
       }
     )
--- a/packages/front/src/route-turn.ts
+++ b/packages/front/src/route-turn.ts
@@ -48,7 +48,7 @@
     void shards.refreshOwners()
     await timerService.sleep(timers, lookMs)
   } while (!req.reply.over && timers.monotonic() - startedAt < patienceMs)
-  ports.logger.info({ event: 'turnRefused', request: req.attempt.id, program: turn.program, partition, waitedMs: Math.round(timers.monotonic() - startedAt), last }, 'nobody serves the shard now')
+  ports.decisions.note({ event: 'turnRefused', reason: 'nobody serves the shard', request: req.attempt.id, program: turn.program, detail: { partition, waitedMs: Math.round(timers.monotonic() - startedAt), ownersAgeMs: Math.round(shards.ownersAgeMs), last } })
   req.reply.refuse({ type: 'shardMoving', retryAfterMs: serveTurn.shardRetryMs })
 }
 
@@ -66,6 +66,7 @@
       return { type: 'done' }
     case 'member': {
       if (ports.suspects.has(place.member, ports.timers.monotonic())) return { type: 'again', reason: 'the owner did not answer just now' }
+      ports.decisions.note({ event: 'passedOn', request: req.attempt.id, program: turn.program, owner: place.member, ownersAgeMs: Math.round(ports.shards.ownersAgeMs) })
       const address = memberName.addressOf(place.member)
       const outcome = await forwardTurn.forwardTurn(ports, req, address)
       if (outcome.type === 'answered') return { type: 'done' }
--- /dev/null
+++ b/packages/front/src/run-front.ts
@@ -0,0 +1,103 @@
+/** Runs the front process: settings, log lines, metrics, and the signals that end or reload it. */
+import * as http from 'node:http'
+import * as decisionLog from '@eelgrasswind/decision-log'
+import * as loggers from '@eelgrasswind/logger'
+import * as parseSettings from '@eelgrasswind/parse-settings'
+import type * as shardLog from '@eelgrasswind/shard-log'
+import type * as timerService from '@eelgrasswind/timer-service'
+import type * as types from '@eelgrasswind/types'
+import type * as dialects from './dialect.js'
+import * as front from './front.js'
+import * as measuredLog from './measured-log.js'
+import * as settings from './settings.js'
+
+export interface RunFrontPorts {
+  readonly settingsFile: string
+  readonly readSettings: () => string
+  /** `--check` checks the settings and ends. */
+  readonly args: readonly string[]
+  readonly createLog: (cfg: settings.FrontSettings) => shardLog.ShardLog
+  readonly dialect: dialects.Dialect
+  readonly documents: front.DocumentFormat
+  readonly metrics: decisionLog.DecisionMetrics
+  readonly lines: loggers.BoundedLines
+  readonly timers: timerService.TimerService
+}
+
+const exitInvalid = 1
+
+/** Returns once the process takes requests; it then runs until a signal ends it. */
+export async function runFront (ports: RunFrontPorts): Promise<void> {
+  const { settingsFile, timers, metrics, lines } = ports
+  const parsed = parseSettings.parseSettings(ports.readSettings(), settings.frontSettings, settingsFile)
+  if (!parsed.ok) {
+    process.stderr.write(`${parseSettings.formatSettingsErrors(parsed.failure)}\n`)
+    process.exit(exitInvalid)
+  }
+  if (ports.args.includes('--check')) {
+    process.stdout.write(`${settingsFile}: ok\n`)
+    process.exit(0)
+  }
+  const cfg = parsed.value
+  const logger = loggers.createLogger({ name: 'eelgrasswind-front', host: cfg.host as types.HostId, level: cfg.logLevel, stream: asStream(lines) })
+  const decisions = decisionLog.createDecisionLog({ logger, count: metrics.count, now: timers.monotonic })
+  const log = measuredLog.measuredLog(ports.createLog(cfg), metrics, timers)
+  const running = new front.Front(cfg, { log, dialect: ports.dialect, documents: ports.documents, timers, decisions, settingsFile })
+  addGauges(metrics, running, lines)
+  if (cfg.metricsAddress !== undefined) serveMetrics(metrics, cfg.metricsAddress)
+  onSignals(ports, running, decisions)
+  await running.start()
+}
+
+function onSignals (ports: RunFrontPorts, running: front.Front, decisions: decisionLog.DecisionLog): void {
+  const end = async (): Promise<void> => {
+    await running.stop()
+    await ports.lines.flush()
+    process.exit(0)
+  }
+  process.on('SIGTERM', () => {
+    end().catch((err: unknown) => {
+      decisions.note({ event: 'failedToStop', err })
+      process.exit(exitInvalid)
+    })
+  })
+  process.on('SIGHUP', () => { reload(ports, decisions) })
+}
+
+/** Addresses and shards can't change in a running process: the new settings are checked now and in force after the next start. */
+function reload (ports: RunFrontPorts, decisions: decisionLog.DecisionLog): void {
+  const { settingsFile } = ports
+  const parsed = parseSettings.parseSettings(ports.readSettings(), settings.frontSettings, settingsFile)
+  const outcome = parsed.ok ? 'valid, in force after the next start' : parseSettings.formatSettingsErrors(parsed.failure)
+  decisions.note({ event: 'reload', settings: settingsFile, outcome })
+}
+
+function addGauges (metrics: decisionLog.DecisionMetrics, running: front.Front, lines: loggers.BoundedLines): void {
+  metrics.gauge('shards_owned', 'Shards that this process serves.', () => running.shardsServed)
+  metrics.gauge('requests_under_way', 'Requests that are not answered yet.', () => running.requestsUnderWay)
+  metrics.gauge('routing_version', 'Version of the routing in force; 0 before the first.', () => running.routingVersion)
+  metrics.gauge('upstreams', 'Upstreams that are listed.', () => running.upstreamCount)
+  metrics.gauge('lines_dropped', 'Log lines that were dropped since nobody read them in time.', lines.dropped)
+}
+
+function serveMetrics (metrics: decisionLog.DecisionMetrics, address: string): void {
+  const [host, port] = address.split(':')
+  const server = http.createServer((_req, res) => {
+    metrics.text().then((text) => {
+      res.writeHead(200, { 'Content-Type': metrics.contentType })
+      res.end(text)
+    }, () => { res.destroy() })
+  })
+  server.listen(Number(port), host)
+}
+
+function asStream (lines: loggers.BoundedLines): NodeJS.WritableStream {
+  const stream: Pick<NodeJS.WritableStream, 'write'> = {
+    write: (line: string | Uint8Array) => {
+      lines.write(String(line))
+      return true
+    }
+  }
+  // The logger only ever calls write.
+  return stream as NodeJS.WritableStream
+}
--- a/packages/front/src/serve-call.ts
+++ b/packages/front/src/serve-call.ts
@@ -24,7 +24,7 @@
   const limit = timers.after(req.deadlineAt - timers.monotonic(), () => {
     const { ran } = sent
     sent.cancel()
-    ports.logger.info({ event: 'timedOut', request: req.attempt.id, ran }, 'no answer in time')
+    ports.decisions.note({ event: 'timedOut', request: req.attempt.id, ran })
     reply.refuse({ type: 'timeout' })
   })
   reply.onGone(() => {
--- a/packages/front/src/serve-turn.ts
+++ b/packages/front/src/serve-turn.ts
@@ -22,15 +22,15 @@
 
 /** An append that is this long without an answer, in ms, says that the store is away: a slow one takes about 300. */
 const stalledMs = 600
-/** The longest that a refusal waits for the store to confirm it, in ms. */
-const confirmMs = 400
+/** The longest that a refusal waits for the store and the other owners to confirm it, in ms. */
+const confirmMs = 500
 
 const lineFeed = Buffer.from('\n')
 
 /** Serves one turn on a shard that this process owns and that serves. */
 export async function serveTurn (ports: TurnPorts, req: inbound.Inbound, turn: dialects.TurnFields, shard: ownShards.OwnedShard): Promise<void> {
   if (shard.unansweredMs > stalledMs) {
-    ports.logger.info({ event: 'turnRefused', request: req.attempt.id, program: turn.program, epoch: shard.epoch, unansweredMs: Math.round(shard.unansweredMs) }, 'the store does not answer')
+    ports.decisions.note({ event: 'turnRefused', reason: 'the store does not answer', request: req.attempt.id, program: turn.program, epoch: shard.epoch, detail: { unansweredMs: Math.round(shard.unansweredMs) } })
     req.reply.refuse({ type: 'storeAway', retryAfterMs: shardRetryMs })
     return
   }
@@ -59,7 +59,7 @@
 /** A final refusal is true only if the store confirms that nobody else may know more. */
 async function refuseOverBudget (ports: TurnPorts, req: inbound.Inbound, request: turnLedger.TurnRequest, shard: ownShards.OwnedShard, admission: turnLedger.Admission): Promise<void> {
   const confirmed = await withinTime(ports, shard.confirm())
-  ports.logger.info({ event: 'turnRefused', request: request.turn, program: request.program, epoch: shard.epoch, confirmed, admission, budgetTokens: request.budgetTokens, maxTokens: request.maxTokens }, 'the budget does not hold the turn')
+  ports.decisions.note({ event: 'turnRefused', reason: 'over budget', request: request.turn, program: request.program, epoch: shard.epoch, detail: { confirmed: confirmed?.type, admission, budgetTokens: request.budgetTokens, maxTokens: request.maxTokens } })
   if (confirmed?.type === 'committed') req.reply.refuse({ type: 'overBudget' })
   else req.reply.refuse({ type: 'shardMoving', retryAfterMs: shardRetryMs })
 }
@@ -76,7 +76,7 @@
       return
     }
   }
-  ports.logger.info({ event: 'turnRefused', request: request.turn, program: request.program, previous, epoch: shard.epoch, found: found?.type }, 'the turn to continue from was not found')
+  ports.decisions.note({ event: 'turnRefused', reason: 'the turn to continue from was not found', request: request.turn, program: request.program, previous, epoch: shard.epoch, detail: { found } })
   if (found?.type === 'absent') req.reply.refuse({ type: 'unknownTurn' })
   else req.reply.refuse({ type: 'shardMoving', retryAfterMs: shardRetryMs })
 }
@@ -115,6 +115,7 @@
     this.reserved = shard.commit([...copied, admission.write])
     void this.reserved.then((commit) => { this.onReserved(commit) })
     const body = Buffer.concat([...admission.chain, req.body])
+    ports.decisions.note({ event: 'turnAdmitted', request: req.attempt.id, program: this.turn.program, previous: this.turn.previous, epoch: shard.epoch, promptBytes: body.length, copied: copied.length })
     const preferred = ports.places.find(req.service, this.turn)
     this.sent = new dispatch.Dispatch(ports, req, { body, preferred, urgency: undefined }, {
       head: (head, upstream) => { this.onHead(head, upstream) },
@@ -210,7 +211,7 @@
     const ran = this.sent?.ran ?? false
     this.sent?.cancel()
     this.settle({ type: ran ? 'broken' : 'notRun' })
-    this.ports.logger.info({ event: 'turnBroken', request: this.req.attempt.id, program: this.turn.program, ran, events: this.eventCount, refusal }, 'turn ended without a whole answer')
+    this.ports.decisions.note({ event: 'turnBroken', request: this.req.attempt.id, program: this.turn.program, ran, events: this.eventCount, reason: refusal?.type ?? 'clientGone' })
     if (refusal === undefined) return
     if (this.req.reply.headSent) this.req.reply.abort()
     else this.req.reply.refuse(refusal)
--- a/packages/front/src/settle-turn.ts
+++ b/packages/front/src/settle-turn.ts
@@ -1,9 +1,9 @@
 /** Makes the end of a turn durable with whoever owns its program now. */
+import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as ownShards from '@eelgrasswind/own-shards'
 import * as timerService from '@eelgrasswind/timer-service'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
-import type * as logger from '@eelgrasswind/logger'
 import type * as sendHttp from '@eelgrasswind/send-http'
 import * as memberName from './member-name.js'
 import * as peerCalls from './peer-calls.js'
@@ -12,7 +12,7 @@
   readonly shards: ownShards.ShardOwner
   readonly sender: sendHttp.Sender
   readonly timers: timerService.TimerService
-  readonly logger: logger.Logger
+  readonly decisions: decisionLog.DecisionLog
 }
 
 /** Pause between two tries while the shard changes hands, in ms. */
@@ -34,14 +34,14 @@
   while (ports.timers.monotonic() < deadlineAt) {
     const outcome = await tryOwner(ports, ports.shards.locate(partition), request, end)
     if (outcome.type === 'kept') {
-      ports.logger.info({ event: 'turnSettledElsewhere', request: request.turn, program: request.program }, 'turn kept by the next owner')
+      ports.decisions.note({ event: 'turnSettledElsewhere', request: request.turn, program: request.program })
       return true
     }
     if (outcome.type === 'unknown') break
     void ports.shards.refreshOwners()
     await timerService.sleep(ports.timers, againMs)
   }
-  ports.logger.warn({ event: 'turnNotKept', request: request.turn, program: request.program, epoch: shard.epoch }, 'turn could not be kept')
+  ports.decisions.note({ event: 'turnNotKept', request: request.turn, program: request.program, epoch: shard.epoch })
   return false
 }
 
--- a/packages/front/src/upstream-directory.ts
+++ b/packages/front/src/upstream-directory.ts
@@ -1,5 +1,5 @@
 /** Keeps the list of upstreams as the store tells it, through outages of the store. */
-import type * as logger from '@eelgrasswind/logger'
+import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as trackUpstreams from '@eelgrasswind/track-upstreams'
 import type * as types from '@eelgrasswind/types'
@@ -7,7 +7,7 @@
 export interface DirectoryPorts {
   readonly upstreams: trackUpstreams.UpstreamList
   readonly timers: timerService.TimerService
-  readonly logger: logger.Logger
+  readonly decisions: decisionLog.DecisionLog
   readonly decode: (key: string, value: Uint8Array) => trackUpstreams.ListedUpstream
   /** Time since the store came back from an outage, in ms; infinite where there was none. */
   readonly sinceReturnMs: () => number
@@ -37,27 +37,27 @@
   }
 
   put (key: string, value: Uint8Array): void {
-    const { upstreams, logger, decode } = this.ports
+    const { upstreams, decisions, decode } = this.ports
     let listed: trackUpstreams.ListedUpstream
     try {
       listed = decode(key, value)
     } catch (err) {
-      logger.error({ event: 'upstreamUnreadable', key, err }, 'entry of an upstream not understood')
+      decisions.note({ event: 'upstreamUnreadable', key, err })
       return
     }
     this.keep(listed.id)
     const known = upstreams.get(listed.id)
     upstreams.put(listed)
     if (known !== undefined && known.listed.leaving === listed.leaving) return
-    logger.info({ event: 'upstream', upstream: listed.id, service: listed.service, address: listed.address, leaving: listed.leaving }, 'upstream listed')
+    decisions.note({ event: 'upstream', upstream: listed.id, service: listed.service, address: listed.address, leaving: listed.leaving })
   }
 
   remove (key: string): void {
     const id = key as types.UpstreamId
-    const { upstreams, timers, logger, sinceReturnMs } = this.ports
+    const { upstreams, timers, decisions, sinceReturnMs } = this.ports
     if (upstreams.get(id) === undefined || this.missing.has(id)) return
     const graceMs = Math.max(0, returnGraceMs - sinceReturnMs())
-    logger.info({ event: 'upstreamGone', upstream: id, graceMs: Math.round(graceMs) }, 'upstream no longer listed')
+    decisions.note({ event: 'upstreamGone', upstream: id, graceMs: Math.round(graceMs) })
     if (graceMs === 0) {
       upstreams.remove(id)
       return
--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -1,2 +1,3 @@
 /** Structured logs by bunyan, with the ids of program, call and host. */
 export * from './logger.js'
+export * from './bounded-lines.js'
--- a/packages/own-shards/src/owned-shard.ts
+++ b/packages/own-shards/src/owned-shard.ts
@@ -1,6 +1,6 @@
 /** One shard that this process owns: fences the former owner, loads the ledger, then serves. */
+import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as types from '@eelgrasswind/types'
-import type * as logger from '@eelgrasswind/logger'
 import type * as shardLog from '@eelgrasswind/shard-log'
 import type * as timerService from '@eelgrasswind/timer-service'
 import * as turnLedger from '@eelgrasswind/turn-ledger'
@@ -17,7 +17,7 @@
 export interface OwnedShardPorts {
   readonly log: shardLog.ShardLog
   readonly timers: timerService.TimerService
-  readonly logger: logger.Logger
+  readonly decisions: decisionLog.DecisionLog
   readonly onLost: (shard: OwnedShard, reason: string) => void
 }
 
@@ -33,7 +33,7 @@
     this.writer = new shardWriter.ShardWriter(partition, epoch, {
       log: ports.log,
       timers: ports.timers,
-      logger: ports.logger,
+      decisions: ports.decisions,
       onLost: (reason) => { this.lose(reason) }
     })
   }
@@ -52,7 +52,7 @@
     this.ledger.finishLoad()
     this.current = 'serving'
     const tookMs = Math.round(this.ports.timers.monotonic() - startedAt)
-    this.ports.logger.info({ event: 'shardOpened', partition: this.partition, epoch: this.epoch, records: count, tookMs }, 'shard opened')
+    this.ports.decisions.note({ event: 'shardOpened', partition: this.partition, epoch: this.epoch, records: count, tookMs })
   }
 
   commit (writes: readonly turnLedger.LedgerWrite[]): Promise<shardWriter.Commit> {
@@ -105,7 +105,7 @@
     while (this.current === 'opening') {
       const page = await this.ports.log.newest(this.partition, after)
       if (page.type !== 'page') {
-        this.ports.logger.warn({ partition: this.partition, failure: page }, 'shard not read yet')
+        this.ports.decisions.note({ event: 'shardNotRead', partition: this.partition, failure: page })
         await timerSleep(this.ports.timers, readRetryMs)
         continue
       }
--- a/packages/own-shards/src/shard-owner.ts
+++ b/packages/own-shards/src/shard-owner.ts
@@ -1,6 +1,6 @@
 /** This process's part in the group that shares the shards: its lease, what it owns, and who owns the rest. */
+import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as types from '@eelgrasswind/types'
-import type * as logger from '@eelgrasswind/logger'
 import * as shardLog from '@eelgrasswind/shard-log'
 import * as hashText from '@eelgrasswind/hash-text'
 import type * as timerService from '@eelgrasswind/timer-service'
@@ -26,7 +26,7 @@
 export interface ShardOwnerPorts {
   readonly log: shardLog.ShardLog
   readonly timers: timerService.TimerService
-  readonly logger: logger.Logger
+  readonly decisions: decisionLog.DecisionLog
 }
 
 /** Where the programs of a shard are served. */
@@ -53,8 +53,10 @@
   private generation = 0
   private epochBump = 0
   private ownersAt = -Infinity
+  private ownersReadAt = -Infinity
   private askingOwners: Promise<void> | undefined
   private stopped = false
+  private subscriptions: readonly timerService.Subscription[] = []
   private joining = false
 
   constructor (private readonly settings: ShardOwnerSettings, private readonly ports: ShardOwnerPorts) {}
@@ -63,12 +65,21 @@
   start (): void {
     const { timers } = this.ports
     void this.join()
-    timers.every(this.settings.heartbeatMs, () => { void this.join() })
-    timers.every(this.settings.ownersMs, () => { void this.refreshOwners() })
-    timers.every(expireMs, () => { this.expire() })
+    this.subscriptions = [
+      timers.every(this.settings.heartbeatMs, () => { void this.join() }),
+      timers.every(this.settings.ownersMs, () => { void this.refreshOwners() }),
+      timers.every(expireMs, () => { this.expire() })
+    ]
     void this.refreshOwners()
   }
 
+  /** Stops at once and hands nothing over: the lease lapses. */
+  close (): void {
+    this.stopped = true
+    for (const subscription of this.subscriptions) subscription.cancel()
+    for (const shard of this.owned.values()) shard.close()
+  }
+
   /** The shard that a program belongs to. */
   partitionOf (program: types.ProgramId): shardLog.Partition {
     const { topics, parts } = this.settings
@@ -103,27 +114,37 @@
     return [...new Set(this.owners.values())]
   }
 
+  /** Age of what is known of the owners, in ms. */
+  get ownersAgeMs (): number {
+    return this.ports.timers.monotonic() - this.ownersReadAt
+  }
+
   /** Looks again at who owns what, unless it was done just now. */
   async refreshOwners (): Promise<void> {
-    const { timers, log, logger } = this.ports
+    const { timers, log, decisions } = this.ports
     if (this.askingOwners !== undefined) return this.askingOwners
     if (timers.monotonic() - this.ownersAt < ownersOnDemandMs) return
     this.ownersAt = timers.monotonic()
     this.askingOwners = log.owners(this.settings.group).then((answer) => {
       this.askingOwners = undefined
-      if (answer.type === 'owners') this.owners = new Map(answer.owners.map(({ partition, member }) => [shardLog.partitionName(partition), member]))
-      else logger.warn({ failure: answer }, 'owners not read')
+      if (answer.type === 'owners') this.takeOwners(answer.owners)
+      else decisions.note({ event: 'ownersNotRead', failure: answer })
     })
     return this.askingOwners
   }
 
+  private takeOwners (owners: readonly shardLog.Owner[]): void {
+    this.ownersReadAt = this.ports.timers.monotonic()
+    this.owners = new Map(owners.map(({ partition, member }) => [shardLog.partitionName(partition), member]))
+  }
+
   /** Hands every shard over: new turns go elsewhere, those under way end here and are settled with the next owners. */
   async leave (): Promise<void> {
     this.stopped = true
     await Promise.all([...this.owned.values()].map((shard) => shard.handOver(this.settings.handoverMs)))
     this.owned.clear()
     const left = await this.ports.log.leave(this.settings.group, this.settings.member)
-    this.ports.logger.info({ event: 'groupLeft', outcome: left }, 'left the group')
+    this.ports.decisions.note({ event: 'groupLeft', outcome: left.type })
     this.ownersAt = -Infinity
     await this.refreshOwners()
   }
@@ -136,7 +157,7 @@
     this.joining = false
     if (this.stopped) return
     if (answer.type !== 'assigned') {
-      this.ports.logger.warn({ failure: answer }, 'lease not renewed')
+      this.ports.decisions.note({ event: 'leaseNotRenewed', failure: answer })
       return
     }
     await this.follow(answer)
@@ -153,7 +174,7 @@
     if (gone.length > 0) await this.handOver(gone)
     this.generation = assignment.generation
     if (!changed) return
-    this.ports.logger.info({ event: 'assignment', generation: assignment.generation, owned: listed.size, handedOver: gone.length }, 'assignment changed')
+    this.ports.decisions.note({ event: 'assignment', generation: assignment.generation, owned: listed.size, handedOver: gone.length })
     void this.refreshOwners()
     void this.join()
   }
@@ -184,7 +205,7 @@
 
   private onLost (shard: ownedShard.OwnedShard, reason: string): void {
     const name = shardLog.partitionName(shard.partition)
-    this.ports.logger.warn({ event: 'shardLost', partition: shard.partition, epoch: shard.epoch, reason }, 'shard lost')
+    this.ports.decisions.note({ event: 'shardLost', partition: shard.partition, epoch: shard.epoch, reason })
     if (this.owned.get(name) === shard) this.owned.delete(name)
     this.epochBump += fencedEpochSteps
     void this.refreshOwners()
--- a/packages/own-shards/src/shard-writer.test.ts
+++ b/packages/own-shards/src/shard-writer.test.ts
@@ -1,5 +1,5 @@
 import tap from 'tap'
-import * as loggers from '@eelgrasswind/logger'
+import * as decisionLog from '@eelgrasswind/decision-log'
 import * as standIns from '@eelgrasswind/stand-ins'
 import * as timerService from '@eelgrasswind/timer-service'
 import * as shardWriter from './shard-writer.js'
@@ -13,7 +13,7 @@
   const writer = (epoch: number, faults = standIns.noFaults()) => new shardWriter.ShardWriter(partition, epoch, {
     log: store.client(faults),
     timers,
-    logger: loggers.createSilentLogger(),
+    decisions: decisionLog.createSilentDecisionLog(),
     onLost: (reason) => { lost.push(reason) }
   })
   return { timers, store, writer, lost }
--- a/packages/own-shards/src/shard-writer.ts
+++ b/packages/own-shards/src/shard-writer.ts
@@ -1,5 +1,5 @@
 /** Appends the records of one shard: one append under way at a time, the next one collects meanwhile. */
-import type * as logger from '@eelgrasswind/logger'
+import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as shardLog from '@eelgrasswind/shard-log'
 import type * as timerService from '@eelgrasswind/timer-service'
 
@@ -12,7 +12,7 @@
 export interface ShardWriterPorts {
   readonly log: shardLog.ShardLog
   readonly timers: timerService.TimerService
-  readonly logger: logger.Logger
+  readonly decisions: decisionLog.DecisionLog
   /** Called once when the store says that the shard has a newer owner. */
   readonly onLost: (reason: string) => void
 }
@@ -109,7 +109,7 @@
         case 'outOfSequence': return this.lose(`the store holds another sequence: ${outcome.detail}`)
         case 'refused':
         case 'noAnswer':
-          this.ports.logger.warn({ partition: this.partition, attempt, outcome }, 'append not acknowledged')
+          this.ports.decisions.note({ event: 'appendUnanswered', partition: this.partition, epoch: this.epoch, attempt, failure: outcome })
           await this.pause(attempt)
       }
     }
--- /dev/null
+++ b/packages/process-base/src/host-directory.test.ts
@@ -0,0 +1,39 @@
+import tap from 'tap'
+import * as chooseHome from '@eelgrasswind/choose-home'
+import * as errors from '@eelgrasswind/errors'
+import * as loggers from '@eelgrasswind/logger'
+import * as timerService from '@eelgrasswind/timer-service'
+import type * as types from '@eelgrasswind/types'
+import * as hostDirectory from './host-directory.js'
+
+const self = 'engine-0' as types.HostId
+const other = 'engine-1' as types.HostId
+
+function entry (host: types.HostId, state: types.HostEntry['state']): types.HostEntry {
+  return { host, role: 'sidecar', region: 'ncr' as types.RegionId, availabilityZone: 'makati-a' as types.AvailabilityZoneId, address: 'http://127.0.0.1:1', state }
+}
+
+tap.test('a host that the list says is leaving offers its own upstreams no work', async (t) => {
+  const timers = timerService.createManualTimers()
+  let version = 1
+  let hosts = [entry(self, 'live'), entry(other, 'live')]
+  const directory = new hostDirectory.HostDirectory({
+    settings: { self, region: 'ncr' as types.RegionId, hostListPollMs: 1_000, peers: { timeoutMs: 100, pingIntervalMs: 1_000, pingTimeoutMs: 100 } },
+    hostList: { read: () => Promise.resolve(errors.ok({ version, hosts })) } as unknown as hostDirectory.HostDirectoryDeps['hostList'],
+    timers,
+    logger: loggers.createSilentLogger(),
+    homes: await chooseHome.createHomeChooser(),
+    config: () => undefined
+  })
+  t.teardown(() => { directory.close() })
+  t.equal(directory.stateOf(self), 'live', 'before the first list')
+  await directory.readHostList()
+  directory.settle()
+  t.equal(directory.stateOf(self), 'live')
+  version = 2
+  hosts = [entry(self, 'leaving'), entry(other, 'live')]
+  await directory.readHostList()
+  await timers.advanceAsync(1_000)
+  t.equal(directory.stateOf(self), 'leaving')
+  t.equal(directory.stateOf(other), 'live')
+})
--- a/packages/process-base/src/host-directory.ts
+++ b/packages/process-base/src/host-directory.ts
@@ -97,7 +97,8 @@
   }
 
   stateOf (host: types.HostId): membership.HostState {
-    if (host === this.deps.settings.self) return 'live'
+    // A process never doubts itself, but it may be told by the list alone that its host is to be emptied.
+    if (host === this.deps.settings.self) return this.memberMap().get(host)?.state === 'leaving' ? 'leaving' : 'live'
     return this.memberMap().get(host)?.state ?? 'gone'
   }
 
--- a/packages/relay-store/src/relayed-log.test.ts
+++ b/packages/relay-store/src/relayed-log.test.ts
@@ -1,5 +1,5 @@
 import tap from 'tap'
-import * as loggers from '@eelgrasswind/logger'
+import * as decisionLog from '@eelgrasswind/decision-log'
 import * as shardLog from '@eelgrasswind/shard-log'
 import * as standIns from '@eelgrasswind/stand-ins'
 import * as timerService from '@eelgrasswind/timer-service'
@@ -21,7 +21,7 @@
       return shardLog.runStoreCall(peers.get(address)!, call)
     },
     timers,
-    logger: loggers.createSilentLogger()
+    decisions: decisionLog.createSilentDecisionLog()
   })
   return { timers, own, asked, log: relay.log }
 }
--- a/packages/relay-store/src/relayed-log.ts
+++ b/packages/relay-store/src/relayed-log.ts
@@ -3,7 +3,7 @@
  * away, or be cut off from them, while it serves the rest: without a relay such a host loses its lease and all that
  * its programs have under way.
  */
-import type * as logger from '@eelgrasswind/logger'
+import type * as decisionLog from '@eelgrasswind/decision-log'
 import * as shardLog from '@eelgrasswind/shard-log'
 import type * as timerService from '@eelgrasswind/timer-service'
 
@@ -15,7 +15,7 @@
   /** Has a peer make the call; `undefined` where the peer gave no answer. */
   readonly callPeer: (address: string, call: shardLog.StoreCall) => Promise<shardLog.StoreAnswer | undefined>
   readonly timers: timerService.TimerService
-  readonly logger: logger.Logger
+  readonly decisions: decisionLog.DecisionLog
 }
 
 /** Peers that one call asks at most: where the store turns a third of the hosts away, 1 call in 27 finds none of 3. */
@@ -40,18 +40,18 @@
     }
     const answer = await shardLog.runStoreCall(this.ports.direct, call)
     if (shardLog.isUnserved(answer)) return this.relay(call, answer)
-    if (this.peer !== undefined) this.ports.logger.info({ event: 'storeDirect', peer: this.peer }, 'the store serves this process again')
+    if (this.peer !== undefined) this.ports.decisions.note({ event: 'storeDirect', peer: this.peer })
     this.peer = undefined
     return answer
   }
 
   private async relay (call: shardLog.StoreCall, failure: shardLog.StoreFailure): Promise<shardLog.StoreAnswer> {
-    const { timers, logger } = this.ports
+    const { timers, decisions } = this.ports
     if (timers.monotonic() < this.awayUntil) return failure
     for (const address of this.candidates()) {
       const answer = await this.ask(address, call)
       if (answer === undefined) continue
-      if (this.peer !== address) logger.warn({ event: 'storeRelayed', peer: address, call: call.type, failure }, 'the store does not serve this process; calls go through a peer')
+      if (this.peer !== address) decisions.note({ event: 'storeRelayed', peer: address, call: call.type, failure })
       this.peer = address
       return answer
     }
--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -1,7 +1,7 @@
 // Which package may import which: the table of docs/architecture.md, as the linter checks it.
 
 // Each layer may import the layers before it; `pure` and `peers` packages also import their own layer where listed.
-const base = ['types', 'errors', 'logger', 'timer-service']
+const base = ['types', 'errors', 'logger', 'decision-log', 'timer-service']
 const pure = ['parse-settings', 'program-state', 'config-state', 'choose-home', 'place-call', 'order-queue',
   'admit-program', 'retain-prefix', 'limit-client', 'decide-retry', 'membership', 'hash-text', 'route-request', 'turn-ledger',
   'track-upstreams']
@@ -19,6 +19,7 @@
 export const all = [
   ...layer(['types', 'timer-service'], []),
   ...layer(['errors', 'logger'], ['types']),
+  ...layer(['decision-log'], ['types', 'logger']),
   // Pure packages touch no network, file or clock; they may build on one another.
   ...layer(pure, ['types', 'errors', 'timer-service', ...pure]),
   // A package for each peer; they know nothing of one another.
