An owner that is cut off from its peers gives its shards up

Ruled out: giving up at the first silence: where most peers lose power at once, the rest would give up too; peers that have ended leave the list of members within a lease. Change: after 1.5 s in which most listed members do not answer, it is not ready, lets its turns end and leaves the group until they answer.

--- a/packages/decision-log/src/decisions.ts
+++ b/packages/decision-log/src/decisions.ts
@@ -89,6 +89,8 @@
   | { readonly event: 'changesMissed', readonly topic: string, readonly from: number }
   | { readonly event: 'storeRelayed', readonly peer: string, readonly call: string, readonly failure: FailureField }
   | { readonly event: 'storeDirect', readonly peer: string }
+  | { readonly event: 'cutOff', readonly peers: number }
+  | { readonly event: 'reachable', readonly peers: number }
   | { readonly event: 'peerCallFailed', readonly err: unknown }
 
 export type Decision = RequestDecision | BeliefDecision
@@ -139,5 +141,7 @@
   changesMissed: { level: 'warn', message: 'changes expired before they were read' },
   storeRelayed: { level: 'warn', message: 'the store does not serve this process, calls go through a peer' },
   storeDirect: { level: 'info', message: 'the store serves this process again' },
+  cutOff: { level: 'warn', message: 'cut off from the other processes, giving its shards up' },
+  reachable: { level: 'info', message: 'the other processes answer again' },
   peerCallFailed: { level: 'error', message: 'call of a peer failed' }
 }
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -15,6 +15,7 @@
 import * as memberName from './member-name.js'
 import * as peerCalls from './peer-calls.js'
 import * as peerListener from './peer-listener.js'
+import * as peerWatch from './peer-watch.js'
 import * as promptPlaces from './prompt-places.js'
 import * as readRequest from './read-request.js'
 import * as routeTurn from './route-turn.js'
@@ -57,6 +58,10 @@
 const endMarginMs = 700
 /** A call to the store through a peer takes at most this, in ms: the peer's own limit and the way. */
 const relayTimeoutMs = 1_600
+/** A peer that can be reached answers within this, in ms, also when its processor share is used up for a tenth of a second. */
+const pingTimeoutMs = 200
+/** Turns under way may end for this long before a process that is cut off gives its shards up, in ms. */
+const standDownGraceMs = 600
 /** Nobody waits for the answer to an announcement; its connection is given up after this, in ms. */
 const announceTimeoutMs = 500
 /** Idle connections between the processes are kept by the answering side for this, in ms: longer than the asking side does. */
@@ -69,6 +74,7 @@
   private readonly upstreams = new trackUpstreams.UpstreamList()
   private readonly sender = sendHttp.createSender({ idleMs })
   private readonly shards: ownShards.ShardOwner
+  private readonly watch: peerWatch.PeerWatch
   private readonly turnPorts: routeTurn.RouteTurnPorts
   private readonly routingFollower: followRecords.RecordFollower
   private readonly upstreamFollower: followRecords.RecordFollower
@@ -86,7 +92,7 @@
     const self = memberName.memberName(cfg.host, cfg.peerAddress)
     const log = new relayStore.RelayedLog({
       direct: ports.log,
-      peers: () => this.shards.members().filter((member) => member !== self).map(memberName.addressOf),
+      peers: () => this.otherMembers(),
       callPeer: (address, call) => peerCalls.callPeer(this.sender, address, { type: 'store', call }, relayTimeoutMs),
       timers,
       decisions: ports.decisions
@@ -101,7 +107,15 @@
       ownersMs,
       handoverMs
     }, { ...ports, log, announce: () => { this.announce() } })
+    this.watch = new peerWatch.PeerWatch({
+      peers: () => this.otherMembers(),
+      ping: async (address) => await peerCalls.callPeer(this.sender, address, { type: 'ping' }, pingTimeoutMs) !== undefined,
+      onChange: (isolated) => { this.onIsolation(isolated) },
+      timers,
+      decisions: ports.decisions
+    })
     this.turnPorts = {
+      watch: this.watch,
       suspects: new routeTurn.Suspects(),
       upstreams: this.upstreams,
       sender: this.sender,
@@ -151,7 +165,7 @@
 
   /** Whether new clients should be sent here. */
   get ready (): boolean {
-    return !this.stopping && this.routing !== undefined && this.directory.known
+    return !this.stopping && !this.watch.isIsolated && this.routing !== undefined && this.directory.known
   }
 
   get shardsServed (): number {
@@ -266,9 +280,16 @@
   }
 
   private announce (): void {
-    for (const member of this.shards.members()) {
-      if (!this.shards.isSelf(member)) void peerCalls.callPeer(this.sender, memberName.addressOf(member), { type: 'joinNow' }, announceTimeoutMs)
-    }
+    for (const address of this.otherMembers()) void peerCalls.callPeer(this.sender, address, { type: 'joinNow' }, announceTimeoutMs)
+  }
+
+  private otherMembers (): string[] {
+    return this.shards.members().filter((member) => !this.shards.isSelf(member)).map(memberName.addressOf)
+  }
+
+  private onIsolation (isolated: boolean): void {
+    if (isolated) void this.shards.standDown(standDownGraceMs)
+    else this.shards.standUp()
   }
 
   /** Logs how the request ended. */
--- a/packages/front/src/peer-calls.ts
+++ b/packages/front/src/peer-calls.ts
@@ -34,7 +34,12 @@
   readonly type: 'joinNow'
 }
 
-export type PeerCall = SettleCall | FindChainCall | JoinNowCall | RelayCall
+/** Whether the other process can be reached. */
+export interface PingCall {
+  readonly type: 'ping'
+}
+
+export type PeerCall = SettleCall | FindChainCall | JoinNowCall | PingCall | RelayCall
 
 export type SettleAnswer =
   | { readonly type: 'kept' }
--- a/packages/front/src/peer-listener.ts
+++ b/packages/front/src/peer-listener.ts
@@ -80,6 +80,7 @@
 async function answerCall (ports: PeerListenerPorts, call: peerCalls.PeerCall): Promise<peerCalls.PeerAnswer> {
   switch (call.type) {
     case 'store': return shardLogs.runStoreCall(ports.directLog, call.call)
+    case 'ping': return { type: 'heard' }
     case 'joinNow':
       ports.shards.joinNow()
       return { type: 'heard' }
--- a/packages/front/src/route-turn.ts
+++ b/packages/front/src/route-turn.ts
@@ -7,11 +7,14 @@
 import * as forwardTurn from './forward-turn.js'
 import type * as inbound from './inbound.js'
 import * as memberName from './member-name.js'
+import type * as peerWatch from './peer-watch.js'
 import * as serveTurn from './serve-turn.js'
 
 export interface RouteTurnPorts extends serveTurn.TurnPorts {
   /** Peers that did not answer lately. */
   readonly suspects: Suspects
+  /** Told when a peer did not answer; knows whether this process is the one that is cut off. */
+  readonly watch: Pick<peerWatch.PeerWatch, 'suspect' | 'isIsolated'>
 }
 
 /** Peers that did not answer are left alone for a while, so that only the first turn waits for them. */
@@ -47,6 +50,11 @@
 
 export async function routeTurn (ports: RouteTurnPorts, req: inbound.Inbound, turn: dialects.TurnFields): Promise<void> {
   const { timers, shards } = ports
+  if (ports.watch.isIsolated) {
+    ports.decisions.note({ event: 'turnRefused', reason: 'cut off from the owners', request: req.attempt.id, program: turn.program, detail: {} })
+    req.reply.refuse({ type: 'peerUnreachable', retryAfterMs: serveTurn.shardRetryMs })
+    return
+  }
   const partition = shards.partitionOf(turn.program)
   const startedAt = timers.monotonic()
   let last: unknown
@@ -103,6 +111,7 @@
       if (outcome.type === 'answered') return { type: 'done' }
       if (outcome.type === 'unreachable') {
         suspects.add(place.member, timers.monotonic())
+        ports.watch.suspect()
         if (outcome.ended) void shards.evict(place.member)
       }
       return { type: 'again', reason: outcome.type }
--- a/packages/own-shards/src/owned-shard.ts
+++ b/packages/own-shards/src/owned-shard.ts
@@ -69,12 +69,16 @@
     return this.writer.unansweredMs
   }
 
+  refuseNew (): void {
+    if (this.current === 'serving') this.current = 'closing'
+  }
+
   /**
    * Takes no new turns and gives the shard up once the store has answered what is under way, or after the time given.
    * Turns that still run are settled with the next owner.
    */
   async handOver (limitMs: number): Promise<void> {
-    if (this.current === 'serving') this.current = 'closing'
+    this.refuseNew()
     const limit = timerSleep(this.ports.timers, limitMs)
     await Promise.race([this.writer.commit([]), limit])
     this.close()
--- a/packages/own-shards/src/shard-owner.ts
+++ b/packages/own-shards/src/shard-owner.ts
@@ -3,7 +3,7 @@
 import type * as types from '@eelgrasswind/types'
 import * as shardLog from '@eelgrasswind/shard-log'
 import * as hashText from '@eelgrasswind/hash-text'
-import type * as timerService from '@eelgrasswind/timer-service'
+import * as timerService from '@eelgrasswind/timer-service'
 import * as ownedShard from './owned-shard.js'
 
 export interface ShardOwnerSettings {
@@ -59,6 +59,7 @@
   private ownersReadAt = -Infinity
   private askingOwners: Promise<void> | undefined
   private stopped = false
+  private away = false
   private subscriptions: readonly timerService.Subscription[] = []
   private joining = false
   /** The next join gives shards up for others. */
@@ -173,9 +174,27 @@
     this.owners = new Map(owners.map(({ partition, member }) => [shardLog.partitionName(partition), member]))
   }
 
-  /** Hands every shard over: new turns go elsewhere, those under way end here and are settled with the next owners. */
+  /** Leaves for good. */
   async leave (): Promise<void> {
     this.stopped = true
+    await this.handAllOver()
+  }
+
+  /** Gives every shard up until `standUp`: this process can't be reached by the others. Turns under way get the time given, in ms. */
+  async standDown (graceMs: number): Promise<void> {
+    this.away = true
+    for (const shard of this.owned.values()) shard.refuseNew()
+    await timerService.sleep(this.ports.timers, graceMs)
+    if (this.away && !this.stopped) await this.handAllOver()
+  }
+
+  standUp (): void {
+    this.away = false
+    void this.join()
+  }
+
+  /** New turns go elsewhere, those under way end here and are settled with the next owners. */
+  private async handAllOver (): Promise<void> {
     await Promise.all([...this.owned.values()].map((shard) => shard.handOver(this.settings.handoverMs)))
     this.owned.clear()
     const left = await this.ports.log.leave(this.settings.group, this.settings.member)
@@ -186,12 +205,12 @@
   }
 
   private async join (): Promise<void> {
-    if (this.stopped || this.joining) return
+    if (this.stopped || this.away || this.joining) return
     this.joining = true
     const { group, member, topics, leaseMs } = this.settings
     const answer = await this.ports.log.join({ group, member, topics, ttlMs: leaseMs, generation: this.generation })
     this.joining = false
-    if (this.stopped) return
+    if (this.stopped || this.away) return
     if (answer.type === 'assigned' && this.announceAfterJoin) {
       this.announceAfterJoin = false
       this.ports.announce()
