A silent upstream is avoided before its entry lapses, and repeatable requests leave it

Change: where nothing at all has come from an upstream for 1.5 objectives (0.5 to 1 s) after a request was sent, new requests avoid it for 2 s and idempotent ones are sent elsewhere; others wait on, as they may be running. Tests of the dispatch alone (18 assertions).

--- a/packages/decision-log/src/decisions.ts
+++ b/packages/decision-log/src/decisions.ts
@@ -52,6 +52,7 @@
     readonly leftMs: number
   }
   | OfRequest & { readonly event: 'timedOut', readonly ran: boolean }
+  | OfRequest & { readonly event: 'upstreamSilent', readonly upstream: types.UpstreamId, readonly afterMs: number }
   | OfRequest & { readonly event: 'peerAnswerLost', readonly peer: string, readonly cause: string, readonly detail: string }
   | OfTurn & { readonly event: 'turnBroken', readonly ran: boolean, readonly events: number, readonly reason: string }
   | OfTurn & { readonly event: 'turnSettledElsewhere' }
@@ -111,6 +112,7 @@
   turnRefused: { level: 'info', message: 'turn refused' },
   sent: { level: 'info', message: 'sent to an upstream' },
   sendFailed: { level: 'warn', message: 'no usable answer from the upstream' },
+  upstreamSilent: { level: 'warn', message: 'nothing comes from the upstream, new requests avoid it' },
   timedOut: { level: 'warn', message: 'no answer in time' },
   peerAnswerLost: { level: 'warn', message: 'no whole answer from the owner of the program' },
   turnBroken: { level: 'warn', message: 'turn ended without a whole answer' },
--- /dev/null
+++ b/packages/front/src/dispatch.test.ts
@@ -0,0 +1,121 @@
+import tap from 'tap'
+import * as decisionLog from '@eelgrasswind/decision-log'
+import type * as routeRequest from '@eelgrasswind/route-request'
+import type * as sendHttp from '@eelgrasswind/send-http'
+import * as timerService from '@eelgrasswind/timer-service'
+import * as trackUpstreams from '@eelgrasswind/track-upstreams'
+import type * as turnLedger from '@eelgrasswind/turn-ledger'
+import type * as types from '@eelgrasswind/types'
+import type * as dialects from './dialect.js'
+import * as dispatch from './dispatch.js'
+import type * as inbound from './inbound.js'
+
+/** How an upstream answers the next request. */
+type Behaviour = 'silent' | 'answers' | 'full' | 'refusesConnections' | 'breaks' | 'other'
+
+const id = 'request-1' as turnLedger.TurnId
+const service = 'orders' as types.ServiceId
+
+function routeOf (repeatability: routeRequest.Repeatability): routeRequest.Route {
+  return { name: 'r', host: 'h', pathPrefix: '/', repeatability, targets: [{ service, weight: 1 }], timeoutMs: 2_000, objectiveMs: 400, rank: 2, maxAttempts: 3, stream: undefined, retain: undefined }
+}
+
+const facts: Record<'answers' | 'full' | 'other', dialects.AnswerFacts> = {
+  answers: { requestId: id, signed: true, notRun: false, wrongIncarnation: false },
+  full: { requestId: id, signed: false, notRun: true, wrongIncarnation: false },
+  other: { requestId: 'another', signed: true, notRun: false, wrongIncarnation: false }
+}
+
+function fixture (behaviours: Readonly<Record<string, Behaviour>>, repeatability: routeRequest.Repeatability) {
+  const timers = timerService.createManualTimers()
+  const upstreams = new trackUpstreams.UpstreamList()
+  for (const name of Object.keys(behaviours)) {
+    upstreams.put({ id: name as types.UpstreamId, service, address: name, zone: 'z' as types.AvailabilityZoneId, slots: 6, leaving: false })
+  }
+  const sentTo: string[] = []
+  const cancelled: string[] = []
+  let next: dialects.AnswerFacts = facts.answers
+  const send: sendHttp.Sender['send'] = (request, sink) => {
+    sentTo.push(request.address)
+    const behaviour = behaviours[request.address]!
+    timers.after(10, () => {
+      switch (behaviour) {
+        case 'silent': return
+        case 'refusesConnections':
+          sink.fail({ verdict: 'notRun', cause: 'refused', detail: '' })
+          return
+        case 'breaks':
+          sink.fail({ verdict: 'mayHaveRun', cause: 'reset', detail: '' })
+          return
+        default:
+          next = facts[behaviour]
+          sink.head({ status: 200, headers: {}, rawHeaders: [] })
+          if (behaviour === 'answers') sink.end()
+      }
+    })
+    return { cancel: () => { cancelled.push(request.address) }, retire: () => {}, pause: () => {}, resume: () => {} }
+  }
+  const req = { attempt: { id, deadlineMs: 2_000, turn: undefined }, method: 'GET', path: '/', rawHeaders: [], body: Buffer.alloc(0), route: routeOf(repeatability), service, tokensPerEvent: 1, deadlineAt: timers.monotonic() + 2_000 } as unknown as inbound.Inbound
+  let ended: string | undefined
+  const run = (preferred: string): dispatch.Dispatch => {
+    const started = new dispatch.Dispatch({
+      upstreams,
+      sender: { send, close: () => {} },
+      dialect: { upstreamHeaders: () => [], answerFacts: () => next } as unknown as dialects.Dialect,
+      timers,
+      decisions: decisionLog.createSilentDecisionLog(),
+      zone: 'z' as types.AvailabilityZoneId,
+      listAgeMs: () => 0
+    }, req, { body: req.body, preferred: preferred as types.UpstreamId, urgency: undefined }, {
+      head: () => {},
+      data: () => {},
+      end: () => { ended = 'whole' },
+      fail: (failure) => { ended = dispatch.refusalOf(failure).type }
+    })
+    started.start()
+    return started
+  }
+  return { timers, upstreams, sentTo, cancelled, run, ended: () => ended }
+}
+
+tap.test('a repeatable request leaves a silent upstream for another', (t) => {
+  const { timers, sentTo, cancelled, run, ended, upstreams } = fixture({ a: 'silent', b: 'answers' }, 'idempotent')
+  run('a')
+  timers.advance(1_000)
+  t.same(sentTo, ['a', 'b'])
+  t.same(cancelled, ['a'])
+  t.equal(ended(), 'whole')
+  t.ok(upstreams.get('a' as types.UpstreamId)!.avoidUntil > timers.monotonic(), 'new requests avoid it')
+  t.end()
+})
+
+tap.test('a request that may run once waits at a silent upstream, new ones avoid it', (t) => {
+  const { timers, sentTo, run, ended, upstreams } = fixture({ a: 'silent', b: 'answers' }, 'atMostOnce')
+  const waiting = run('a')
+  timers.advance(1_000)
+  t.same(sentTo, ['a'])
+  t.equal(ended(), undefined)
+  t.ok(waiting.ran, 'it may have run')
+  t.ok(upstreams.get('a' as types.UpstreamId)!.avoidUntil > timers.monotonic())
+  t.end()
+})
+
+tap.test('a request that may run once is sent again only where it did not run', (t) => {
+  for (const [first, expected, answer] of [['full', 2, 'whole'], ['refusesConnections', 2, 'whole'], ['breaks', 1, 'answerLost'], ['other', 1, 'answerLost']] as const) {
+    const { timers, sentTo, run, ended } = fixture({ a: first, b: 'answers' }, 'atMostOnce')
+    run('a')
+    timers.advance(400)
+    t.equal(sentTo.length, expected, first)
+    t.equal(ended(), answer, first)
+  }
+  t.end()
+})
+
+tap.test('no more upstreams than the route allows are asked', (t) => {
+  const { timers, sentTo, run, ended } = fixture({ a: 'full', b: 'full', c: 'full', d: 'full', e: 'full' }, 'atMostOnce')
+  run('a')
+  timers.advance(400)
+  t.equal(sentTo.length, 3)
+  t.equal(ended(), 'upstreamsFull')
+  t.end()
+})
--- a/packages/front/src/dispatch.ts
+++ b/packages/front/src/dispatch.ts
@@ -54,6 +54,15 @@
 /** A dispatch of less time than this, in ms, would be in vain. */
 const leastTimeMs = 5
 
+/**
+ * An upstream that has sent nothing to anybody here for this many times the route's objective after a request was sent
+ * is taken for silent. Repeatable requests go elsewhere then, and new ones avoid it.
+ */
+const silentObjectives = 1.5
+/** The least and the most time until an upstream is taken for silent, in ms: a queue of short requests, and a client's patience. */
+const minSilentMs = 500
+const maxSilentMs = 1_000
+
 const unlimited: decideRetry.RetryAllowance = { retriesLeft: Infinity }
 
 /** One request on its way to one upstream after another. */
@@ -66,6 +75,7 @@
   private exchange: sendHttp.Exchange | undefined
   private over = false
   private release: (() => void) | undefined
+  private silence: timerService.Subscription | undefined
 
   constructor (
     private readonly ports: DispatchPorts,
@@ -86,6 +96,7 @@
   /** Gives the request up; the sink hears nothing more. */
   cancel (): void {
     this.over = true
+    this.silence?.cancel()
     this.release?.()
     this.exchange?.cancel()
   }
@@ -143,6 +154,9 @@
       listAgeMs: Math.round(this.ports.listAgeMs()),
       leftMs: Math.round(leftMs)
     })
+    const sentAt = timers.monotonic()
+    this.silence?.cancel()
+    this.silence = timers.after(this.silentMs(), () => { this.onSilence(upstream, sentAt) })
     let accepted = false
     this.inFlight = true
     this.exchange = sender.send({
@@ -155,6 +169,8 @@
       confirmMs: undefined
     }, {
       head: (head) => {
+        this.silence?.cancel()
+        trackUpstreams.noteHeard(upstream, timers.monotonic())
         const problem = this.checkHead(head, upstream)
         if (problem === undefined) {
           accepted = true
@@ -166,7 +182,10 @@
         this.exchange?.cancel()
         this.failedAt(upstream, problem)
       },
-      data: (chunk) => { if (accepted) this.sink.data(chunk) },
+      data: (chunk) => {
+        trackUpstreams.noteHeard(upstream, timers.monotonic())
+        if (accepted) this.sink.data(chunk)
+      },
       end: () => {
         if (!accepted) return
         this.release?.()
@@ -174,6 +193,7 @@
         this.sink.end()
       },
       fail: (failure) => {
+        this.silence?.cancel()
         trackUpstreams.noteFailure(upstream, timers.monotonic())
         const broken: errors.Failure = failure.verdict === 'notRun'
           ? { tag: 'upstreamUnavailable', verdict: 'notRun', message: failure.detail, retryAfterMs: 0 }
@@ -190,6 +210,20 @@
     })
   }
 
+  private silentMs (): number {
+    return Math.min(maxSilentMs, Math.max(minSilentMs, this.req.route.objectiveMs * silentObjectives))
+  }
+
+  /** Nothing has come back yet. Where the upstream answers others, the request just takes its time. */
+  private onSilence (upstream: trackUpstreams.Upstream, sentAt: number): void {
+    if (this.over || upstream.heardAt > sentAt) return
+    trackUpstreams.noteSilent(upstream, this.ports.timers.monotonic())
+    this.ports.decisions.note({ event: 'upstreamSilent', request: this.req.attempt.id, upstream: upstream.listed.id, afterMs: Math.round(this.ports.timers.monotonic() - sentAt) })
+    if (this.req.route.repeatability !== 'idempotent') return
+    this.exchange?.cancel()
+    this.failedAt(upstream, { tag: 'upstreamUnavailable', verdict: 'mayHaveRun', message: 'silent', retryAfterMs: 0 })
+  }
+
   /** What makes the head of an answer unusable; `undefined` where it may be passed on. */
   private checkHead (head: sendHttp.Head, upstream: trackUpstreams.Upstream): errors.Failure | undefined {
     const facts = this.ports.dialect.answerFacts(head)
--- a/packages/track-upstreams/src/upstream-list.ts
+++ b/packages/track-upstreams/src/upstream-list.ts
@@ -21,6 +21,8 @@
   failures: number
   /** Nothing is sent there before this time unless there is no other, monotonic ms. */
   avoidUntil: number
+  /** When anything last came from it, monotonic ms. */
+  heardAt: number
   /** It said that it was full; believed until this time, monotonic ms. */
   fullUntil: number
 }
@@ -28,6 +30,8 @@
 /** First pause after a failure; doubles with each further one. Long enough that a crashed upstream costs few tries. */
 const firstAvoidMs = 150
 const maxAvoidMs = 2_400
+/** Pause after a silence, in ms: a host without power is off the list in about 4 s, and each try costs a client 2 s. */
+const silentAvoidMs = 2_000
 /** A full upstream frees a slot within about one request; asking again sooner is mostly in vain. */
 const fullMs = 40
 
@@ -59,7 +63,7 @@
       return
     }
     this.remove(listed.id)
-    const upstream: Upstream = { listed, running: 0, failures: 0, avoidUntil: 0, fullUntil: 0 }
+    const upstream: Upstream = { listed, running: 0, failures: 0, avoidUntil: 0, heardAt: 0, fullUntil: 0 }
     this.upstreams.set(listed.id, upstream)
     this.services.set(listed.service, [...this.ofService(listed.service), upstream])
   }
@@ -80,6 +84,17 @@
   upstream.avoidUntil = now + pause
 }
 
+/** Nothing at all came from the upstream for so long that its host is likely gone. */
+export function noteSilent (upstream: Upstream, now: number): void {
+  upstream.failures += 1
+  upstream.avoidUntil = now + silentAvoidMs
+}
+
+/** Something came from the upstream. */
+export function noteHeard (upstream: Upstream, now: number): void {
+  upstream.heardAt = now
+}
+
 /** The upstream refused since its queue is full. */
 export function noteFull (upstream: Upstream, now: number): void {
   upstream.fullUntil = now + fullMs
