--- a/packages/cli/src/run-cli.ts
+++ b/packages/cli/src/run-cli.ts
@@ -8,6 +8,7 @@
 import * as configPublish from './commands/config-publish/parse.js'
 import * as configShow from './commands/config-show/parse.js'
 import * as explain from './commands/explain/parse.js'
+import * as explainRequest from './commands/explain-request/parse.js'
 import * as programsList from './commands/programs-list/parse.js'
 import * as programsShow from './commands/programs-show/parse.js'
 import * as programsWatch from './commands/programs-watch/parse.js'
@@ -25,7 +26,8 @@
   programsList.ProgramsListCommand,
   programsShow.ProgramsShowCommand,
   programsWatch.ProgramsWatchCommand,
-  explain.ExplainCommand
+  explain.ExplainCommand,
+  explainRequest.ExplainRequestCommand
 ]
 
 function createCli (enableColors: boolean): clipanion.Cli<baseCommand.CliContext> {
--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -3,7 +3,7 @@
 // Each layer may import the layers before it; `pure` and `peers` packages also import their own layer where listed.
 const base = ['types', 'errors', 'logger', 'decision-log', 'timer-service']
 const pure = ['parse-settings', 'program-state', 'config-state', 'choose-home', 'place-call', 'order-queue',
-  'admit-program', 'retain-prefix', 'limit-client', 'decide-retry', 'membership', 'hash-text', 'route-request', 'turn-ledger',
+  'admit-program', 'retain-prefix', 'limit-client', 'decide-retry', 'membership', 'hash-text', 'explain-request', 'route-request', 'turn-ledger',
   'track-upstreams']
 const peers = ['log-client', 'host-list-client', 'engine-client', 'service-client', 'weight-store-client',
   'sidecar-client', 'send-http', 'shard-log', 'caller-server', 'caller-client', 'metrics', 'tracing']
@@ -21,7 +21,7 @@
   ...layer(['errors', 'logger'], ['types']),
   ...layer(['decision-log'], ['types', 'logger']),
   // Pure packages touch no network, file or clock; they may build on one another.
-  ...layer(pure, ['types', 'errors', 'timer-service', ...pure]),
+  ...layer(pure, ['types', 'errors', 'decision-log', 'timer-service', ...pure]),
   // A package for each peer; they know nothing of one another.
   ...layer(peers, [...base]),
   ...layer(parts, [...base, ...pure, ...peers, 'append-journal', 'follow-config']),
