--- a/packages/decision-log/src/decisions.ts
+++ b/packages/decision-log/src/decisions.ts
@@ -92,6 +92,9 @@
   | { readonly event: 'storeDirect', readonly peer: string }
   | { readonly event: 'cutOff', readonly peers: number }
   | { readonly event: 'reachable', readonly peers: number }
+  | { readonly event: 'shardUnreadable', readonly partition: PartitionField, readonly epoch: number, readonly err: unknown }
+  /** A fault of ours. */
+  | { readonly event: 'unexpected', readonly err: unknown }
   | { readonly event: 'peerCallFailed', readonly err: unknown }
 
 export type Decision = RequestDecision | BeliefDecision
@@ -145,5 +148,7 @@
   storeDirect: { level: 'info', message: 'the store serves this process again' },
   cutOff: { level: 'warn', message: 'cut off from the other processes, giving its shards up' },
   reachable: { level: 'info', message: 'the other processes answer again' },
+  shardUnreadable: { level: 'error', message: 'a record of the shard is not understood, the shard is not served' },
+  unexpected: { level: 'error', message: 'unexpected error' },
   peerCallFailed: { level: 'error', message: 'call of a peer failed' }
 }
--- a/packages/front/src/peer-calls.ts
+++ b/packages/front/src/peer-calls.ts
@@ -56,7 +56,7 @@
 }
 
 export function decodeCall (body: Buffer): PeerCall {
-  return msgpack.decode(body, { }) as PeerCall
+  return msgpack.decode(body) as PeerCall
 }
 
 export type PeerAnswer = SettleAnswer | FindChainAnswer | { readonly type: 'heard' } | shardLog.StoreAnswer
@@ -82,7 +82,7 @@
     }, {
       head: (head) => { status = head.status },
       data: (chunk) => { chunks.push(chunk) },
-      end: () => { finish(status === 200 ? msgpack.decode(Buffer.concat(chunks)) as Answer : undefined) },
+      end: () => { finish(status === 200 ? decodeAnswer<Answer>(Buffer.concat(chunks)) : undefined) },
       fail: () => { finish(undefined) }
     })
     const limit = setTimeout(() => {
@@ -96,6 +96,15 @@
   })
 }
 
+/** What can't be read is no answer. */
+function decodeAnswer<Answer> (body: Buffer): Answer | undefined {
+  try {
+    return msgpack.decode(body) as Answer
+  } catch {
+    return undefined
+  }
+}
+
 function encode (value: unknown): Buffer {
   const bytes = msgpack.encode(value, { ignoreUndefined: true })
   return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
--- a/packages/front/src/peer-listener.ts
+++ b/packages/front/src/peer-listener.ts
@@ -67,7 +67,7 @@
   }
   readRequest.readBody(req, Infinity, (body) => {
     if (body === undefined) return
-    answerCall(ports, peerCalls.decodeCall(body)).then(
+    answerCall(ports, body).then(
       (answer) => { reply.whole(200, [], peerCalls.encodeAnswer(answer)) },
       (err: unknown) => {
         ports.decisions.note({ event: 'peerCallFailed', err })
@@ -77,7 +77,8 @@
   })
 }
 
-async function answerCall (ports: PeerListenerPorts, call: peerCalls.PeerCall): Promise<peerCalls.PeerAnswer> {
+async function answerCall (ports: PeerListenerPorts, body: Buffer): Promise<peerCalls.PeerAnswer> {
+  const call = peerCalls.decodeCall(body)
   switch (call.type) {
     case 'store': return shardLogs.runStoreCall(ports.directLog, call.call)
     case 'ping': return { type: 'heard' }
--- a/packages/front/src/run-front.ts
+++ b/packages/front/src/run-front.ts
@@ -62,14 +62,22 @@
     })
   })
   process.on('SIGHUP', () => { reload(ports, decisions) })
+  // A fault in the handling of one request must not end the others: it is told, and the process goes on.
+  process.on('unhandledRejection', (err) => { decisions.note({ event: 'unexpected', err }) })
 }
 
 /** Addresses and shards can't change in a running process: the new settings are checked now and in force after the next start. */
 function reload (ports: RunFrontPorts, decisions: decisionLog.DecisionLog): void {
-  const { settingsFile } = ports
-  const parsed = parseSettings.parseSettings(ports.readSettings(), settings.frontSettings, settingsFile)
-  const outcome = parsed.ok ? 'valid, in force after the next start' : parseSettings.formatSettingsErrors(parsed.failure)
-  decisions.note({ event: 'reload', settings: settingsFile, outcome })
+  decisions.note({ event: 'reload', settings: ports.settingsFile, outcome: checkSettings(ports) })
+}
+
+function checkSettings (ports: RunFrontPorts): string {
+  try {
+    const parsed = parseSettings.parseSettings(ports.readSettings(), settings.frontSettings, ports.settingsFile)
+    return parsed.ok ? 'valid, in force after the next start' : parseSettings.formatSettingsErrors(parsed.failure)
+  } catch (err) {
+    return `not readable: ${(err as Error).message}`
+  }
 }
 
 function addGauges (metrics: decisionLog.DecisionMetrics, running: front.Front, lines: loggers.BoundedLines): void {
--- a/packages/own-shards/src/owned-shard.ts
+++ b/packages/own-shards/src/owned-shard.ts
@@ -47,9 +47,8 @@
     const startedAt = this.ports.timers.monotonic()
     const fenced = await this.writer.open()
     if (fenced.type === 'lost') return
-    const count = await this.load()
-    if (this.current !== 'opening') return
-    this.ledger.finishLoad()
+    const count = await this.loadAll()
+    if (this.current !== 'opening' || count === undefined) return
     this.current = 'serving'
     const tookMs = Math.round(this.ports.timers.monotonic() - startedAt)
     this.ports.decisions.note({ event: 'shardOpened', partition: this.partition, epoch: this.epoch, records: count, tookMs })
@@ -103,6 +102,18 @@
     this.ports.onLost(this, reason)
   }
 
+  /** The number of records; `undefined` where one can't be read: to serve without it could deny what was promised. */
+  private async loadAll (): Promise<number | undefined> {
+    try {
+      const count = await this.load()
+      this.ledger.finishLoad()
+      return count
+    } catch (err) {
+      this.ports.decisions.note({ event: 'shardUnreadable', partition: this.partition, epoch: this.epoch, err })
+      return undefined
+    }
+  }
+
   private async load (): Promise<number> {
     let after: string | undefined
     let count = 0
