--- /dev/null
+++ b/packages/decision-log/src/decision-log.test.ts
@@ -0,0 +1,65 @@
+import tap from 'tap'
+import * as loggers from '@eelgrasswind/logger'
+import type * as types from '@eelgrasswind/types'
+import * as decisionLog from './index.js'
+
+function fixture () {
+  const lines: { event: string, counts?: Record<string, number> }[] = []
+  const counted: string[] = []
+  let now = 0
+  const stream = { write: (line: string) => lines.push(JSON.parse(line) as { event: string }) > 0 } as unknown as NodeJS.WritableStream
+  const log = decisionLog.createDecisionLog({
+    logger: loggers.createLogger({ name: 'test', host: 'front-1' as types.HostId, level: 'info', stream }),
+    count: ({ event }) => { counted.push(event) },
+    now: () => now
+  })
+  return { lines, counted, log, advance: (ms: number) => { now += ms } }
+}
+
+const sent = (request: string): decisionLog.Decision => ({ event: 'sent', request, attempt: 1, upstream: 'u' as types.UpstreamId, preferred: true, running: 1, candidates: 6, listAgeMs: 100, leftMs: 2_000 })
+const broken = (request: string): decisionLog.Decision => ({ event: 'turnBroken', request, program: 'p' as types.ProgramId, ran: true, events: 2, reason: 'answerLost' })
+
+tap.test('a line has the request, the inputs and the outcome', (t) => {
+  const { lines, log } = fixture()
+  log.note(sent('r1'))
+  t.match(lines[0], { event: 'sent', request: 'r1', upstream: 'u', listAgeMs: 100, msg: 'sent to an upstream', host: 'front-1' })
+  t.end()
+})
+
+tap.test('a storm of ordinary lines is bounded, counted, and costs no failure its line', (t) => {
+  const { lines, counted, log } = fixture()
+  for (let at = 0; at < 5_000; at += 1) log.note(sent(`r${at}`))
+  t.ok(lines.length <= 400)
+  log.note(broken('r-broken'))
+  t.equal(lines.at(-1)?.event, 'turnBroken')
+  t.same(lines.at(-2)?.counts, { sent: 4_600 })
+  t.equal(counted.length, 5_001)
+  t.end()
+})
+
+tap.test('lines flow again at the rate of the budget', (t) => {
+  const { lines, log, advance } = fixture()
+  for (let at = 0; at < 1_000; at += 1) log.note(sent('r'))
+  const before = lines.length
+  advance(100)
+  for (let at = 0; at < 1_000; at += 1) log.note(sent('r'))
+  t.equal(lines.length - before, 20)
+  t.end()
+})
+
+tap.test('every event has a level and a message of its own', (t) => {
+  const messages = Object.values(decisionLog.eventTable).map(({ message }) => message)
+  t.equal(new Set(messages).size, messages.length)
+  t.end()
+})
+
+tap.test('metrics count outcomes and times', async (t) => {
+  const metrics = decisionLog.createDecisionMetrics()
+  metrics.count({ event: 'ended', request: 'r', kind: 'turn', outcome: 'refused', status: 503, reason: 'storeAway', tookMs: 7 })
+  metrics.count(broken('r'))
+  metrics.storeCall('append', 'appended', 6)
+  const text = await metrics.text()
+  t.match(text, 'eelgrasswind_requests_total{kind="turn",outcome="refused",status="503"} 1')
+  t.match(text, 'eelgrasswind_refusals_total{reason="answerLost"} 1')
+  t.match(text, 'eelgrasswind_store_call_ms_bucket{le="10",call="append",outcome="appended"} 1')
+})
--- /dev/null
+++ b/packages/track-upstreams/src/choose-upstream.test.ts
@@ -0,0 +1,74 @@
+import tap from 'tap'
+import type * as types from '@eelgrasswind/types'
+import * as chooseUpstream from './choose-upstream.js'
+import * as upstreamList from './upstream-list.js'
+
+const service = 'engines' as types.ServiceId
+const zone = 'makati-a' as types.AvailabilityZoneId
+
+function fixture (running: Readonly<Record<string, number>>) {
+  const list = new upstreamList.UpstreamList()
+  for (const [name, count] of Object.entries(running)) {
+    list.put({ id: name as types.UpstreamId, service, address: `${name}:1`, zone, slots: 24, leaving: false })
+    list.get(name as types.UpstreamId)!.running = count
+  }
+  const choose = (preferred?: string, tried: readonly string[] = [], now = 1_000): string | undefined => chooseUpstream.chooseUpstream({
+    candidates: list.ofService(service),
+    tried: new Set(tried as types.UpstreamId[]),
+    preferred: preferred as types.UpstreamId | undefined,
+    zone,
+    now,
+    random: () => 0.5
+  })?.listed.id
+  return { list, choose, get: (name: string) => list.get(name as types.UpstreamId)! }
+}
+
+tap.test('the least used upstream takes a request that prefers none', (t) => {
+  const { choose } = fixture({ a: 4, b: 1, c: 3 })
+  t.equal(choose(), 'b')
+  t.equal(choose(undefined, ['b']), 'c')
+  t.equal(choose(undefined, ['a', 'b', 'c']), undefined)
+  t.end()
+})
+
+tap.test('a prompt stays where it is cached until that engine is a quarter of its slots busier', (t) => {
+  const { choose, get } = fixture({ a: 6, b: 0 })
+  t.equal(choose('a'), 'a')
+  get('a').running = 7
+  t.equal(choose('a'), 'b')
+  t.end()
+})
+
+tap.test('leaving upstreams take nothing, avoided ones only where there is no other', (t) => {
+  const { list, choose, get } = fixture({ a: 0, b: 0 })
+  list.put({ ...get('a').listed, leaving: true })
+  t.equal(choose('a'), 'b')
+  upstreamList.noteSilent(get('b'), 1_000)
+  t.equal(choose(), 'b', 'the only one left')
+  list.put({ ...get('a').listed, leaving: false })
+  t.equal(choose('b'), 'a')
+  t.equal(choose('b', [], 10_000), 'b', 'after the pause')
+  t.end()
+})
+
+tap.test('pauses after failures grow and end with a success', (t) => {
+  const { get } = fixture({ a: 0 })
+  const pauses = [1, 2, 3, 4, 5, 6].map(() => {
+    upstreamList.noteFailure(get('a'), 0)
+    return get('a').avoidUntil
+  })
+  t.same(pauses, [150, 300, 600, 1_200, 2_400, 2_400])
+  upstreamList.noteSuccess(get('a'))
+  t.equal(get('a').avoidUntil, 0)
+  t.end()
+})
+
+tap.test('an address that another service took belongs to that service alone', (t) => {
+  const { list, choose, get } = fixture({ a: 0, b: 5 })
+  list.put({ ...get('a').listed, service: 'other' as types.ServiceId })
+  t.equal(choose(), 'b')
+  list.remove('b' as types.UpstreamId)
+  t.equal(choose(), undefined)
+  t.equal(list.size, 1)
+  t.end()
+})
