--- a/packages/demo/src/pages.test.ts
+++ b/packages/demo/src/pages.test.ts
@@ -7,6 +7,7 @@
 import type * as errors from '@eelgrasswind/errors'
 import * as testUtils from '@eelgrasswind/test-utils'
 import tap from 'tap'
+import * as logsReference from './logs-reference.js'
 import * as pageExamples from './page-examples.js'
 import * as settingsReference from './settings-reference.js'
 
@@ -57,6 +58,10 @@
   t.equal(page('settings.md'), settingsReference.settingsReference())
 })
 
+tap.test('the page of log lines is made from the table of decisions', async (t) => {
+  t.equal(page('logs.md'), logsReference.logsReference())
+})
+
 tap.test('every sample of process settings passes the check of its binary', async (t) => {
   for (const deployment of fs.readdirSync(path.join(root, 'samples'))) {
     const files = fs.readdirSync(path.join(root, 'samples', deployment)).filter((file) => /^(entry|sidecar)/.test(file))
--- a/packages/demo/src/settings-reference.ts
+++ b/packages/demo/src/settings-reference.ts
@@ -2,6 +2,7 @@
 import * as cli from '@eelgrasswind/cli'
 import * as configState from '@eelgrasswind/config-state'
 import * as entry from '@eelgrasswind/entry'
+import * as front from '@eelgrasswind/front'
 import * as parseSettings from '@eelgrasswind/parse-settings'
 import * as sidecar from '@eelgrasswind/sidecar'
 import type * as z from 'zod'
@@ -32,6 +33,11 @@
     title: 'Sidecar settings',
     text: 'One file for each sidecar, named by `eelgrasswind-sidecar --settings FILE`. Samples: `samples/dimasalang/sidecar.jsonc`, `samples/shagyl/sidecar.jsonc`. A process takes a change at its next start.',
     schema: sidecar.sidecarSettings
+  },
+  {
+    title: 'Front settings',
+    text: 'One file for each front, rendered by the platform from `deploy/settings.jsonc.tmpl`. `node target/eelgrasswind-front.mjs --check` checks it. A process takes a change at its next start.',
+    schema: front.frontSettings
   }
 ]
 
