--- a/packages/decision-log/src/decision-log.ts
+++ b/packages/decision-log/src/decision-log.ts
@@ -2,10 +2,12 @@
 import type * as logger from '@eelgrasswind/logger'
 import * as decisions from './decisions.js'
 
+/** Where parts of a process tell what they decided. */
 export interface DecisionLog {
   readonly note: (decision: decisions.Decision) => void
 }
 
+/** What a decision log needs from its process. */
 export interface DecisionLogPorts {
   readonly logger: logger.Logger
   /** Counts every decision, also those that are not written. */
@@ -23,6 +25,7 @@
 /** Lines of the ordinary way of a request, the first to go when there are too many. */
 const ordinary: ReadonlySet<decisions.DecisionEvent> = new Set<decisions.DecisionEvent>(['routed', 'passedOn', 'turnAdmitted', 'sent'])
 
+/** A log that writes within its budget of lines and counts everything. */
 export function createDecisionLog (ports: DecisionLogPorts): DecisionLog {
   const everyday = new LineBudget(linesPerSecond, burstLines, ports.now)
   const important = new LineBudget(linesPerSecond * importantFactor, burstLines * importantFactor, ports.now)
--- a/packages/decision-log/src/decision-metrics.ts
+++ b/packages/decision-log/src/decision-metrics.ts
@@ -2,6 +2,7 @@
 import * as prometheus from 'prom-client'
 import type * as decisions from './decisions.js'
 
+/** The counters and histograms of one process. */
 export interface DecisionMetrics {
   readonly count: (decision: decisions.Decision) => void
   /** One call to the store. */
@@ -16,6 +17,7 @@
 const buckets = [5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400]
 const prefix = 'eelgrasswind_'
 
+/** Creates an empty registry of its own, so that several fronts can live in one test process. */
 export function createDecisionMetrics (): DecisionMetrics {
   const registry = new prometheus.Registry()
   const registers = [registry]
--- a/packages/decision-log/src/decisions.ts
+++ b/packages/decision-log/src/decisions.ts
@@ -1,6 +1,7 @@
 /** The decisions that are logged. A new kind needs its fields here, a message and a level below. */
 import type * as types from '@eelgrasswind/types'
 
+/** A shard, as a line names it. */
 export interface PartitionField {
   readonly topic: string
   readonly part: number
@@ -62,6 +63,7 @@
 /** A call is served by any process; a turn by the owner of its program, for a client or for the process that passed it on. */
 export type RequestKind = 'call' | 'turn' | 'passedOnTurn'
 
+/** How a request ended for its client: answered, refused by this process, cut in the answer, or left by the client. */
 export type RequestOutcome = 'whole' | 'refused' | 'brokenOff' | 'clientGone'
 
 /** Decisions that change what this process believes. */
@@ -97,10 +99,13 @@
   | { readonly event: 'unexpected', readonly err: unknown }
   | { readonly event: 'peerCallFailed', readonly err: unknown }
 
+/** Everything that is logged. */
 export type Decision = RequestDecision | BeliefDecision
 
+/** Name of a decision, as the field `event` of its line. */
 export type DecisionEvent = Decision['event']
 
+/** How the line of an event is written. */
 export interface EventInfo {
   readonly level: 'info' | 'warn' | 'error'
   readonly message: string
--- a/packages/explain-request/src/explain-request.ts
+++ b/packages/explain-request/src/explain-request.ts
@@ -22,6 +22,7 @@
   readonly fields: Readonly<Record<string, unknown>>
 }
 
+/** What the logs tell of one request. */
 export interface Story {
   readonly lines: readonly StoryLine[]
   /** Lines that were left out or dropped by the processes concerned: the story may have gaps. */
--- a/packages/follow-records/src/record-follower.ts
+++ b/packages/follow-records/src/record-follower.ts
@@ -3,6 +3,7 @@
 import type * as shardLog from '@eelgrasswind/shard-log'
 import type * as timerService from '@eelgrasswind/timer-service'
 
+/** What is followed, and how often it is read. */
 export interface FollowerSettings {
   readonly partition: shardLog.Partition
   /** Pause between two reads, in ms. */
@@ -11,6 +12,7 @@
   readonly waitMs: number
 }
 
+/** What a follower needs from its process. */
 export interface FollowerPorts {
   readonly log: shardLog.ShardLog
   readonly timers: timerService.TimerService
@@ -30,6 +32,7 @@
 /** An answer after a silence this long, in ms, counts as the return of the store. */
 const outageMs = 1_500
 
+/** Reads all newest records once, then what was appended since; starts over where that is no longer to be had. */
 export class RecordFollower {
   private next: number | undefined
   private lastAnswerAt: number | undefined
--- a/packages/front/src/dialect.ts
+++ b/packages/front/src/dialect.ts
@@ -28,6 +28,7 @@
   readonly turn: TurnFields | undefined
 }
 
+/** A request as its headers say it, or the field that is wrong. */
 export type DecodedAttempt =
   | { readonly type: 'attempt', readonly attempt: ClientAttempt }
   | { readonly type: 'invalid', readonly field: string, readonly expected: string }
@@ -55,6 +56,7 @@
   readonly bodyBytes: number
 }
 
+/** Reads and writes the headers of requests and answers. */
 export interface Dialect {
   readonly decodeAttempt: (headers: http.IncomingHttpHeaders) => DecodedAttempt
   /** Headers of a request to an upstream: what the client sent end to end, less what is the system's to set. */
--- a/packages/front/src/dispatch.ts
+++ b/packages/front/src/dispatch.ts
@@ -9,6 +9,7 @@
 import type * as dialects from './dialect.js'
 import type * as inbound from './inbound.js'
 
+/** What it takes to send requests to upstreams. */
 export interface DispatchPorts {
   readonly upstreams: trackUpstreams.UpstreamList
   readonly sender: sendHttp.Sender
@@ -20,6 +21,7 @@
   readonly listAgeMs: () => number
 }
 
+/** What is sent, and where if there is a choice. */
 export interface DispatchOptions {
   readonly body: Uint8Array
   /** The upstream to choose where its load allows it. */
@@ -37,6 +39,7 @@
   readonly fail: (failure: DispatchFailure) => void
 }
 
+/** Why there is no answer, and what may have happened. */
 export interface DispatchFailure {
   readonly failure: errors.Failure
   /** Whether any upstream may have worked on it: false promises that none did and none will. */
--- a/packages/front/src/event-splitter.ts
+++ b/packages/front/src/event-splitter.ts
@@ -10,6 +10,7 @@
 const lineFeed = 0x0a
 const dataField = 'data:'
 
+/** Takes the bytes of a stream as they come and gives whole events; a part of an event is held back. */
 export class EventSplitter {
   private rest: Buffer = Buffer.alloc(0)
 
--- a/packages/front/src/find-chain.ts
+++ b/packages/front/src/find-chain.ts
@@ -6,11 +6,13 @@
 import * as memberName from './member-name.js'
 import * as peerCalls from './peer-calls.js'
 
+/** What it takes to ask every owner. */
 export interface FindPorts {
   readonly shards: ownShards.ShardOwner
   readonly sender: sendHttp.Sender
 }
 
+/** What all owners together know of a turn. */
 export type Found =
   | { readonly type: 'found', readonly chain: readonly turnLedger.KeptTurn[] }
   /** No shard holds it, and the store has confirmed every owner that says so. */
--- a/packages/front/src/forward-header.ts
+++ b/packages/front/src/forward-header.ts
@@ -14,6 +14,7 @@
   readonly tokensPerEvent: number
 }
 
+/** The header, name and value, that goes with a turn to its owner. */
 export function encode (req: inbound.Inbound): string[] {
   const forwarded: Forwarded = { route: req.route, service: req.service, tokensPerEvent: req.tokensPerEvent }
   return [routeHeader, encodeURIComponent(JSON.stringify(forwarded))]
@@ -30,8 +31,10 @@
   }
 }
 
+/** The header of a refusal by a process that does not own the program. */
 export const notOwner: readonly string[] = [notOwnerHeader, '1']
 
+/** Whether an answer is that refusal. */
 export function saysNotOwner (headers: http.IncomingHttpHeaders): boolean {
   return headers[notOwnerHeader] !== undefined
 }
--- a/packages/front/src/forward-turn.ts
+++ b/packages/front/src/forward-turn.ts
@@ -21,6 +21,7 @@
  */
 const confirmMs = 250
 
+/** Resolves when the client has its answer, or when it is certain that nothing ran. */
 export function forwardTurn (ports: dispatch.DispatchPorts, req: inbound.Inbound, address: string): Promise<ForwardOutcome> {
   const { dialect, sender, timers } = ports
   const leftMs = Math.floor(req.deadlineAt - timers.monotonic())
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -32,6 +32,7 @@
   readonly decodeUpstream: (key: string, value: Uint8Array) => trackUpstreams.ListedUpstream
 }
 
+/** What differs between platforms, and what a test replaces. */
 export interface FrontPorts {
   readonly log: shardLog.ShardLog
   readonly dialect: dialects.Dialect
@@ -70,6 +71,7 @@
 /** An idle client connection is kept this much longer than the published limit, so that a limit that grows cuts nobody off. */
 const idleFactor = 1.5
 
+/** One front process, from its start to its end. */
 export class Front {
   private readonly upstreams = new trackUpstreams.UpstreamList()
   private readonly sender = sendHttp.createSender({ idleMs })
--- a/packages/front/src/inbound.ts
+++ b/packages/front/src/inbound.ts
@@ -41,6 +41,7 @@
   | { readonly type: 'answerLost', readonly detail: string }
   | { readonly type: 'timeout' }
 
+/** HTTP status of a refusal. 503 promises that the request has not run and will not; 502 and 504 promise nothing. */
 export function statusOf (refusal: Refusal): number {
   switch (refusal.type) {
     case 'notReady':
--- a/packages/front/src/measured-log.ts
+++ b/packages/front/src/measured-log.ts
@@ -3,6 +3,7 @@
 import * as shardLog from '@eelgrasswind/shard-log'
 import type * as timerService from '@eelgrasswind/timer-service'
 
+/** The same log, with its calls measured. */
 export function measuredLog (log: shardLog.ShardLog, metrics: decisionLog.DecisionMetrics, timers: timerService.TimerService): shardLog.ShardLog {
   return shardLog.shardLogOver(async (call) => {
     const startedAt = timers.monotonic()
--- a/packages/front/src/peer-calls.ts
+++ b/packages/front/src/peer-calls.ts
@@ -18,6 +18,7 @@
   readonly turn: turnLedger.TurnId
 }
 
+/** What one process knows of a turn. */
 export type FindChainAnswer =
   | { readonly type: 'found', readonly chain: readonly turnLedger.KeptTurn[] }
   /** None of these shards holds it, as the store has confirmed. */
@@ -39,8 +40,10 @@
   readonly type: 'ping'
 }
 
+/** Every call that one front makes to another, besides passing a turn on. */
 export type PeerCall = SettleCall | FindChainCall | JoinNowCall | PingCall | RelayCall
 
+/** Whether a settled turn is kept. */
 export type SettleAnswer =
   | { readonly type: 'kept' }
   /** The asked process does not own the program. */
@@ -51,16 +54,20 @@
 const path = '/peer-call'
 const connectTimeoutMs = 200
 
+/** Whether a request is such a call. */
 export function isPeerCall (req: http.IncomingMessage): boolean {
   return req.url === path && req.method === 'PUT'
 }
 
+/** Reads a call. Throws where the bytes are no MessagePack. */
 export function decodeCall (body: Buffer): PeerCall {
   return msgpack.decode(body) as PeerCall
 }
 
+/** What a call is answered with. */
 export type PeerAnswer = SettleAnswer | FindChainAnswer | { readonly type: 'heard' } | shardLog.StoreAnswer
 
+/** Writes an answer. */
 export function encodeAnswer (answer: PeerAnswer): Buffer {
   return encode(answer)
 }
--- a/packages/front/src/peer-listener.ts
+++ b/packages/front/src/peer-listener.ts
@@ -10,6 +10,7 @@
 import * as routeTurn from './route-turn.js'
 import * as settleTurn from './settle-turn.js'
 
+/** What it takes to serve peers. */
 export interface PeerListenerPorts extends routeTurn.RouteTurnPorts {
   /** The store as this process itself reaches it. */
   readonly directLog: shardLog.ShardLog
@@ -19,6 +20,7 @@
 
 const largestHeaderBytes = 131_072
 
+/** A server for peers, not yet listening. Times in ms. */
 export function createPeerServer (ports: PeerListenerPorts, keepAliveTimeout: number): http.Server {
   const server = http.createServer({ maxHeaderSize: largestHeaderBytes, requestTimeout: 0, keepAliveTimeout }, (req, res) => { onCall(ports, req, res) })
   server.on('checkContinue', (req: http.IncomingMessage, res: http.ServerResponse) => { onTurn(ports, req, res) })
--- a/packages/front/src/peer-watch.ts
+++ b/packages/front/src/peer-watch.ts
@@ -5,6 +5,7 @@
 import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as timerService from '@eelgrasswind/timer-service'
 
+/** What a watch needs from its process. */
 export interface PeerWatchPorts {
   /** Addresses of the other members. */
   readonly peers: () => readonly string[]
@@ -30,6 +31,7 @@
 /** With fewer peers there is no telling who is cut off. */
 const fewestPeers = 2
 
+/** Asks nobody while all is well; a silent peer makes it ask all of them. */
 export class PeerWatch {
   private asking = false
   private isolated = false
--- a/packages/front/src/prompt-places.ts
+++ b/packages/front/src/prompt-places.ts
@@ -8,6 +8,7 @@
 /** Turns that are remembered; the oldest go first. More than an engine's memory holds at any size seen so far. */
 const maxTurns = 20_000
 
+/** Remembers where the turns of this process ran. A wrong guess costs reading the prompt again, nothing else. */
 export class PromptPlaces {
   private readonly turns = new Map<turnLedger.TurnId, types.UpstreamId>()
 
--- a/packages/front/src/route-turn.ts
+++ b/packages/front/src/route-turn.ts
@@ -10,6 +10,7 @@
 import type * as peerWatch from './peer-watch.js'
 import * as serveTurn from './serve-turn.js'
 
+/** What it takes to bring turns to their owners. */
 export interface RouteTurnPorts extends serveTurn.TurnPorts {
   /** Peers that did not answer lately. */
   readonly suspects: Suspects
@@ -48,6 +49,7 @@
 /** Pause between two looks, in ms. */
 const lookMs = 20
 
+/** Serves a turn of a client wherever its program is owned, or refuses it with the time at which it can be served. */
 export async function routeTurn (ports: RouteTurnPorts, req: inbound.Inbound, turn: dialects.TurnFields): Promise<void> {
   const { timers, shards } = ports
   if (ports.watch.isIsolated) {
--- a/packages/front/src/run-front.ts
+++ b/packages/front/src/run-front.ts
@@ -11,6 +11,7 @@
 import * as measuredLog from './measured-log.js'
 import * as settings from './settings.js'
 
+/** What the adapter of a platform gives to a process. */
 export interface RunFrontPorts {
   readonly settingsFile: string
   readonly readSettings: () => string
--- a/packages/front/src/serve-turn.ts
+++ b/packages/front/src/serve-turn.ts
@@ -12,6 +12,7 @@
 import type * as promptPlaces from './prompt-places.js'
 import * as settleTurn from './settle-turn.js'
 
+/** What it takes to serve turns as the owner of their programs. */
 export interface TurnPorts extends dispatch.DispatchPorts {
   readonly shards: ownShards.ShardOwner
   readonly places: promptPlaces.PromptPlaces
--- a/packages/front/src/settings.ts
+++ b/packages/front/src/settings.ts
@@ -4,6 +4,7 @@
 const milliseconds = (describe: string, preset: number) => z.number().int().positive().default(preset).describe(describe)
 const address = (describe: string) => z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'IP:PORT').describe(describe)
 
+/** Schema of the settings file of a front; unknown fields are refused by `parse-settings`. */
 export const frontSettings = z.object({
   host: z.string().min(1).describe('Name of the host.'),
   availabilityZone: z.string().min(1).describe('Availability zone of the host.'),
@@ -20,4 +21,5 @@
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal']).default('info').describe('Least level of the lines that are written.')
 })
 
+/** Checked settings with their defaults filled in. */
 export type FrontSettings = z.output<typeof frontSettings>
--- a/packages/front/src/settle-turn.ts
+++ b/packages/front/src/settle-turn.ts
@@ -8,6 +8,7 @@
 import * as memberName from './member-name.js'
 import * as peerCalls from './peer-calls.js'
 
+/** What it takes to reach the owner of a program. */
 export interface SettlePorts {
   readonly shards: ownShards.ShardOwner
   readonly sender: sendHttp.Sender
--- a/packages/front/src/upstream-directory.ts
+++ b/packages/front/src/upstream-directory.ts
@@ -4,6 +4,7 @@
 import type * as trackUpstreams from '@eelgrasswind/track-upstreams'
 import type * as types from '@eelgrasswind/types'
 
+/** What the directory needs from its process. */
 export interface DirectoryPorts {
   readonly upstreams: trackUpstreams.UpstreamList
   readonly timers: timerService.TimerService
@@ -16,6 +17,7 @@
 /** Entries that lapsed while the store was away have this long to return, in ms; the store's users promise about two seconds. */
 const returnGraceMs = 2_500
 
+/** Applies the changes of the list, but gives entries that an outage removed time to return. */
 export class UpstreamDirectory {
   private readonly missing = new Map<types.UpstreamId, timerService.Subscription>()
   private complete = false
--- a/packages/own-shards/src/owned-shard.ts
+++ b/packages/own-shards/src/owned-shard.ts
@@ -6,6 +6,7 @@
 import * as turnLedger from '@eelgrasswind/turn-ledger'
 import * as shardWriter from './shard-writer.js'
 
+/** Where a shard is on its way through this process. */
 export type ShardState =
   /** The former owner is being fenced, or the records are being read. */
   | 'opening'
@@ -14,6 +15,7 @@
   | 'closing'
   | 'lost'
 
+/** What a shard needs from its owner. */
 export interface OwnedShardPorts {
   readonly log: shardLog.ShardLog
   readonly timers: timerService.TimerService
@@ -24,6 +26,7 @@
 /** Pause before a page that could not be read is asked for again, in ms. */
 const readRetryMs = 60
 
+/** A shard from the moment that the group gives it to this process until it is lost or handed over. */
 export class OwnedShard {
   readonly ledger = new turnLedger.TurnLedger()
   private readonly writer: shardWriter.ShardWriter
--- a/packages/own-shards/src/shard-owner.ts
+++ b/packages/own-shards/src/shard-owner.ts
@@ -6,6 +6,7 @@
 import * as timerService from '@eelgrasswind/timer-service'
 import * as ownedShard from './owned-shard.js'
 
+/** The group, this process in it, and its times. */
 export interface ShardOwnerSettings {
   readonly group: string
   /** Name in the group: stable over restarts, so that a process that comes back soon keeps its shards. */
@@ -23,6 +24,7 @@
   readonly handoverMs: number
 }
 
+/** What the owner needs from its process. */
 export interface ShardOwnerPorts {
   /** Tells the other members that shards have become free, so that they need not wait for their next heartbeat. */
   readonly announce: () => void
@@ -49,6 +51,7 @@
 /** How far an epoch goes ahead after it was fenced at once: more than clocks differ. */
 const fencedEpochSteps = 600
 
+/** Keeps the lease, opens and hands over shards as the group says, and knows who owns the others. */
 export class ShardOwner {
   private readonly owned = new Map<shardLog.PartitionName, ownedShard.OwnedShard>()
   private owners = new Map<shardLog.PartitionName, string>()
--- a/packages/own-shards/src/shard-writer.ts
+++ b/packages/own-shards/src/shard-writer.ts
@@ -9,6 +9,7 @@
   /** Another owner has taken the shard, or this one gave it up: the records are not stored. */
   | { readonly type: 'lost' }
 
+/** What a writer needs from its shard. */
 export interface ShardWriterPorts {
   readonly log: shardLog.ShardLog
   readonly timers: timerService.TimerService
@@ -28,6 +29,7 @@
 /** Bytes of records in one append, below the smallest limit that a store is known to have. */
 const maxBatchBytes = 1_000_000
 
+/** The only way in which records of a shard are written. */
 export class ShardWriter {
   private sequence = 0
   private waiting: Waiting[] = []
--- a/packages/relay-store/src/relayed-log.ts
+++ b/packages/relay-store/src/relayed-log.ts
@@ -7,6 +7,7 @@
 import * as shardLog from '@eelgrasswind/shard-log'
 import type * as timerService from '@eelgrasswind/timer-service'
 
+/** The store, and the peers that may stand in for the way to it. */
 export interface RelayPorts {
   /** The store itself. */
   readonly direct: shardLog.ShardLog
@@ -23,6 +24,7 @@
 /** After neither way worked, peers are left alone this long, in ms: the store is most likely away for all. */
 const awayMs = 300
 
+/** Gives a shard log that works as long as the store serves this process or one of its peers. */
 export class RelayedLog {
   /** The peer that made the last call; `undefined` while the store serves this process. */
   private peer: string | undefined
--- a/packages/route-request/src/routing.ts
+++ b/packages/route-request/src/routing.ts
@@ -26,6 +26,7 @@
   readonly retainMs: number
 }
 
+/** What holds for the requests of one host and path prefix. */
 export interface Route {
   readonly name: string
   readonly host: string
@@ -55,6 +56,7 @@
   readonly tokensPerEvent: number
 }
 
+/** A kind of upstream that routes send requests to. */
 export interface Service {
   readonly name: types.ServiceId
   /** Connections that one upstream takes from all callers together. */
--- a/packages/send-http/src/send-http.ts
+++ b/packages/send-http/src/send-http.ts
@@ -19,6 +19,7 @@
   readonly confirmMs: number | undefined
 }
 
+/** Status and headers of an answer. */
 export interface Head {
   readonly status: number
   readonly headers: http.IncomingHttpHeaders
@@ -42,6 +43,7 @@
   readonly fail: (failure: SendFailure) => void
 }
 
+/** A request under way, and what its sender may still do with it. */
 export interface Exchange {
   /** Closes the connection; the sink hears nothing more. */
   readonly cancel: () => void
@@ -52,11 +54,13 @@
   readonly resume: () => void
 }
 
+/** Sends requests over connections that it keeps for reuse. */
 export interface Sender {
   readonly send: (request: Outgoing, sink: AnswerSink) => Exchange
   readonly close: () => void
 }
 
+/** How connections are kept. */
 export interface SenderSettings {
   /** An idle connection is given up after this time, in ms: well before any upstream's own limit. */
   readonly idleMs: number
--- a/packages/shard-log/src/shard-log.ts
+++ b/packages/shard-log/src/shard-log.ts
@@ -32,6 +32,7 @@
   /** No answer: it may have been done, or may still be. */
   | { readonly type: 'noAnswer', readonly detail: string }
 
+/** What the store says to an append. */
 export type AppendOutcome =
   | { readonly type: 'appended' }
   /** Another writer has set a higher epoch. */
@@ -58,6 +59,7 @@
   readonly next: number
 }
 
+/** Asks for what was appended from an offset on. */
 export interface ReadRequest {
   readonly partition: Partition
   /** Offset of the first record wanted. */
@@ -66,6 +68,7 @@
   readonly waitMs: number
 }
 
+/** Asks for a share of the partitions, or renews the lease. */
 export interface JoinRequest {
   readonly group: string
   readonly member: string
@@ -88,6 +91,7 @@
   readonly member: string
 }
 
+/** The calls to the store. None throws: a call without a result gives a `StoreFailure`. */
 export interface ShardLog {
   readonly append: (request: FencedAppend) => Promise<AppendOutcome>
   readonly newest: (partition: Partition, after: string | undefined) => Promise<NewestPage | StoreFailure>
@@ -104,4 +108,5 @@
   return `${partition.topic}/${partition.part}` as types.Branded<string, 'PartitionName'>
 }
 
+/** TOPIC/PART. */
 export type PartitionName = ReturnType<typeof partitionName>
--- a/packages/shard-log/src/store-call.ts
+++ b/packages/shard-log/src/store-call.ts
@@ -1,6 +1,7 @@
 /** The calls of the shard log as values, so that one process can make them for another. */
 import type * as shardLog from './shard-log.js'
 
+/** One call with its arguments. */
 export type StoreCall =
   | { readonly type: 'append', readonly request: shardLog.FencedAppend }
   | { readonly type: 'newest', readonly partition: shardLog.Partition, readonly after: string | undefined }
@@ -9,8 +10,10 @@
   | { readonly type: 'leave', readonly group: string, readonly member: string }
   | { readonly type: 'owners', readonly group: string }
 
+/** Any answer of any call. */
 export type StoreAnswer = Awaited<ReturnType<shardLog.ShardLog[keyof shardLog.ShardLog]>>
 
+/** Makes the call at a log; the answer is that of the method of the same name. */
 export function runStoreCall (log: shardLog.ShardLog, call: StoreCall): Promise<StoreAnswer> {
   switch (call.type) {
     case 'append': return log.append(call.request)
--- a/packages/track-upstreams/src/choose-upstream.ts
+++ b/packages/track-upstreams/src/choose-upstream.ts
@@ -2,6 +2,7 @@
 import type * as types from '@eelgrasswind/types'
 import type * as list from './upstream-list.js'
 
+/** What the choice depends on. */
 export interface ChooseInput {
   readonly candidates: readonly list.Upstream[]
   /** Upstreams that this request was already sent to. */
--- a/packages/track-upstreams/src/upstream-list.ts
+++ b/packages/track-upstreams/src/upstream-list.ts
@@ -35,6 +35,7 @@
 /** A full upstream frees a slot within about one request; asking again sooner is mostly in vain. */
 const fullMs = 40
 
+/** Finds upstreams by id and by service. An incarnation that changes its service starts anew. */
 export class UpstreamList {
   private readonly upstreams = new Map<types.UpstreamId, Upstream>()
   private readonly services = new Map<types.ServiceId, Upstream[]>()
@@ -100,6 +101,7 @@
   upstream.fullUntil = now + fullMs
 }
 
+/** A whole answer came: pauses end, and the next failure starts with the shortest. */
 export function noteSuccess (upstream: Upstream): void {
   upstream.failures = 0
   upstream.avoidUntil = 0
--- a/packages/turn-ledger/src/records.ts
+++ b/packages/turn-ledger/src/records.ts
@@ -35,10 +35,12 @@
 const turnPrefix = 't'
 const programPrefix = 'p'
 
+/** Key of the record of a turn. */
 export function turnKey (turn: TurnId): string {
   return turnPrefix + turn
 }
 
+/** Key of the record of a program. */
 export function programKey (program: types.ProgramId): string {
   return programPrefix + program
 }
@@ -48,6 +50,7 @@
   | { readonly type: 'turn', readonly turn: TurnId }
   | { readonly type: 'program', readonly program: types.ProgramId }
 
+/** What a stored key names. Throws `RecordError` for a key of another kind. */
 export function parseKey (key: string): LedgerKey {
   const id = key.slice(1)
   if (key.startsWith(turnPrefix)) return { type: 'turn', turn: id as TurnId }
@@ -55,19 +58,23 @@
   throw new RecordError(`unknown key ${key}`)
 }
 
+/** Bytes of a turn, MessagePack. */
 export function encodeTurn (record: TurnRecord): Uint8Array {
   return msgpack.encode([record.program, record.previous ?? null, record.input, record.output, record.keepUntil])
 }
 
+/** Reads a turn. Throws where the bytes are no such record. */
 export function decodeTurn (value: Uint8Array): TurnRecord {
   const [program, previous, input, output, keepUntil] = decodeRow(value, 5) as [types.ProgramId, TurnId | null, Uint8Array, Uint8Array, types.EpochMs]
   return { program, previous: previous ?? undefined, input, output, keepUntil }
 }
 
+/** Bytes of the budget of a program, MessagePack. */
 export function encodeProgram (record: ProgramRecord): Uint8Array {
   return msgpack.encode([record.spentTokens, [...record.open], record.keepUntil])
 }
 
+/** Reads the budget of a program. Throws where the bytes are no such record. */
 export function decodeProgram (value: Uint8Array): ProgramRecord {
   const [spentTokens, open, keepUntil] = decodeRow(value, 3) as [number, [TurnId, number][], types.EpochMs]
   return { spentTokens, open: new Map(open), keepUntil }
--- a/packages/turn-ledger/src/turn-ledger.ts
+++ b/packages/turn-ledger/src/turn-ledger.ts
@@ -29,6 +29,7 @@
   readonly retainMs: number
 }
 
+/** What a turn that asks to run is told. */
 export type Admission =
   /** No such turn is kept here. */
   | { readonly type: 'unknownPrevious' }
@@ -67,6 +68,7 @@
 /** Clocks of two owners may differ by some seconds; records are kept that much longer than promised. */
 const clockSlackMs = 10_000
 
+/** State of one shard in memory, always rebuilt from its records by the next owner. */
 export class TurnLedger {
   private readonly programs = new Map<types.ProgramId, ProgramState>()
   private readonly turns = new Map<records.TurnId, TurnState>()
