--- a/packages/stand-ins/src/memory-shard-log.ts
+++ b/packages/stand-ins/src/memory-shard-log.ts
@@ -10,6 +10,8 @@
   loseAnswers: boolean
   /** Calls are neither done nor answered. */
   silent: boolean
+  /** Calls are done a while after they were made, if they may still be done then, and not answered. */
+  late: boolean
 }
 
 interface StoredPartition {
@@ -25,6 +27,8 @@
 
 /** How long a caller waits for an answer that never comes, in ms. */
 const patienceMs = 200
+/** How late a call is done whose caller has long given up, in ms. */
+const lateMs = 1_500
 /** Time of a call that nothing disturbs, in ms. */
 const callMs = 2
 
@@ -43,6 +47,10 @@
       await timerService.sleep(this.timers, callMs)
       if (faults.refuse) return { type: 'refused', status: 503 }
       if (faults.silent) return this.noAnswer()
+      if (faults.late) {
+        this.timers.after(lateMs, () => { this.answer(call) })
+        return this.noAnswer()
+      }
       const answer = this.answer(call)
       return faults.loseAnswers ? this.noAnswer() : answer
     })
@@ -162,5 +170,5 @@
 }
 
 export function noFaults (): ShardLogFaults {
-  return { refuse: false, loseAnswers: false, silent: false }
+  return { refuse: false, loseAnswers: false, silent: false, late: false }
 }
--- a/packages/system-tests/src/soak-faults.ts
+++ b/packages/system-tests/src/soak-faults.ts
@@ -2,7 +2,6 @@
 import type * as standIns from '@eelgrasswind/stand-ins'
 import type * as testUtils from '@eelgrasswind/test-utils'
 import * as recorders from './call-recorder.js'
-import type * as seeded from './seeded.js'
 
 export interface FaultSettings {
   /** Mean time between two faults, in milliseconds. */
@@ -12,7 +11,7 @@
 /** Most processes that are killed, stopped or paused at the same time. */
 const mostDown = 2
 
-type Action = (rnd: seeded.Seeded) => Promise<string>
+type Action = (rnd: testUtils.Seeded) => Promise<string>
 
 export class SoakFaults {
   readonly done: string[] = []
@@ -20,7 +19,7 @@
   private readonly pending = new Set<Promise<void>>()
   private ended = false
 
-  constructor (private readonly system: testUtils.System, private readonly rnd: seeded.Seeded, private readonly settings: FaultSettings) {}
+  constructor (private readonly system: testUtils.System, private readonly rnd: testUtils.Seeded, private readonly settings: FaultSettings) {}
 
   /** Goes on until told to end. */
   async run (): Promise<void> {
--- a/packages/system-tests/src/soak-programs.ts
+++ b/packages/system-tests/src/soak-programs.ts
@@ -1,6 +1,6 @@
 /** The programs of a soak: well-behaved callers, each of which checks what it is told. */
 import * as recorders from './call-recorder.js'
-import type * as seeded from './seeded.js'
+import type * as testUtils from '@eelgrasswind/test-utils'
 
 /** How long a caller asks again for one answer, in milliseconds. */
 const patienceMs = 45_000
@@ -32,11 +32,11 @@
   }
 
   /** Runs one program after another. */
-  async run (worker: number, rnd: seeded.Seeded): Promise<void> {
+  async run (worker: number, rnd: testUtils.Seeded): Promise<void> {
     for (let count = 0; !this.ended; count += 1) await this.runProgram(`${this.prefix}-${worker}-${count}`, rnd)
   }
 
-  private async runProgram (program: string, rnd: seeded.Seeded): Promise<void> {
+  private async runProgram (program: string, rnd: testUtils.Seeded): Promise<void> {
     if (!await this.start(program, rnd)) return
     this.programs.push(program)
     const turns = rnd.whole(2, 7)
@@ -51,7 +51,7 @@
     await this.finish(program, rnd)
   }
 
-  private async runAgents (program: string, name: string, rnd: seeded.Seeded): Promise<void> {
+  private async runAgents (program: string, name: string, rnd: testUtils.Seeded): Promise<void> {
     await Promise.all([1, 2].map(async (at) => {
       const calls = rnd.whole(1, 3)
       for (let seq = 1; seq <= calls; seq += 1) {
@@ -60,13 +60,13 @@
     }))
   }
 
-  private async start (program: string, rnd: seeded.Seeded): Promise<boolean> {
+  private async start (program: string, rnd: testUtils.Seeded): Promise<boolean> {
     const started = await this.until(program, async () => await this.recorder.caller(rnd.whole(0, entries - 1)).start(program, { kind: recorders.kind }))
     if (started) this.counts.started += 1
     return started
   }
 
-  private async finish (program: string, rnd: seeded.Seeded): Promise<void> {
+  private async finish (program: string, rnd: testUtils.Seeded): Promise<void> {
     const finished = await this.until(program, async () => await this.recorder.caller(rnd.whole(0, entries - 1)).finish(program))
     if (finished) this.counts.finished += 1
     else this.counts.givenUp += 1
@@ -84,7 +84,7 @@
   }
 
   /** False where the caller gave up. */
-  private async runCall (program: string, branch: string, seq: number, rnd: seeded.Seeded): Promise<boolean> {
+  private async runCall (program: string, branch: string, seq: number, rnd: testUtils.Seeded): Promise<boolean> {
     const req = this.requestOf(program, branch, seq, rnd)
     const until = performance.now() + patienceMs
     while (performance.now() < until) {
@@ -103,7 +103,7 @@
     return false
   }
 
-  private requestOf (program: string, branch: string, seq: number, rnd: seeded.Seeded): recorders.CallRequest {
+  private requestOf (program: string, branch: string, seq: number, rnd: testUtils.Seeded): recorders.CallRequest {
     const key = `${branch}-${seq}`
     const place = { branch, timeoutMs: callTimeoutMs }
     if (rnd.chance(0.55)) return recorders.modelCall(program, key, seq, { ...place, maxTokens: rnd.whole(4, 48) })
@@ -119,7 +119,7 @@
     return read.ok && read.value.history.some((turn) => turn.key === key)
   }
 
-  private async checkHistory (program: string, rnd: seeded.Seeded): Promise<void> {
+  private async checkHistory (program: string, rnd: testUtils.Seeded): Promise<void> {
     const read = await this.recorder.caller(rnd.whole(0, entries - 1)).history(program)
     if (read.ok) this.recorder.checkHistory(program, read.value.history)
     else this.checkDeserved(program, read.failure)
--- a/packages/system-tests/src/soak.ts
+++ b/packages/system-tests/src/soak.ts
@@ -1,8 +1,7 @@
 /** Load on a system of real processes while they are killed, paused and cut, and the checks of what callers were told. */
 import type * as standIns from '@eelgrasswind/stand-ins'
-import type * as testUtils from '@eelgrasswind/test-utils'
+import * as testUtils from '@eelgrasswind/test-utils'
 import * as recorders from './call-recorder.js'
-import * as seeded from './seeded.js'
 import * as soakFaults from './soak-faults.js'
 import * as soakPrograms from './soak-programs.js'
 
@@ -44,8 +43,8 @@
   const { seed, durationMs, workers, faultEveryMs } = settings
   const recorder = new recorders.CallRecorder(system)
   const programs = new soakPrograms.SoakPrograms(recorder, `soak-${seed}`)
-  const faults = new soakFaults.SoakFaults(system, seeded.createSeeded(seed), { everyMs: faultEveryMs })
-  const running = Array.from({ length: workers }, (_, worker) => programs.run(worker, seeded.createSeeded(seed, worker + 1)))
+  const faults = new soakFaults.SoakFaults(system, testUtils.createSeeded(seed), { everyMs: faultEveryMs })
+  const running = Array.from({ length: workers }, (_, worker) => programs.run(worker, testUtils.createSeeded(seed, worker + 1)))
   const striking = faults.run()
   await recorders.pause(durationMs)
   faults.end()
