Turns keep to the holder of their chain or, in one order for all, to engines that are not above the mean

Ruled out: the least used of three for first turns (spreads each shared part over all engines, whose memory holds about 25 chains); one engine a part (8 hot engines of 24, as before). Change: consistent hashing with bounded loads for first turns, the holder of a chain up to three eighths of its slots above the mean. Being wary of rested connections only for 10 s after one was reset.

--- a/packages/front/src/dispatch.ts
+++ b/packages/front/src/dispatch.ts
@@ -30,8 +30,8 @@
 /** What is sent, and where if there is a choice. */
 export interface DispatchOptions {
   readonly body: Uint8Array
-  /** The upstream to choose where its load allows it. */
-  readonly preferred: types.UpstreamId | undefined
+  /** What of the prompt may lie in the memory of an upstream. */
+  readonly affinity: trackUpstreams.PromptAffinity | undefined
   readonly urgency: number | undefined
 }
 
@@ -126,7 +126,7 @@
     const upstream = trackUpstreams.chooseUpstream({
       candidates: upstreams.ofService(this.req.service),
       tried: this.tried,
-      preferred: this.options.preferred,
+      affinity: this.options.affinity,
       othersRunning: (id) => loads.running(id),
       now: timers.monotonic(),
       random: Math.random
@@ -155,7 +155,7 @@
       request: this.req.attempt.id,
       attempt: this.attempts,
       upstream: id,
-      preferred: id === this.options.preferred,
+      preferred: id === this.options.affinity?.holder,
       running: upstream.running,
       othersRunning: this.ports.loads.running(id),
       candidates: this.ports.upstreams.ofService(this.req.service).length,
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -47,7 +47,7 @@
 
 /** Idle connections are given up after this time, in ms: below the shortest idle limit of an upstream that is known, 5 s. */
 const idleMs = 2_000
-/** The same for requests that must not run twice, in ms: upstreams are known to drop connections that rested for 300. */
+/** The same where connections are dropped unasked, for requests that must not run twice, in ms: some drop those that rested for 300. */
 const freshMs = 250
 /** Pause between two reads of the list of upstreams, in ms: a leaving upstream is known well within the 2 s that it goes on serving. */
 const upstreamsPollMs = 400
@@ -154,7 +154,7 @@
       health,
       retries: new retryPool.RetryPool(),
       loads: this.loads,
-      places: new promptPlaces.PromptPlaces(this.upstreams),
+      places: new promptPlaces.PromptPlaces(),
       shards: this.shards
     }
     const { routing, upstreams } = ports.documents
--- a/packages/front/src/serve-turn.ts
+++ b/packages/front/src/serve-turn.ts
@@ -127,8 +127,8 @@
     void this.reserved.then((commit) => { this.onReserved(commit) })
     const body = Buffer.concat([...admission.chain, req.body])
     ports.decisions.note({ event: 'turnAdmitted', request: req.attempt.id, program: this.turn.program, previous: this.turn.previous, epoch: shard.epoch, promptBytes: body.length, copied: copied.length })
-    const preferred = ports.places.find(req.service, this.turn)
-    this.sent = new dispatch.Dispatch(ports, req, { body, preferred, urgency: undefined }, {
+    const affinity = ports.places.find(this.turn)
+    this.sent = new dispatch.Dispatch(ports, req, { body, affinity, urgency: undefined }, {
       head: (head, upstream) => { this.onHead(head, upstream) },
       data: (chunk) => { this.onData(chunk) },
       end: () => { void this.onEnd() },
@@ -150,7 +150,7 @@
 
   private onHead (head: sendHttp.Head, upstream: types.UpstreamId): void {
     this.head = head
-    this.ports.places.note(this.req.service, this.turn, this.req.attempt.id, upstream)
+    this.ports.places.note(this.req.attempt.id, upstream)
     this.flush()
   }
 
--- a/packages/send-http/src/send-http.ts
+++ b/packages/send-http/src/send-http.ts
@@ -18,8 +18,8 @@
    */
   readonly confirmMs: number | undefined
   /**
-   * Goes out on a connection that was used within `freshMs`, or on a new one: a connection that the other side has
-   * dropped without notice resets what is sent on it, and nobody can tell then whether it ran.
+   * Must not run twice. While other sides are seen to drop idle connections without notice, it goes out on a connection
+   * used within `freshMs` or on a new one: what is sent on a dropped one is reset, and nobody can tell whether it ran.
    */
   readonly atMostOnce: boolean
 }
@@ -69,23 +69,40 @@
 export interface SenderSettings {
   /** An idle connection is given up after this time, in ms: well before any upstream's own limit. */
   readonly idleMs: number
-  /** The same for connections of requests that must not run twice, in ms: below the soonest that any upstream drops one unasked. */
+  /** The same while connections are seen to be dropped unasked, for requests that must not run twice, in ms: below the soonest drop. */
   readonly freshMs: number
 }
 
 /** Two of Node's own connection pools; the longest idle connections go first. */
 export function createSender (settings: SenderSettings): Sender {
-  const repeatable = createAgent(settings.idleMs)
-  const atMostOnce = createAgent(settings.freshMs)
+  const usual = createAgent(settings.idleMs)
+  const fresh = createAgent(settings.freshMs)
+  let waryUntil = -Infinity
+  const watch = (sink: AnswerSink): AnswerSink => ({
+    ...sink,
+    fail: (failure) => {
+      if (failure.reused && failure.cause === 'reset') waryUntil = performance.now() + waryMs
+      sink.fail(failure)
+    }
+  })
   return {
-    send: (request, sink) => startExchange(request.atMostOnce ? atMostOnce : repeatable, request, sink),
+    send: (request, sink) => {
+      const agent = request.atMostOnce && performance.now() < waryUntil ? fresh : usual
+      return startExchange(agent, request, watch(sink))
+    },
     close: () => {
-      repeatable.destroy()
-      atMostOnce.destroy()
+      usual.destroy()
+      fresh.destroy()
     }
   }
 }
 
+/**
+ * So long after a reused connection was reset before any answer, in ms, only fresh ones carry what must not run twice.
+ * Being wary at all times makes half of all sends open a connection, twice as many as without.
+ */
+const waryMs = 10_000
+
 function createAgent (idleMs: number): http.Agent {
   return new http.Agent({ keepAlive: true, scheduling: 'lifo', timeout: idleMs, maxSockets: Infinity })
 }
--- a/packages/track-upstreams/src/choose-upstream.ts
+++ b/packages/track-upstreams/src/choose-upstream.ts
@@ -1,14 +1,23 @@
 /** Chooses the upstream of the next request. */
+import * as hashText from '@eelgrasswind/hash-text'
 import type * as types from '@eelgrasswind/types'
 import type * as list from './upstream-list.js'
 
+/** What of a prompt may lie in the memory of an upstream. */
+export interface PromptAffinity {
+  /** The upstream that ran the turn before. */
+  readonly holder: types.UpstreamId | undefined
+  /** The first part of the prompt, which programs share. */
+  readonly sharedPart: string | undefined
+}
+
 /** What the choice depends on. */
 export interface ChooseInput {
   readonly candidates: readonly list.Upstream[]
   /** Upstreams that this request was already sent to. */
   readonly tried: ReadonlySet<types.UpstreamId>
-  /** The upstream that holds the prompt's beginning, if any. */
-  readonly preferred: types.UpstreamId | undefined
+  /** `undefined`: nothing of the request lies in the memory of any upstream. */
+  readonly affinity: PromptAffinity | undefined
   /** Requests that other processes have running there. */
   readonly othersRunning: (upstream: types.UpstreamId) => number
   /** Monotonic ms. */
@@ -17,23 +26,46 @@
   readonly random: () => number
 }
 
-/**
- * A request leaves the upstream that holds its prompt when that one is this much busier, as a share of its slots, than
- * the one it would go to: reading the prompt again costs about as much as this much sharing.
- */
-const spillShare = 0.25
 /** Upstreams drawn for one choice. What others run is known some 100 ms late: the least used of all would get everything at once. */
 const draws = 3
+/** How far above the mean load of its service an upstream may be and still be given more, as a factor. */
+const boundFactor = 1.25
+/**
+ * Beyond that, the share of its slots by which the holder of a chain may be busier. One more request beside a turn
+ * costs it about 12 ms (steps and the reading of the other prompts), reading a chain of 3,000 tokens again 27 to 50 ms.
+ */
+const holderShare = 0.375
 
-/** The least used of some, or the preferred one while it is not much more used. `undefined`: none may take it. */
+/** `undefined`: none may take it. */
 export function chooseUpstream (input: ChooseInput): list.Upstream | undefined {
   const usable = input.candidates.filter((upstream) => !upstream.listed.leaving && !input.tried.has(upstream.listed.id))
   const pool = soundest(usable, input.now)
-  const least = leastUsed(pool, input)
-  if (least === undefined) return undefined
-  const preferred = pool.find((upstream) => upstream.listed.id === input.preferred)
-  if (preferred === undefined) return least
-  return load(preferred, input) - load(least, input) <= spillShare ? preferred : least
+  if (input.affinity === undefined) return leastUsed(drawSome(pool, input.random), input)
+  return chooseForPrompt(pool, input.affinity, input)
+}
+
+/**
+ * The holder of the chain, unless it is much busier than the rest. Otherwise the upstreams are asked in an order that
+ * all processes share for the prompt's first part, and the first that is not above the mean takes it: each part lies in
+ * the memory of as few upstreams as its share of the load needs (consistent hashing with bounded loads).
+ */
+function chooseForPrompt (pool: readonly list.Upstream[], affinity: PromptAffinity, input: ChooseInput): list.Upstream | undefined {
+  const holder = pool.find((upstream) => upstream.listed.id === affinity.holder)
+  const others = pool.filter((upstream) => upstream !== holder)
+  if (holder !== undefined && load(holder, input) <= meanLoad(others, input) * boundFactor + holderShare) return holder
+  const { sharedPart } = affinity
+  if (sharedPart === undefined) return leastUsed(drawSome(pool, input.random), input)
+  const bound = meanLoad(pool, input) * boundFactor
+  for (const upstream of rankFor(sharedPart, pool)) {
+    if (load(upstream, input) <= bound) return upstream
+  }
+  return leastUsed(pool, input)
+}
+
+/** Rendezvous hashing: the same order in every process, with no messages. */
+function rankFor (part: string, pool: readonly list.Upstream[]): list.Upstream[] {
+  const scored = pool.map((upstream) => ({ upstream, score: hashText.hashText(part + upstream.listed.id) }))
+  return scored.sort((a, b) => b.score - a.score).map(({ upstream }) => upstream)
 }
 
 /** Those that nothing speaks against; failing that, those that are merely full or suspected, then all. */
@@ -44,16 +76,21 @@
   return hopeful.length > 0 ? hopeful : usable
 }
 
+function meanLoad (pool: readonly list.Upstream[], input: ChooseInput): number {
+  let sum = 0
+  for (const upstream of pool) sum += load(upstream, input)
+  return sum / Math.max(1, pool.length)
+}
+
 /** Requests of all processes as a share of the slots. */
 function load (upstream: list.Upstream, input: ChooseInput): number {
   return (upstream.running + input.othersRunning(upstream.listed.id)) / Math.max(1, upstream.listed.slots)
 }
 
-/** The least used of some that are drawn at random. */
 function leastUsed (pool: readonly list.Upstream[], input: ChooseInput): list.Upstream | undefined {
   let best: list.Upstream | undefined
   let bestLoad = Infinity
-  for (const upstream of drawSome(pool, input.random)) {
+  for (const upstream of pool) {
     const itsLoad = load(upstream, input)
     if (itsLoad >= bestLoad) continue
     best = upstream
