--- a/packages/front/src/peer-listener.ts
+++ b/packages/front/src/peer-listener.ts
@@ -7,6 +7,7 @@
 import * as inbound from './inbound.js'
 import * as peerCalls from './peer-calls.js'
 import * as readRequest from './read-request.js'
+import type * as requestsUnderWay from './requests-under-way.js'
 import * as routeTurn from './route-turn.js'
 import * as settleTurn from './settle-turn.js'
 
@@ -14,8 +15,7 @@
 export interface PeerListenerPorts extends routeTurn.RouteTurnPorts {
   /** The store as this process itself reaches it. */
   readonly directLog: shardLog.ShardLog
-  /** Told of each turn that is taken. */
-  readonly onTurn: (res: http.ServerResponse, reply: inbound.Reply, request: string) => void
+  readonly requests: requestsUnderWay.RequestsUnderWay
 }
 
 const largestHeaderBytes = 131_072
@@ -45,7 +45,7 @@
     return
   }
   res.writeContinue()
-  ports.onTurn(res, reply, attempt.id)
+  ports.requests.add(res, reply, attempt.id, 'passedOnTurn', arrivedAt)
   readRequest.readBody(req, Infinity, (body) => {
     if (body === undefined) return
     void routeTurn.serveHere(ports, {
