--- a/packages/slopes/src/all-slopes.ts
+++ b/packages/slopes/src/all-slopes.ts
@@ -11,6 +11,7 @@
 import * as programs from './slopes/programs.js'
 import * as restingFleet from './slopes/resting-fleet.js'
 import * as sessions from './slopes/sessions.js'
+import * as shareLoads from './slopes/share-load.js'
 import * as turnLedgers from './slopes/turn-ledger.js'
 
 export const allSlopes: readonly series.Slope[] = [
@@ -26,5 +27,6 @@
   compression.compression,
   sessions.sessions,
   turnLedgers.turnLedgers,
+  shareLoads.shareLoads,
   restingFleet.restingFleet
 ]
