A silent owner's shards move after half a second instead of its lease

A silent owner keeps its shards for 1.1 s of lease and 0.3 s of takeover; its programs' turns are refused meanwhile. Ruled out: a shorter lease (the store's least is 1 s); giving up at the first missed go-ahead (a process whose share of the processor is used up misses one); giving up while few peers answer (then this process is the one cut off). Change: a peer that misses a go-ahead and then a question that at least half of the others answer is given up, once in 3 s for all processes; fencing holds as after a lapsed lease. Refusals name the shorter time.

--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -205,6 +205,7 @@
       ...this.ports,
       peers: () => this.otherMembers(),
       ping: async (address) => await peerCalls.callPeer(this.peerPorts, address, { type: 'ping' }, pingTimeoutMs) !== undefined,
+      onSilent: (address) => { this.onSilent(address) },
       onChange: (isolated) => { this.onIsolation(isolated) }
     })
   }
@@ -226,8 +227,16 @@
     }
   }
 
-  private announce (): void {
-    for (const address of this.otherMembers()) void peerCalls.callPeer(this.peerPorts, address, { type: 'joinNow' }, announceTimeoutMs)
+  private announce (silent?: string): void {
+    for (const address of this.otherMembers()) void peerCalls.callPeer(this.peerPorts, address, { type: 'joinNow', silent }, announceTimeoutMs)
+  }
+
+  /** The shards of a process that does not answer move now instead of when its lease lapses; its epoch is fenced. */
+  private onSilent (address: string): void {
+    const member = this.shards.members().find((name) => memberName.addressOf(name) === address)
+    if (member === undefined) return
+    this.announce(address)
+    void this.shards.evict(member)
   }
 
   private otherMembers (): string[] {
--- a/packages/front/src/peer-calls.ts
+++ b/packages/front/src/peer-calls.ts
@@ -35,6 +35,8 @@
 /** Shards have become free. */
 export interface JoinNowCall {
   readonly type: 'joinNow'
+  /** Address of the silent process that they belonged to, if that is why. */
+  readonly silent?: string | undefined
 }
 
 /** Whether the other process can be reached. */
--- a/packages/front/src/peer-listener.ts
+++ b/packages/front/src/peer-listener.ts
@@ -85,6 +85,7 @@
     case 'store': return shardLogs.runStoreCall(ports.directLog, call.call)
     case 'ping': return { type: 'heard' }
     case 'joinNow':
+      if (call.silent !== undefined) ports.watch.noteTold(call.silent)
       ports.shards.joinNow()
       return { type: 'heard' }
     case 'findChain': return findChain.findHere(ports.shards, call.turn)
--- a/packages/front/src/route-turn.ts
+++ b/packages/front/src/route-turn.ts
@@ -15,7 +15,7 @@
   /** Peers that did not answer lately. */
   readonly suspects: Suspects
   /** Told when a peer did not answer; knows whether this process is the one that is cut off. */
-  readonly watch: Pick<peerWatch.PeerWatch, 'suspect' | 'isIsolated'>
+  readonly watch: Pick<peerWatch.PeerWatch, 'suspect' | 'noteTold' | 'isIsolated'>
 }
 
 /** Peers that did not answer are left alone for a while, so that only the first turn waits for them. */
@@ -77,14 +77,20 @@
   req.reply.refuse({ type: 'shardMoving', retryAfterMs })
 }
 
-/** When the shard is likely to be served: a silent owner's lease has to lapse first, a handover is nearly done. */
+/**
+ * When the shard is likely to be served: a handover is nearly done, a silent owner is found out and given up within
+ * half a second, and one that was not has to lose its lease first.
+ */
 function comeBackMs (ports: RouteTurnPorts, partition: shardLog.Partition): number {
   const place = ports.shards.locate(partition)
   if (place.type !== 'member') return serveTurn.shardRetryMs
-  const leftMs = ports.shards.leaseMs + takeOverMs - ports.suspects.silentMs(place.member, ports.timers.monotonic())
-  return Math.max(serveTurn.shardRetryMs, leftMs)
+  const silentMs = ports.suspects.silentMs(place.member, ports.timers.monotonic())
+  const movedAfterMs = silentMs < foundOutMs ? foundOutMs + takeOverMs : ports.shards.leaseMs + takeOverMs
+  return Math.max(serveTurn.shardRetryMs, movedAfterMs - silentMs)
 }
 
+/** From the first request that a silent owner did not take until it is given up, in ms: one question to all peers. */
+const foundOutMs = 250
 /** From a lapsed lease to a shard that serves, in ms: half a heartbeat, the handover, and reading the shard. */
 const takeOverMs = 300
 
@@ -113,8 +119,8 @@
       if (outcome.type === 'answered') return { type: 'done' }
       if (outcome.type === 'unreachable') {
         suspects.add(place.member, timers.monotonic())
-        ports.watch.suspect()
         if (outcome.ended) void shards.evict(place.member)
+        else ports.watch.suspect(address)
       }
       return { type: 'again', reason: outcome.type }
     }
