--- a/packages/front/src/run-front.ts
+++ b/packages/front/src/run-front.ts
@@ -26,6 +26,7 @@
 }
 
 const exitInvalid = 1
+const exitFailed = 1
 
 /** Returns once the process takes requests; it then runs until a signal ends it. */
 export async function runFront (ports: RunFrontPorts): Promise<void> {
@@ -52,16 +53,17 @@
 
 function onSignals (ports: RunFrontPorts, running: front.Front, decisions: decisionLog.DecisionLog): void {
   const end = async (): Promise<void> => {
-    await running.stop()
+    let code = 0
+    try {
+      await running.stop()
+    } catch (err) {
+      decisions.note({ event: 'failedToStop', err })
+      code = exitFailed
+    }
     await ports.lines.flush()
-    process.exit(0)
+    process.exit(code)
   }
-  process.on('SIGTERM', () => {
-    end().catch((err: unknown) => {
-      decisions.note({ event: 'failedToStop', err })
-      process.exit(exitInvalid)
-    })
-  })
+  process.on('SIGTERM', () => { void end() })
   process.on('SIGHUP', () => { reload(ports, decisions) })
   // A fault in the handling of one request must not end the others: it is told, and the process goes on.
   process.on('unhandledRejection', (err) => { decisions.note({ event: 'unexpected', err }) })
