Revert: urgency of turns

An engine short of memory preempts the less urgent in the middle of their streams and reads them again, which costs more than the order of its queue gains. Conclusion: all turns at the engine's default. Open: order alone, without preemption, can't be had from these engines.

--- a/packages/front/src/dialect.ts
+++ b/packages/front/src/dialect.ts
@@ -51,8 +51,6 @@
   readonly deadlineMs: number
   /** The incarnation that the request is meant for. */
   readonly upstream: types.UpstreamId
-  /** From 0, the most urgent, to 9; `undefined` leaves it to the upstream. */
-  readonly urgency: number | undefined
   readonly bodyBytes: number
 }
 
--- a/packages/front/src/dispatch.test.ts
+++ b/packages/front/src/dispatch.test.ts
@@ -70,7 +70,7 @@
       retries: new retryPool.RetryPool(),
       loads: new trackUpstreams.PeerLoads(),
       listAgeMs: () => 0
-    }, req, { body: req.body, affinity: { holder: preferred as types.UpstreamId, sharedPart: undefined }, urgency: undefined }, {
+    }, req, { body: req.body, affinity: { holder: preferred as types.UpstreamId, sharedPart: undefined } }, {
       head: () => {},
       data: () => {},
       end: () => { ended = 'whole' },
--- a/packages/front/src/dispatch.ts
+++ b/packages/front/src/dispatch.ts
@@ -32,7 +32,6 @@
   readonly body: Uint8Array
   /** What of the prompt may lie in the memory of an upstream. */
   readonly affinity: trackUpstreams.PromptAffinity | undefined
-  readonly urgency: number | undefined
 }
 
 /** What comes of a dispatch. */
@@ -141,7 +140,7 @@
 
   private sendTo (upstream: trackUpstreams.Upstream, leftMs: number): void {
     const { dialect, health, retries, sender, timers } = this.ports
-    const { body, urgency } = this.options
+    const { body } = this.options
     const id = upstream.listed.id
     this.tried.add(id)
     this.attempts += 1
@@ -178,7 +177,7 @@
       address: upstream.listed.address,
       method: this.req.method,
       path: this.req.path,
-      headers: dialect.upstreamHeaders(this.req.rawHeaders, { deadlineMs: Math.floor(leftMs), upstream: id, urgency, bodyBytes: body.length }),
+      headers: dialect.upstreamHeaders(this.req.rawHeaders, { deadlineMs: Math.floor(leftMs), upstream: id, bodyBytes: body.length }),
       body,
       connectTimeoutMs,
       confirmMs: undefined,
--- a/packages/front/src/serve-call.ts
+++ b/packages/front/src/serve-call.ts
@@ -9,7 +9,7 @@
   const { timers } = ports
   let head: sendHttp.Head | undefined
   const chunks: Buffer[] = []
-  const sent = new dispatch.Dispatch(ports, req, { body: req.body, affinity: undefined, urgency: undefined }, {
+  const sent = new dispatch.Dispatch(ports, req, { body: req.body, affinity: undefined }, {
     head: (answer) => { head = answer },
     data: (chunk) => { chunks.push(chunk) },
     end: () => {
--- a/packages/front/src/serve-turn.ts
+++ b/packages/front/src/serve-turn.ts
@@ -11,7 +11,6 @@
 import type * as inbound from './inbound.js'
 import type * as promptPlaces from './prompt-places.js'
 import * as settleTurn from './settle-turn.js'
-import * as turnUrgency from './turn-urgency.js'
 
 /** What it takes to serve turns as the owner of their programs. */
 export interface TurnPorts extends dispatch.DispatchPorts {
@@ -129,8 +128,7 @@
     const body = Buffer.concat([...admission.chain, req.body])
     ports.decisions.note({ event: 'turnAdmitted', request: req.attempt.id, program: this.turn.program, previous: this.turn.previous, epoch: shard.epoch, promptBytes: body.length, copied: copied.length })
     const affinity = ports.places.find(this.turn)
-    const urgency = turnUrgency.turnUrgency({ first: this.turn.previous === undefined, finishMs: this.turn.finishMs })
-    this.sent = new dispatch.Dispatch(ports, req, { body, affinity, urgency }, {
+    this.sent = new dispatch.Dispatch(ports, req, { body, affinity }, {
       head: (head, upstream) => { this.onHead(head, upstream) },
       data: (chunk) => { this.onData(chunk) },
       end: () => { void this.onEnd() },
