--- a/packages/decision-log/src/decisions.ts
+++ b/packages/decision-log/src/decisions.ts
@@ -89,7 +89,7 @@
   | { readonly event: 'assignment', readonly generation: number, readonly owned: number, readonly handedOver: number }
   | { readonly event: 'leaseNotRenewed', readonly failure: FailureField }
   | { readonly event: 'groupLeft', readonly outcome: string }
-  | { readonly event: 'memberEvicted', readonly member: string, readonly outcome: string }
+  | { readonly event: 'memberEvicted', readonly member: string, readonly why: 'ended' | 'silent', readonly outcome: string }
   | { readonly event: 'ownersNotRead', readonly failure: FailureField }
   | { readonly event: 'shardOpened', readonly partition: PartitionField, readonly epoch: number, readonly records: number, readonly tookMs: number }
   | { readonly event: 'shardNotRead', readonly partition: PartitionField, readonly failure: FailureField }
@@ -151,7 +151,7 @@
   assignment: { level: 'info', message: 'shards dealt anew' },
   leaseNotRenewed: { level: 'warn', message: 'lease not renewed' },
   groupLeft: { level: 'info', message: 'left the group that shares the shards' },
-  memberEvicted: { level: 'warn', message: 'the process of a member has ended, its lease was given back' },
+  memberEvicted: { level: 'warn', message: 'a member was given up, its lease was given back' },
   ownersNotRead: { level: 'warn', message: 'owners of the shards not read' },
   shardOpened: { level: 'info', message: 'shard opened' },
   shardNotRead: { level: 'warn', message: 'shard not read yet' },
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -236,7 +236,7 @@
     const member = this.shards.members().find((name) => memberName.addressOf(name) === address)
     if (member === undefined) return
     this.announce(address)
-    void this.shards.evict(member)
+    void this.shards.evict(member, 'silent')
   }
 
   private otherMembers (): string[] {
--- a/packages/front/src/route-turn.ts
+++ b/packages/front/src/route-turn.ts
@@ -119,7 +119,7 @@
       if (outcome.type === 'answered') return { type: 'done' }
       if (outcome.type === 'unreachable') {
         suspects.add(place.member, timers.monotonic())
-        if (outcome.ended) void shards.evict(place.member)
+        if (outcome.ended) void shards.evict(place.member, 'ended')
         else ports.watch.suspect(address)
       }
       return { type: 'again', reason: outcome.type }
--- a/packages/own-shards/src/ownership.test.ts
+++ b/packages/own-shards/src/ownership.test.ts
@@ -76,7 +76,7 @@
         this.store.revoke(names[next.member]!)
         return
       case 'evict':
-        void this.owners[next.by]?.evict(names[next.member]!)
+        void this.owners[next.by]?.evict(names[next.member]!, 'ended')
         return
       case 'wait':
         await this.timers.advanceAsync(next.ms)
--- a/packages/own-shards/src/shard-owner.test.ts
+++ b/packages/own-shards/src/shard-owner.test.ts
@@ -77,7 +77,7 @@
   const b = start('b')
   await timers.advanceAsync(3_000)
   a.close()
-  void b.evict('a')
+  void b.evict('a', 'ended')
   await timers.advanceAsync(100)
   t.equal(served(b), parts)
 })
@@ -90,7 +90,7 @@
   await timers.advanceAsync(3_000)
   const program = Array.from({ length: 20 }, (_, at) => `program-${at}` as types.ProgramId).find((id) => a.locate(a.partitionOf(id)).type === 'here')!
   faults.silent = true
-  void b.evict('a')
+  void b.evict('a', 'ended')
   await timers.advanceAsync(1_000)
   t.equal(served(b), parts)
   faults.silent = false
--- a/packages/own-shards/src/shard-owner.ts
+++ b/packages/own-shards/src/shard-owner.ts
@@ -154,15 +154,15 @@
   }
 
   /**
-   * Gives the lease of a member back whose process has ended, as its host has said by refusing a connection: its
-   * shards move at once instead of after the lease. Fencing keeps this safe if it was wrong.
+   * Gives the lease of a member back whose process has ended, as its host has said by refusing a connection, or which
+   * is silent: its shards move at once instead of after the lease. Fencing keeps this safe if it was wrong.
    */
-  async evict (member: string): Promise<void> {
+  async evict (member: string, why: 'ended' | 'silent'): Promise<void> {
     const { timers, log, decisions, announce } = this.ports
     if (this.wasEvicted(member)) return
     this.evictedAt.set(member, timers.monotonic())
     const left = await log.leave(this.settings.group, member)
-    decisions.note({ event: 'memberEvicted', member, outcome: left.type })
+    decisions.note({ event: 'memberEvicted', member, why, outcome: left.type })
     announce()
     this.joinNow()
   }
--- a/packages/route-request/src/routing.ts
+++ b/packages/route-request/src/routing.ts
@@ -59,8 +59,6 @@
 /** A kind of upstream that routes send requests to. */
 export interface Service {
   readonly name: types.ServiceId
-  /** Connections that one upstream takes from all callers together. */
-  readonly maxConnections: number
   readonly engine: EngineRules | undefined
 }
 
