Errors and useless answers count against an upstream

Cause: found while reading: an upstream's own 500, an answer to another request or without signature ended as a success or as nothing for the upstream's health, so one that fails part of its requests that way was never ejected. Change: both are marks; the answer to the client stays as it was.

--- a/packages/front/src/dispatch.test.ts
+++ b/packages/front/src/dispatch.test.ts
@@ -13,7 +13,7 @@
 import * as upstreamHealth from './upstream-health.js'
 
 /** How an upstream answers the next request. */
-type Behaviour = 'silent' | 'answers' | 'full' | 'refusesConnections' | 'breaks' | 'other'
+type Behaviour = 'silent' | 'answers' | 'full' | 'refusesConnections' | 'breaks' | 'other' | 'errors'
 
 const id = 'request-1' as turnLedger.TurnId
 const service = 'orders' as types.ServiceId
@@ -22,8 +22,9 @@
   return { name: 'r', host: 'h', pathPrefix: '/', repeatability, targets: [{ service, weight: 1 }], timeoutMs: 2_000, objectiveMs: 400, rank: 2, maxAttempts: 3, stream: undefined, retain: undefined }
 }
 
-const facts: Record<'answers' | 'full' | 'other', dialects.AnswerFacts> = {
+const facts: Record<'answers' | 'full' | 'other' | 'errors', dialects.AnswerFacts> = {
   answers: { requestId: id, signed: true, notRun: false, wrongIncarnation: false },
+  errors: { requestId: id, signed: true, notRun: false, wrongIncarnation: false },
   full: { requestId: id, signed: false, notRun: true, wrongIncarnation: false },
   other: { requestId: 'another', signed: true, notRun: false, wrongIncarnation: false }
 }
@@ -36,6 +37,7 @@
   }
   const sentTo: string[] = []
   const cancelled: string[] = []
+  const marks: string[] = []
   let next: dialects.AnswerFacts = facts.answers
   const send: sendHttp.Sender['send'] = (request, sink) => {
     sentTo.push(request.address)
@@ -51,8 +53,8 @@
           return
         default:
           next = facts[behaviour]
-          sink.head({ status: 200, headers: {}, rawHeaders: [] })
-          if (behaviour === 'answers') sink.end()
+          sink.head({ status: behaviour === 'errors' ? 500 : 200, headers: {}, rawHeaders: [] })
+          if (behaviour === 'answers' || behaviour === 'errors') sink.end()
       }
     })
     return { cancel: () => { cancelled.push(request.address) }, pause: () => {}, resume: () => {} }
@@ -66,7 +68,7 @@
       dialect: { upstreamHeaders: () => [], answerFacts: () => next } as unknown as dialects.Dialect,
       timers,
       decisions: decisionLog.createSilentDecisionLog(),
-      health: new upstreamHealth.UpstreamHealth({ upstreams, timers, decisions: decisionLog.createSilentDecisionLog(), processes: () => 1, share: () => {} }),
+      health: new upstreamHealth.UpstreamHealth({ upstreams, timers, decisions: decisionLog.createSilentDecisionLog(), processes: () => 1, share: (upstream, mark) => { marks.push(`${upstream} ${mark}`) } }),
       retries: new retryPool.RetryPool(),
       loads: new trackUpstreams.PeerLoads(),
       listAgeMs: () => 0
@@ -79,7 +81,7 @@
     started.start()
     return started
   }
-  return { timers, upstreams, sentTo, cancelled, run, ended: () => ended }
+  return { timers, upstreams, sentTo, cancelled, marks, run, ended: () => ended }
 }
 
 tap.test('a repeatable request leaves a silent upstream for another', (t) => {
@@ -123,3 +125,13 @@
   t.equal(ended(), 'upstreamsFull')
   t.end()
 })
+
+tap.test('errors and useless answers count against an upstream, refusals of a full one do not', (t) => {
+  for (const [behaviour, expected] of [['errors', ['a failed']], ['other', ['a failed']], ['breaks', ['a failed']], ['full', []], ['answers', []]] as const) {
+    const { timers, marks, run } = fixture({ a: behaviour, b: 'answers' }, 'atMostOnce')
+    run('a')
+    timers.advance(400)
+    t.same(marks, expected, behaviour)
+  }
+  t.end()
+})
--- a/packages/front/src/dispatch.ts
+++ b/packages/front/src/dispatch.ts
@@ -69,6 +69,8 @@
 const minSilentMs = 500
 const maxSilentMs = 1_000
 
+const leastServerError = 500
+
 const unlimited: decideRetry.RetryAllowance = { retriesLeft: Infinity }
 
 /** One request on its way to one upstream after another. */
@@ -188,6 +190,8 @@
         trackUpstreams.noteHeard(upstream, timers.monotonic())
         const problem = this.checkHead(head, upstream)
         if (problem === undefined) {
+          // Passed on as it is, and yet a failure: an upstream that makes many of them gets less work.
+          if (head.status >= leastServerError) health.noteBadAnswer(upstream)
           accepted = true
           this.mayHaveRun = true
           this.sink.head(head, id)
@@ -195,6 +199,7 @@
         }
         // The rest of an answer that is of no use is not read.
         this.exchange?.cancel()
+        if (problem.verdict !== 'notRun') health.noteBadAnswer(upstream)
         this.failedAt(upstream, problem)
       },
       data: (chunk) => {
@@ -241,7 +246,7 @@
     const { health, retries } = this.ports
     const repeatable = this.req.route.repeatability === 'idempotent'
     if (upstream.heardAt <= sentAt) health.noteSilent(upstream)
-    else if (repeatable && retries.take()) health.noteStuck(upstream)
+    else if (repeatable && retries.take()) health.noteBadAnswer(upstream)
     else return
     this.ports.decisions.note({ event: 'upstreamSilent', request: this.req.attempt.id, upstream: upstream.listed.id, afterMs: Math.round(this.ports.timers.monotonic() - sentAt) })
     if (!repeatable) return
--- a/packages/front/src/upstream-health.ts
+++ b/packages/front/src/upstream-health.ts
@@ -46,8 +46,8 @@
     this.mark(upstream.listed.id, 'failed')
   }
 
-  /** Others get answers from there, this request gets none. */
-  noteStuck (upstream: trackUpstreams.Upstream): void {
+  /** The upstream answers, but this request got an error, an answer of no use, or none in time. */
+  noteBadAnswer (upstream: trackUpstreams.Upstream): void {
     this.mark(upstream.listed.id, 'failed')
   }
 
