--- a/packages/share-load/src/load-sharer.ts
+++ b/packages/share-load/src/load-sharer.ts
@@ -18,7 +18,7 @@
   readonly decisions: decisionLog.DecisionLog
 }
 
-/** Time between two datagrams to each peer, in ms: less than a turn of an agent program takes. At 110 they were a sixth of the processor time. */
+/** Time between two ticks, in ms: less than a turn of an agent program takes. */
 const periodMs = 150
 /** Ticks without change after which a report is repeated: three reports fit into the life of one. */
 const repeatTicks = 3
@@ -57,11 +57,14 @@
     this.socket.on('error', (err) => { this.noteFailure(err) })
   }
 
-  /** Resolves when reports are taken in. */
+  /** Resolves when reports are taken in, or when it is clear that they can't be: the process does without them then. */
   start (): Promise<void> {
     const [host, port] = this.address.split(':')
     this.subscription = this.ports.timers.every(periodMs, () => { this.tick() })
-    return new Promise((resolve) => { this.socket.bind(Number(port), host, resolve) })
+    return new Promise((resolve) => {
+      this.socket.once('error', () => { resolve() })
+      this.socket.bind(Number(port), host, resolve)
+    })
   }
 
   close (): void {
--- a/packages/share-load/src/share-load.test.ts
+++ b/packages/share-load/src/share-load.test.ts
@@ -101,6 +101,15 @@
   t.same(new Set(others.map(({ marks }) => marks.reduce((sum, { count }) => sum + count, 0))), new Set([8]))
 })
 
+tap.test('a port that is taken is told, and the process does without reports', async (t) => {
+  const timers = timerService.createManualTimers()
+  const port = await freePort()
+  await startSharer(t, port, [], timers)
+  const { noted } = await startSharer(t, port, [], timers)
+  t.same(noted, ['loadNotShared'])
+  timers.advance(150)
+})
+
 tap.test('a datagram of another kind is told and changes nothing', async (t) => {
   const timers = timerService.createManualTimers()
   const port = await freePort()
