--- a/packages/system-tests/src/shared-system.ts
+++ b/packages/system-tests/src/shared-system.ts
@@ -24,22 +24,8 @@
   return { tokenSha256: crypto.createHash('sha256').update(token).digest('hex'), startsPerMinute: 1_000_000, callsPerSecond: 1_000_000 }
 }
 
-/**
- * Node 20 can spin for ever while it frees the handles of a process whose sockets were reset, after all JavaScript has
- * ended (seen in a debugger: Environment::CleanupHandles). Leaving by process.exit, with the exit code that the
- * runner has set, passes over that. Only once nothing is left to do: a first drain is the runner's.
- */
-function leaveWithoutCleanup (): void {
-  let drains = 0
-  process.on('beforeExit', () => {
-    drains += 1
-    if (drains > 1) process.exit()
-    setImmediate(() => undefined)
-  })
-}
-
 export async function startShared (tap: Tap, plan: testUtils.SystemPlan): Promise<SharedSystem> {
-  leaveWithoutCleanup()
+  testUtils.leaveWithoutCleanup()
   const runs: (() => unknown)[] = []
   tap.teardown(async () => { for (const run of runs.reverse()) await run() })
   const clients = { coach: clientOf(plan.token), practicum: clientOf(otherToken) }
