--- a/packages/track-upstreams/src/find-outliers.ts
+++ b/packages/track-upstreams/src/find-outliers.ts
@@ -112,13 +112,6 @@
     return { upstream: report.upstream, mark: report.mark, marks, requests, forMs }
   }
 
-  /** Forgets upstreams that are no longer listed. */
-  prune (): void {
-    for (const id of this.suspects.keys()) {
-      if (this.upstreams.get(id) === undefined) this.suspects.delete(id)
-    }
-  }
-
   private mayEject (service: types.ServiceId, now: number): boolean {
     const all = this.upstreams.ofService(service)
     const ejected = all.filter((upstream) => upstream.ejectedUntil > now).length
@@ -138,11 +131,19 @@
   private suspectOf (id: types.UpstreamId): Suspect {
     const known = this.suspects.get(id)
     if (known !== undefined) return known
+    this.forgetUnlisted()
     const suspect: Suspect = { marks: createMarks(), ejections: 0, lastEjectedAt: -Infinity }
     this.suspects.set(id, suspect)
     return suspect
   }
 
+  /** Every start of an upstream has an id of its own: without this they would add up. */
+  private forgetUnlisted (): void {
+    for (const id of this.suspects.keys()) {
+      if (this.upstreams.get(id) === undefined) this.suspects.delete(id)
+    }
+  }
+
   private countsOf (service: types.ServiceId): ServiceCounts {
     const known = this.services.get(service)
     if (known !== undefined) return known
