Incarnations of upstreams, entries by other writers, presumption only for programs that may have run without a record

Ruled out: false budgets of the former owner (the records were right). Change: programs whose turns are kept have a record from their first turn on and are presumed nothing; others are presumed the allowance less one turn, and get nothing further without a record. An upstream that starts again under its name begins anew; an entry that can't be read names no upstream and is told once.

--- a/packages/front/src/dialect.ts
+++ b/packages/front/src/dialect.ts
@@ -49,8 +49,8 @@
 export interface UpstreamFields {
   /** Time left for the answer, in ms. */
   readonly deadlineMs: number
-  /** The incarnation that the request is meant for. */
-  readonly upstream: types.UpstreamId
+  /** Name of the upstream that the request is meant for. */
+  readonly upstream: string
   readonly bodyBytes: number
   /** Id of the last event that was received: the upstream goes on after it. `undefined`: as the client asked. */
   readonly resumeAfter: string | undefined
--- a/packages/front/src/dispatch.test.ts
+++ b/packages/front/src/dispatch.test.ts
@@ -33,7 +33,7 @@
   const timers = timerService.createManualTimers()
   const upstreams = new trackUpstreams.UpstreamList()
   for (const name of Object.keys(behaviours)) {
-    upstreams.put({ id: name as types.UpstreamId, service, address: name, zone: 'z' as types.AvailabilityZoneId, slots: 6, leaving: false })
+    upstreams.put({ id: name as types.UpstreamId, service, address: name, name: 'n', slots: 6, leaving: false })
   }
   const sentTo: string[] = []
   const cancelled: string[] = []
--- a/packages/front/src/upstream-directory.ts
+++ b/packages/front/src/upstream-directory.ts
@@ -17,9 +17,16 @@
 /** Entries that lapsed while the store was away have this long to return, in ms; the store's users promise about two seconds. */
 const returnGraceMs = 2_500
 
-/** Applies the changes of the list, but gives entries that an outage removed time to return. */
+/** Unreadable entries that are remembered; some thousand times what was ever seen at once. */
+const mostUnreadable = 1_000
+
+/** Applies the changes of the list, but gives entries that an outage removed time to return. Keys are those of the list. */
 export class UpstreamDirectory {
-  private readonly missing = new Map<types.UpstreamId, timerService.Subscription>()
+  private readonly missing = new Map<string, timerService.Subscription>()
+  /** The incarnation that each entry names. */
+  private readonly incarnations = new Map<string, types.UpstreamId>()
+  /** Why the entries that can't be read can't, so that each is told once. */
+  private readonly unreadable = new Map<string, string>()
   private complete = false
 
   constructor (private readonly ports: DirectoryPorts) {}
@@ -32,46 +39,74 @@
   /** The whole list: what it lacks is gone. */
   replace (found: ReadonlyMap<string, Uint8Array>): void {
     for (const [key, value] of found) this.put(key, value)
-    for (const { listed } of [...this.ports.upstreams.all()]) {
-      if (!found.has(listed.id)) this.remove(listed.id)
+    for (const key of [...this.incarnations.keys()]) {
+      if (!found.has(key)) this.remove(key)
     }
     this.complete = true
   }
 
   put (key: string, value: Uint8Array): void {
-    const { upstreams, decisions, decode } = this.ports
-    let listed: trackUpstreams.ListedUpstream
-    try {
-      listed = decode(key, value)
-    } catch (err) {
-      decisions.note({ event: 'upstreamUnreadable', key, err })
-      return
-    }
-    this.keep(listed.id)
+    const listed = this.decode(key, value)
+    if (listed === undefined) return
+    this.keep(key)
+    const { upstreams, decisions } = this.ports
+    const former = this.incarnations.get(key)
+    if (former !== undefined && former !== listed.id) this.forget(key)
     const known = upstreams.get(listed.id)
     upstreams.put(listed)
+    this.incarnations.set(key, listed.id)
     if (known !== undefined && known.listed.leaving === listed.leaving) return
     decisions.note({ event: 'upstream', upstream: listed.id, service: listed.service, address: listed.address, leaving: listed.leaving })
   }
 
   remove (key: string): void {
-    const id = key as types.UpstreamId
-    const { upstreams, timers, decisions, sinceReturnMs } = this.ports
-    if (upstreams.get(id) === undefined || this.missing.has(id)) return
+    this.unreadable.delete(key)
+    const id = this.incarnations.get(key)
+    const { timers, decisions, sinceReturnMs } = this.ports
+    if (id === undefined || this.missing.has(key)) return
     const graceMs = Math.max(0, returnGraceMs - sinceReturnMs())
     decisions.note({ event: 'upstreamGone', upstream: id, graceMs: Math.round(graceMs) })
     if (graceMs === 0) {
-      upstreams.remove(id)
+      this.forget(key)
       return
     }
-    this.missing.set(id, timers.after(graceMs, () => {
-      this.missing.delete(id)
-      upstreams.remove(id)
+    this.missing.set(key, timers.after(graceMs, () => {
+      this.missing.delete(key)
+      this.forget(key)
     }))
   }
 
-  private keep (id: types.UpstreamId): void {
-    this.missing.get(id)?.cancel()
-    this.missing.delete(id)
+  /** An entry that can't be read names no upstream to use, whatever it named before; the others hold. */
+  private decode (key: string, value: Uint8Array): trackUpstreams.ListedUpstream | undefined {
+    try {
+      const listed = this.ports.decode(key, value)
+      this.unreadable.delete(key)
+      return listed
+    } catch (err) {
+      this.keep(key)
+      this.forget(key)
+      this.tellUnreadable(key, err)
+      return undefined
+    }
+  }
+
+  private tellUnreadable (key: string, err: unknown): void {
+    const reason = String(err)
+    if (this.unreadable.get(key) === reason) return
+    if (this.unreadable.size >= mostUnreadable) this.unreadable.clear()
+    this.unreadable.set(key, reason)
+    this.ports.decisions.note({ event: 'upstreamUnreadable', key, err })
+  }
+
+  private forget (key: string): void {
+    const id = this.incarnations.get(key)
+    if (id === undefined) return
+    this.incarnations.delete(key)
+    this.ports.upstreams.remove(id)
+  }
+
+  private keep (key: string): void {
+    this.missing.get(key)?.cancel()
+    this.missing.delete(key)
   }
 }
--- a/packages/share-load/src/share-load.test.ts
+++ b/packages/share-load/src/share-load.test.ts
@@ -46,7 +46,7 @@
 
 async function startSharer (t: Pick<typeof tap, 'teardown'>, port: number, peers: readonly string[], timers: timerService.ManualTimers) {
   const upstreams = new trackUpstreams.UpstreamList()
-  upstreams.put({ id: id('a'), service: 's' as types.ServiceId, address: 'a:1', zone: 'z' as types.AvailabilityZoneId, slots: 6, leaving: false })
+  upstreams.put({ id: id('a'), service: 's' as types.ServiceId, address: 'a:1', name: 'n', slots: 6, leaving: false })
   const loads = new trackUpstreams.PeerLoads()
   const marks: trackUpstreams.MarkReport[] = []
   const noted: string[] = []
--- a/packages/slopes/src/slopes/share-load.ts
+++ b/packages/slopes/src/slopes/share-load.ts
@@ -32,7 +32,7 @@
   const list = new trackUpstreams.UpstreamList()
   const service = 'engines' as types.ServiceId
   for (let index = 0; index < count; index += 1) {
-    list.put({ id: idOf(index), service, address: `${index}`, zone: 'z' as types.AvailabilityZoneId, slots, leaving: false })
+    list.put({ id: idOf(index), service, address: `${index}`, name: 'n', slots, leaving: false })
   }
   const candidates = list.ofService(service)
   return measures.cpuUs(() => {
--- a/packages/track-upstreams/src/choose-upstream.test.ts
+++ b/packages/track-upstreams/src/choose-upstream.test.ts
@@ -4,12 +4,11 @@
 import * as upstreamList from './upstream-list.js'
 
 const service = 'engines' as types.ServiceId
-const zone = 'makati-a' as types.AvailabilityZoneId
 
 function fixture (running: Readonly<Record<string, number>>, others: Readonly<Record<string, number>> = {}) {
   const list = new upstreamList.UpstreamList()
   for (const [name, count] of Object.entries(running)) {
-    list.put({ id: name as types.UpstreamId, service, address: `${name}:1`, zone, slots: 24, leaving: false })
+    list.put({ id: name as types.UpstreamId, service, address: `${name}:1`, name, slots: 24, leaving: false })
     list.get(name as types.UpstreamId)!.running = count
   }
   const choose = (preferred?: string, tried: readonly string[] = [], now = 1_000): string | undefined => chooseUpstream.chooseUpstream({
--- a/packages/track-upstreams/src/find-outliers.test.ts
+++ b/packages/track-upstreams/src/find-outliers.test.ts
@@ -9,7 +9,7 @@
 function fixture (count: number, seed: number) {
   const upstreams = new upstreamList.UpstreamList()
   for (let at = 0; at < count; at += 1) {
-    upstreams.put({ id: `u${at}` as types.UpstreamId, service, address: `h${at}:1`, zone: 'z' as types.AvailabilityZoneId, slots: 6, leaving: false })
+    upstreams.put({ id: `u${at}` as types.UpstreamId, service, address: `h${at}:1`, name: 'n', slots: 6, leaving: false })
   }
   let state = seed
   const random = (): number => {
--- a/packages/track-upstreams/src/upstream-list.ts
+++ b/packages/track-upstreams/src/upstream-list.ts
@@ -3,10 +3,12 @@
 
 /** What the list of upstreams says of one incarnation. */
 export interface ListedUpstream {
+  /** The incarnation: what is believed of one says nothing of the next, also where it has the same name. */
   readonly id: types.UpstreamId
+  /** The upstream's own name, which it may keep over restarts. */
+  readonly name: string
   readonly service: types.ServiceId
   readonly address: string
-  readonly zone: types.AvailabilityZoneId
   /** Requests that it runs at once. */
   readonly slots: number
   readonly leaving: boolean
--- a/packages/turn-ledger/src/records.ts
+++ b/packages/turn-ledger/src/records.ts
@@ -35,8 +35,6 @@
   readonly inForce: boolean
   /** When an owner last took the shard over without a handover, ms since the epoch; 0: never. */
   readonly takenOverAt: types.EpochMs
-  /** That was not the first time within the life of programs. */
-  readonly takenOverAgain: boolean
 }
 
 /** A record that can't be read. */
@@ -99,13 +97,13 @@
 
 /** Bytes of a shard's allowance, MessagePack. */
 export function encodeAllowance (record: AllowanceRecord): Uint8Array {
-  return msgpack.encode([record.inForce, record.takenOverAt, record.takenOverAgain])
+  return msgpack.encode([record.inForce, record.takenOverAt])
 }
 
 /** Reads a shard's allowance. Throws where the bytes are no such record. */
 export function decodeAllowance (value: Uint8Array): AllowanceRecord {
-  const [inForce, takenOverAt, takenOverAgain] = decodeRow(value, 3) as [boolean, types.EpochMs, boolean]
-  return { inForce, takenOverAt, takenOverAgain }
+  const [inForce, takenOverAt] = decodeRow(value, 2) as [boolean, types.EpochMs]
+  return { inForce, takenOverAt }
 }
 
 function decodeRow (value: Uint8Array, fields: number, mostFields = fields): unknown[] {
--- a/packages/turn-ledger/src/turn-ledger.test.ts
+++ b/packages/turn-ledger/src/turn-ledger.test.ts
@@ -114,3 +114,84 @@
   }), { seed: 7, numRuns: 500 })
   t.end()
 })
+
+interface Life {
+  ledger: turnLedger.TurnLedger
+  readonly waiting: (readonly turnLedger.LedgerWrite[])[]
+}
+
+tap.test('over owners that crash or hand over, with a store that lags, a program gets its budget and one turn at the most', (t) => {
+  const most = 40
+  const step = fc.record({ how: fc.constantFrom('whole', 'whole', 'broken', 'notRun', 'leave', 'store', 'storeAll', 'crash', 'handOver'), tokens: fc.integer({ min: 0, max: most }) })
+  fc.assert(fc.property(fc.array(step, { maxLength: 80 }), fc.integer({ min: most, max: 400 }), fc.boolean(), (steps, budgetTokens, keeps) => {
+    const stored = new Map<string, Uint8Array>()
+    let handedOut = 0
+    let at = now as number
+    let life: Life
+    const storeNext = (): void => {
+      const writes = life.waiting.shift()
+      if (writes === undefined) return
+      for (const { key, value } of writes) stored.set(key, value!)
+      life.ledger.noteStored(writes)
+    }
+    const storeAll = (): void => { while (life.waiting.length > 0) storeNext() }
+    const begin = (): void => {
+      life = { ledger: new turnLedger.TurnLedger(), waiting: [] }
+      for (const [key, value] of stored) life.ledger.load(key, value)
+      life.ledger.finishLoad()
+      life.waiting.push(life.ledger.begin(at as types.EpochMs))
+      storeAll()
+    }
+    begin()
+    steps.forEach(({ how, tokens }, index) => {
+      at += 100
+      switch (how) {
+        case 'store': return storeNext()
+        case 'storeAll': return storeAll()
+        case 'crash': return begin()
+        case 'handOver':
+          life.waiting.push(life.ledger.finish())
+          storeAll()
+          return begin()
+      }
+      const request = { ...turnRequest(`t${index}`, undefined, budgetTokens), keeps }
+      const admission = life.ledger.admit(request, at as types.EpochMs)
+      if (admission.type !== 'admitted') return
+      life.waiting.push(admission.writes)
+      if (!admission.covered) storeAll()
+      if (how !== 'notRun') handedOut += tokens
+      if (how === 'leave') return
+      const end: turnLedger.TurnEnd = how === 'whole' ? whole('x', tokens) : { type: how }
+      const outcome = life.ledger.end(request, end, at as types.EpochMs)
+      if (outcome.type === 'settled') life.waiting.push(outcome.writes)
+    })
+    return handedOut <= budgetTokens + most
+  }), { seed: 11, numRuns: 3_000 })
+  t.end()
+})
+
+tap.test('a program of three turns needs no record, and its owner crash costs it none of them', (t) => {
+  const ledger = new turnLedger.TurnLedger()
+  ledger.begin(now)
+  const enquiry = (id: string): turnLedger.TurnRequest => ({ ...turnRequest(id, undefined, 120), keeps: false })
+  for (const id of ['a', 'b']) {
+    t.match(ledger.admit(enquiry(id), now), { type: 'admitted', covered: true, writes: [] })
+    t.match(ledger.end(enquiry(id), whole(id, 11), now), { type: 'settled', writes: [] })
+  }
+  const next = new turnLedger.TurnLedger()
+  next.load('a', ledger.begin(now)[0]!.value!)
+  next.begin(now)
+  t.match(next.admit(enquiry('c'), now), { type: 'admitted' })
+  t.end()
+})
+
+tap.test('after every process lost power, programs that continue from kept turns have their whole budget', (t) => {
+  const former = new turnLedger.TurnLedger()
+  const writes = [...former.begin(now), ...play(former, 'a')]
+  const next = new turnLedger.TurnLedger()
+  for (const { key, value } of writes) next.load(key, value!)
+  next.begin(now)
+  const request = { ...turnRequest('b', 'a', 40), program: 'new' as types.ProgramId }
+  t.match(next.admit(request, now), { type: 'admitted', covered: false })
+  t.end()
+})
--- a/packages/turn-ledger/src/turn-ledger.ts
+++ b/packages/turn-ledger/src/turn-ledger.ts
@@ -79,14 +79,11 @@
 /** Clocks of two owners may differ by some seconds; records are kept that much longer than promised. */
 const clockSlackMs = 10_000
 
-/** Two takeovers within this time, in ms, may have met the same program: far more than programs live. */
-const repeatMs = 600_000
-
 /** State of one shard in memory, always rebuilt from its records by the next owner. */
 export class TurnLedger {
   private readonly programs = new Map<types.ProgramId, ProgramState>()
   private readonly turns = new Map<records.TurnId, TurnState>()
-  private allowance: records.AllowanceRecord = { inForce: false, takenOverAt: 0 as types.EpochMs, takenOverAgain: false }
+  private allowance: records.AllowanceRecord = { inForce: false, takenOverAt: 0 as types.EpochMs }
 
   /**
    * Takes over a stored record. Turns that a former owner had open stay open, so that it can still settle them here;
@@ -112,9 +109,8 @@
    * it was in force under a former owner, that one ended without a handover: what it handed out is not known.
    */
   begin (now: types.EpochMs): readonly LedgerWrite[] {
-    const { inForce, takenOverAt } = this.allowance
-    const isRepeat = now < takenOverAt + repeatMs
-    this.allowance = inForce ? { inForce, takenOverAt: now, takenOverAgain: isRepeat } : { ...this.allowance, inForce: true }
+    const takenOverAt = this.allowance.inForce ? now : this.allowance.takenOverAt
+    this.allowance = { inForce: true, takenOverAt }
     return [this.allowanceWrite()]
   }
 
@@ -250,21 +246,19 @@
     return parts.reverse()
   }
 
-  /** A program that this owner hears of for the first time. One without a record may have used its allowance under a former owner. */
-  private createProgram (request: TurnRequest, now: types.EpochMs): ProgramState {
-    const allowance = request.budgetTokens === undefined ? 0 : coverage.allowanceTokens(request.budgetTokens, request.maxTokens)
-    const covered = this.allowance.inForce ? allowance : 0
-    return { spentTokens: this.presumedTokens(request, allowance, now), open: new Map(), keepUntil: now, coverage: new coverage.Coverage(covered, false), unwritten: true }
-  }
-
   /**
-   * Tokens that a former owner may have handed out without a record. A program may get one turn more than its budget:
-   * the first takeover without a handover is counted so, which spares programs of one turn a refusal; a second one is not.
+   * A program that this owner hears of for the first time. One without a record may have used its allowance under a
+   * former owner that ended without a handover. Its budget may be passed by one turn: that much of it is not counted,
+   * which spares new programs of one turn a refusal; in return it gets nothing further without a record. Programs whose
+   * turns are kept have records from their first turn on.
    */
-  private presumedTokens (request: TurnRequest, allowance: number, now: types.EpochMs): number {
-    const { takenOverAt, takenOverAgain } = this.allowance
-    if (now >= later(takenOverAt, takenOverAt, request.retainMs)) return 0
-    return takenOverAgain ? allowance : Math.max(0, allowance - request.maxTokens)
+  private createProgram (request: TurnRequest, now: types.EpochMs): ProgramState {
+    const { takenOverAt, inForce } = this.allowance
+    const allowance = request.keeps || request.budgetTokens === undefined ? 0 : coverage.allowanceTokens(request.budgetTokens, request.maxTokens)
+    const mayHaveRun = now < later(takenOverAt, takenOverAt, request.retainMs)
+    const spentTokens = mayHaveRun ? Math.max(0, allowance - request.maxTokens) : 0
+    const covered = inForce && !mayHaveRun ? allowance : 0
+    return { spentTokens, open: new Map(), keepUntil: now, coverage: new coverage.Coverage(covered, false), unwritten: true }
   }
 
   /** The record counts tokens ahead of those that are used, as far as the budget goes. */
