Turns of which nothing is kept run where their client is, with tokens that the owner has reserved

Hypothesis: a passed-on turn dies with its owner, and every byte of it crosses a second process; only a count has to pass the owner. Change: calls reserve and release; the process that has the client talks to the engine itself and tells what was handed out.

--- a/packages/decision-log/src/decisions.ts
+++ b/packages/decision-log/src/decisions.ts
@@ -30,6 +30,8 @@
   /** Passed to the process that owns the program. */
   | OfTurn & { readonly event: 'passedOn', readonly owner: string, readonly ownersAgeMs: number }
   | OfTurn & { readonly event: 'turnAdmitted', readonly previous: string | undefined, readonly epoch: number, readonly promptBytes: number, readonly covered: boolean, readonly budgetTokens: number | undefined, readonly maxTokens: number }
+  /** For a turn of which nothing is kept. Covered: stored records counted its tokens before. */
+  | OfTurn & { readonly event: 'tokensReserved', readonly epoch: number, readonly covered: boolean, readonly budgetTokens: number | undefined, readonly maxTokens: number }
   | OfTurn & { readonly event: 'turnRefused', readonly reason: string, readonly epoch?: number, readonly previous?: string | undefined, readonly detail: Readonly<Record<string, unknown>> }
   | OfRequest & {
     readonly event: 'sent'
@@ -125,6 +127,7 @@
   unknownRoute: { level: 'info', message: 'no route matches' },
   passedOn: { level: 'info', message: 'passed on to the owner of the program' },
   turnAdmitted: { level: 'info', message: 'turn admitted, its tokens are being reserved' },
+  tokensReserved: { level: 'info', message: 'tokens of a turn reserved' },
   turnRefused: { level: 'info', message: 'turn refused' },
   sent: { level: 'info', message: 'sent to an upstream' },
   sendFailed: { level: 'warn', message: 'no usable answer from the upstream' },
--- a/packages/front/src/peer-calls.ts
+++ b/packages/front/src/peer-calls.ts
@@ -6,6 +6,7 @@
 import type * as shardLog from '@eelgrasswind/shard-log'
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
+import type * as types from '@eelgrasswind/types'
 
 /** A turn that ended at a former owner, to be kept by the present one. */
 export interface SettleCall {
@@ -14,6 +15,35 @@
   readonly end: Extract<turnLedger.TurnEnd, { type: 'whole' }>
 }
 
+/** Asks the owner of a program to reserve the tokens of a turn that the asking process runs. */
+export interface ReserveCall {
+  readonly type: 'reserve'
+  readonly request: turnLedger.TurnRequest
+  /** Parts of the prompt in order. */
+  readonly promptParts: readonly string[]
+}
+
+/** What the owner says to that. */
+export type ReserveAnswer =
+  /** The tokens may be handed out. Holder: the upstream that has the prompt's beginning, where the owner knows it. */
+  | { readonly type: 'reserved', readonly holder?: types.UpstreamId | undefined }
+  | { readonly type: 'overBudget' }
+  /** Not before the store answers. */
+  | { readonly type: 'later', readonly retryAfterMs: number }
+  /** The asked process does not own the program. */
+  | { readonly type: 'notOwner' }
+
+/** A turn with reserved tokens has ended at the process that ran it. */
+export interface ReleaseCall {
+  readonly type: 'release'
+  readonly request: turnLedger.TurnRequest
+  /** Tokens that were handed out. */
+  readonly tokens: number
+  readonly promptParts: readonly string[]
+  /** Where it ran, if it did. */
+  readonly upstream?: types.UpstreamId | undefined
+}
+
 /** Asks for a turn that a program of another shard continues from. */
 export interface FindChainCall {
   readonly type: 'findChain'
@@ -45,7 +75,7 @@
 }
 
 /** Every call that one front makes to another, besides passing a turn on. */
-export type PeerCall = SettleCall | FindChainCall | JoinNowCall | PingCall | RelayCall
+export type PeerCall = SettleCall | ReserveCall | ReleaseCall | FindChainCall | JoinNowCall | PingCall | RelayCall
 
 /** Whether a settled turn is kept. */
 export type SettleAnswer =
@@ -69,7 +99,7 @@
 }
 
 /** What a call is answered with. */
-export type PeerAnswer = SettleAnswer | FindChainAnswer | { readonly type: 'heard' } | shardLog.StoreAnswer
+export type PeerAnswer = SettleAnswer | ReserveAnswer | FindChainAnswer | { readonly type: 'heard' } | shardLog.StoreAnswer
 
 /** Writes an answer. */
 export function encodeAnswer (answer: PeerAnswer): Buffer {
@@ -83,8 +113,20 @@
   readonly decisions: decisionLog.DecisionLog
 }
 
+/** What comes of a call. */
+export type CallOutcome<Answer> =
+  | { readonly type: 'answer', readonly answer: Answer }
+  /** Ended: the peer's host says that no such process runs. */
+  | { readonly type: 'none', readonly ended: boolean }
+
 /** Makes the call; `undefined` where no answer came within the time, in ms. */
-export function callPeer<Answer> (ports: PeerCallPorts, address: string, call: PeerCall, timeoutMs: number): Promise<Answer | undefined> {
+export async function callPeer<Answer> (ports: PeerCallPorts, address: string, call: PeerCall, timeoutMs: number): Promise<Answer | undefined> {
+  const outcome = await tryPeer<Answer>(ports, address, call, timeoutMs)
+  return outcome.type === 'answer' ? outcome.answer : undefined
+}
+
+/** Makes the call and tells why there is no answer within the time, in ms. */
+export function tryPeer<Answer> (ports: PeerCallPorts, address: string, call: PeerCall, timeoutMs: number): Promise<CallOutcome<Answer>> {
   const body = encode(call)
   return new Promise((resolve) => {
     const chunks: Buffer[] = []
@@ -101,16 +143,19 @@
     }, {
       head: (head) => { status = head.status },
       data: (chunk) => { chunks.push(chunk) },
-      end: () => { finish(status === 200 ? decodeAnswer<Answer>(ports, Buffer.concat(chunks)) : undefined) },
-      fail: () => { finish(undefined) }
+      end: () => {
+        const answer = status === 200 ? decodeAnswer<Answer>(ports, Buffer.concat(chunks)) : undefined
+        finish(answer === undefined ? { type: 'none', ended: false } : { type: 'answer', answer })
+      },
+      fail: (failure) => { finish({ type: 'none', ended: failure.cause === 'refused' }) }
     })
     const limit = ports.timers.after(timeoutMs, () => {
       exchange.cancel()
-      finish(undefined)
+      finish({ type: 'none', ended: false })
     })
-    const finish = (answer: Answer | undefined): void => {
+    const finish = (outcome: CallOutcome<Answer>): void => {
       limit.cancel()
-      resolve(answer)
+      resolve(outcome)
     }
   })
 }
--- a/packages/front/src/peer-listener.ts
+++ b/packages/front/src/peer-listener.ts
@@ -8,6 +8,7 @@
 import * as peerCalls from './peer-calls.js'
 import * as readRequest from './read-request.js'
 import type * as requestsUnderWay from './requests-under-way.js'
+import * as reserveTurn from './reserve-turn.js'
 import * as routeTurn from './route-turn.js'
 import * as settleTurn from './settle-turn.js'
 
@@ -88,6 +89,15 @@
       if (call.silent !== undefined) ports.watch.noteTold(call.silent)
       ports.shards.joinNow()
       return { type: 'heard' }
+    case 'reserve': {
+      const shard = routeTurn.servingShard(ports, call.request.program)
+      return shard === undefined ? { type: 'notOwner' } : reserveTurn.reserveHere(ports, shard, call)
+    }
+    case 'release': {
+      const shard = routeTurn.servingShard(ports, call.request.program)
+      if (shard !== undefined) reserveTurn.releaseHere(ports, shard, call)
+      return { type: 'heard' }
+    }
     case 'findChain': return findChain.findHere(ports.shards, call.turn)
     case 'settle': {
       const shard = routeTurn.servingShard(ports, call.request.program)
--- a/packages/front/src/prompt-places.ts
+++ b/packages/front/src/prompt-places.ts
@@ -12,7 +12,7 @@
   private readonly places = new Map<string, types.UpstreamId>()
 
   /** What of the turn's prompt may lie where. */
-  find (turn: dialects.TurnFields): trackUpstreams.PromptAffinity {
+  find (turn: Pick<dialects.TurnFields, 'promptParts' | 'previous'>): trackUpstreams.PromptAffinity {
     const [sharedPart, ...ownParts] = turn.promptParts
     if (turn.previous !== undefined) return { holder: this.places.get(turn.previous), sharedPart }
     const known = ownParts.findLast((part) => this.places.has(part))
@@ -20,7 +20,7 @@
   }
 
   /** A turn runs at an upstream: later ones continue from it by its id, or repeat its prompt in full. */
-  note (id: turnLedger.TurnId, turn: dialects.TurnFields, upstream: types.UpstreamId): void {
+  note (id: turnLedger.TurnId, turn: Pick<dialects.TurnFields, 'promptParts'>, upstream: types.UpstreamId): void {
     this.remember(id, upstream)
     const lastPart = turn.promptParts.at(-1)
     if (lastPart !== undefined && turn.promptParts.length > 1) this.remember(lastPart, upstream)
--- /dev/null
+++ b/packages/front/src/reserve-turn.ts
@@ -0,0 +1,52 @@
+/** Reserves the tokens of turns of which nothing is kept: the owner only counts, the process that has the client runs the turn. */
+import type * as decisionLog from '@eelgrasswind/decision-log'
+import type * as ownShards from '@eelgrasswind/own-shards'
+import type * as timerService from '@eelgrasswind/timer-service'
+import type * as turnLedger from '@eelgrasswind/turn-ledger'
+import type * as types from '@eelgrasswind/types'
+import type * as peerCalls from './peer-calls.js'
+import type * as promptPlaces from './prompt-places.js'
+import * as storeOutage from './store-outage.js'
+
+/** What it takes to reserve tokens as the owner of a program. */
+export interface ReservePorts {
+  readonly timers: timerService.TimerService
+  readonly decisions: decisionLog.DecisionLog
+  readonly places: promptPlaces.PromptPlaces
+}
+
+/** The longest that an answer waits for the store, in ms: a slow append takes about this, and the asking process waits a little longer. */
+const storeMs = 250
+
+/** Reserves the tokens of a turn at a shard that this process owns and that serves. */
+export async function reserveHere (ports: ReservePorts, shard: ownShards.OwnedShard, call: peerCalls.ReserveCall): Promise<peerCalls.ReserveAnswer> {
+  const { request } = call
+  const admission = shard.ledger.admit(request, ports.timers.now() as types.EpochMs)
+  switch (admission.type) {
+    case 'overBudget': return refuse(ports, shard, request, admission)
+    case 'unknownPrevious': return { type: 'overBudget' }
+    case 'admitted': {
+      ports.decisions.note({ event: 'tokensReserved', request: request.turn, program: request.program, epoch: shard.epoch, covered: admission.covered, budgetTokens: request.budgetTokens, maxTokens: request.maxTokens })
+      const stored = admission.writes.length === 0 ? undefined : shard.commit(admission.writes)
+      const reserved: peerCalls.ReserveAnswer = { type: 'reserved', holder: ports.places.find({ promptParts: call.promptParts, previous: undefined }).holder }
+      if (admission.covered) return reserved
+      const commit = storeOutage.isAway(shard) ? undefined : await storeOutage.within(ports.timers, stored ?? shard.confirm(), storeMs)
+      if (commit?.type === 'committed') return reserved
+      shard.ledger.end(request, { type: 'notRun' }, ports.timers.now() as types.EpochMs)
+      return commit?.type === 'lost' ? { type: 'notOwner' } : { type: 'later', retryAfterMs: storeOutage.retryMs }
+    }
+  }
+}
+
+/** Counts what a turn made, and remembers where it ran for the program's next one. */
+export function releaseHere (ports: ReservePorts, shard: ownShards.OwnedShard, call: peerCalls.ReleaseCall): void {
+  shard.ledger.end(call.request, { type: 'counted', tokens: call.tokens }, ports.timers.now() as types.EpochMs)
+  if (call.upstream !== undefined) ports.places.note(call.request.turn, { promptParts: call.promptParts }, call.upstream)
+}
+
+/** A final refusal is true only if the store confirms that nobody else may know more. */
+async function refuse (ports: ReservePorts, shard: ownShards.OwnedShard, request: turnLedger.TurnRequest, admission: Extract<turnLedger.Admission, { type: 'overBudget' }>): Promise<peerCalls.ReserveAnswer> {
+  const confirmed = await storeOutage.within(ports.timers, shard.confirm(), storeMs)
+  ports.decisions.note({ event: 'turnRefused', reason: 'over budget', request: request.turn, program: request.program, epoch: shard.epoch, detail: { confirmed: confirmed?.type, admission, budgetTokens: request.budgetTokens, maxTokens: request.maxTokens } })
+  return confirmed?.type === 'committed' ? { type: 'overBudget' } : { type: 'later', retryAfterMs: storeOutage.retryMs }
+}
--- a/packages/front/src/route-turn.ts
+++ b/packages/front/src/route-turn.ts
@@ -9,6 +9,7 @@
 import * as memberName from './member-name.js'
 import type * as peerWatch from './peer-watch.js'
 import * as serveTurn from './serve-turn.js'
+import * as serveUnkept from './serve-unkept.js'
 
 /** What it takes to bring turns to their owners. */
 export interface RouteTurnPorts extends serveTurn.TurnPorts {
@@ -106,27 +107,73 @@
     case 'unknown': return { type: 'again', reason: 'no owner known' }
     case 'here':
       if (place.shard.state !== 'serving') return { type: 'again', reason: place.shard.state }
+      if (!isKept(req)) return orAgain(await tryUnkept(ports, req, turn, { type: 'here', shard: place.shard }))
       await serveTurn.serveTurn(ports, req, turn, place.shard)
       return { type: 'done' }
-    case 'member': {
-      const { shards, suspects, timers } = ports
-      if (suspects.has(place.member, timers.monotonic())) {
-        return { type: shards.wasEvicted(place.member) ? 'again' : 'later', reason: 'the owner did not answer just now' }
-      }
-      ports.decisions.note({ event: 'passedOn', request: req.attempt.id, program: turn.program, owner: place.member, ownersAgeMs: Math.round(ports.shards.ownersAgeMs) })
-      const address = memberName.addressOf(place.member)
-      const outcome = await forwardTurn.forwardTurn(ports, req, address)
-      if (outcome.type === 'answered') return { type: 'done' }
-      if (outcome.type === 'unreachable') {
-        suspects.add(place.member, timers.monotonic())
-        if (outcome.ended) void shards.evict(place.member, 'ended')
-        else ports.watch.suspect(address)
-      }
-      return { type: 'again', reason: outcome.type }
-    }
+    case 'member': return tryMember(ports, req, turn, place.member)
   }
 }
 
+async function tryMember (ports: RouteTurnPorts, req: inbound.Inbound, turn: dialects.TurnFields, member: string): Promise<Step> {
+  const { shards, suspects, timers } = ports
+  if (suspects.has(member, timers.monotonic())) {
+    return { type: shards.wasEvicted(member) ? 'again' : 'later', reason: 'the owner did not answer just now' }
+  }
+  const address = memberName.addressOf(member)
+  const step = isKept(req) ? await passOn(ports, req, turn, member) : await tryUnkept(ports, req, turn, { type: 'peer', address })
+  if (step.type !== 'silent') return step
+  suspects.add(member, timers.monotonic())
+  if (step.ended) void shards.evict(member, 'ended')
+  else ports.watch.suspect(address)
+  return orAgain(step)
+}
+
+function orAgain (step: Step | Silent): Step {
+  return step.type === 'silent' ? { type: 'again', reason: 'unreachable' } : step
+}
+
+/** The owner did not take the turn. Ended: its process does not run any more. */
+interface Silent {
+  readonly type: 'silent'
+  readonly ended: boolean
+}
+
+/** A kept turn is served by the owner of its program. */
+async function passOn (ports: RouteTurnPorts, req: inbound.Inbound, turn: dialects.TurnFields, member: string): Promise<Step | Silent> {
+  ports.decisions.note({ event: 'passedOn', request: req.attempt.id, program: turn.program, owner: member, ownersAgeMs: Math.round(ports.shards.ownersAgeMs) })
+  const outcome = await forwardTurn.forwardTurn(ports, req, memberName.addressOf(member))
+  switch (outcome.type) {
+    case 'answered': return { type: 'done' }
+    case 'notOwner': return { type: 'again', reason: outcome.type }
+    case 'unreachable': return { type: 'silent', ended: outcome.ended }
+  }
+}
+
+/** Any other turn is run here, with tokens that the owner of its program has reserved. */
+async function tryUnkept (ports: RouteTurnPorts, req: inbound.Inbound, turn: dialects.TurnFields, owner: serveUnkept.Owner): Promise<Step | Silent> {
+  const call = serveUnkept.reserveCall(req, turn)
+  const outcome = await serveUnkept.reserve(ports, owner, call)
+  if (outcome.type === 'none') return { type: 'silent', ended: outcome.ended }
+  const { answer } = outcome
+  switch (answer.type) {
+    case 'notOwner': return { type: 'again', reason: answer.type }
+    case 'reserved':
+      if (req.reply.over) serveUnkept.release(ports, owner, { ...call, type: 'release', tokens: 0 })
+      else serveUnkept.run(ports, req, turn, owner, call, answer.holder)
+      return { type: 'done' }
+    case 'overBudget':
+      req.reply.refuse({ type: 'overBudget' })
+      return { type: 'done' }
+    case 'later':
+      req.reply.refuse({ type: 'storeAway', retryAfterMs: answer.retryAfterMs })
+      return { type: 'done' }
+  }
+}
+
+function isKept (req: inbound.Inbound): boolean {
+  return req.route.retain?.keepsTurns === true
+}
+
 /** The shard of a program, if this process serves it now. */
 export function servingShard (ports: Pick<RouteTurnPorts, 'shards'>, program: types.ProgramId): ownShards.OwnedShard | undefined {
   const place = ports.shards.locate(ports.shards.partitionOf(program))
--- a/packages/front/src/serve-turn.ts
+++ b/packages/front/src/serve-turn.ts
@@ -1,6 +1,5 @@
-/** Serves a turn at the owner of its program: checks chain and budget, puts the prompt together, keeps what was said. */
+/** Serves a turn that is kept at the owner of its program: checks chain and budget, puts the prompt together, keeps what was said. */
 import type * as ownShards from '@eelgrasswind/own-shards'
-import * as timerService from '@eelgrasswind/timer-service'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
 import * as answerStream from './answer-stream.js'
@@ -10,6 +9,7 @@
 import type * as inbound from './inbound.js'
 import type * as promptPlaces from './prompt-places.js'
 import * as settleTurn from './settle-turn.js'
+import * as storeOutage from './store-outage.js'
 
 /** What it takes to serve turns as the owner of their programs. */
 export interface TurnPorts extends dispatch.DispatchPorts {
@@ -20,17 +20,14 @@
 /** Time to come back where the shard is changing hands, in ms: a lease lapses or a handover ends within about this. */
 export const shardRetryMs = 400
 
-/** An append that is this long without an answer, in ms, says that the store is away: a slow one takes about 300. */
-const stalledMs = 600
 /** The longest that a refusal waits for the store and the other owners to confirm it, in ms. */
 const confirmMs = 500
 
 /** Serves one turn on a shard that this process owns and that serves. */
 export async function serveTurn (ports: TurnPorts, req: inbound.Inbound, turn: dialects.TurnFields, shard: ownShards.OwnedShard): Promise<void> {
-  const keeps = req.route.retain?.keepsTurns === true
-  if (keeps && shard.unansweredMs > stalledMs) {
+  if (storeOutage.isAway(shard)) {
     ports.decisions.note({ event: 'turnRefused', reason: 'the store does not answer', request: req.attempt.id, program: turn.program, epoch: shard.epoch, detail: { unansweredMs: Math.round(shard.unansweredMs) } })
-    req.reply.refuse({ type: 'storeAway', retryAfterMs: outageRetryMs })
+    req.reply.refuse({ type: 'storeAway', retryAfterMs: storeOutage.retryMs })
     return
   }
   const request: turnLedger.TurnRequest = {
@@ -39,7 +36,7 @@
     previous: turn.previous,
     maxTokens: turn.maxTokens,
     budgetTokens: turn.budgetTokens,
-    keeps,
+    keeps: true,
     retainMs: req.route.retain?.retainMs ?? 0
   }
   const now = ports.timers.now() as types.EpochMs
@@ -56,15 +53,9 @@
   }
 }
 
-/**
- * When to come back while the store is away, in ms: a store that has left an append unanswered for `stalledMs` is away
- * for seconds. Clients that come back after a second outlast an outage of 3.5 s with their six tries, against 1.7 s at 0.4 s.
- */
-const outageRetryMs = 1_000
-
 /** A final refusal is true only if the store confirms that nobody else may know more. */
 async function refuseOverBudget (ports: TurnPorts, req: inbound.Inbound, request: turnLedger.TurnRequest, shard: ownShards.OwnedShard, admission: turnLedger.Admission): Promise<void> {
-  const confirmed = await withinTime(ports, shard.confirm())
+  const confirmed = await storeOutage.within(ports.timers, shard.confirm(), confirmMs)
   ports.decisions.note({ event: 'turnRefused', reason: 'over budget', request: request.turn, program: request.program, epoch: shard.epoch, detail: { confirmed: confirmed?.type, admission, budgetTokens: request.budgetTokens, maxTokens: request.maxTokens } })
   if (confirmed?.type === 'committed') req.reply.refuse({ type: 'overBudget' })
   else req.reply.refuse({ type: 'shardMoving', retryAfterMs: shardRetryMs })
@@ -73,7 +64,7 @@
 /** The turn before is not in this shard: it may be another program's, or not exist at all. */
 async function continueElsewhere (ports: TurnPorts, req: inbound.Inbound, turn: dialects.TurnFields, request: turnLedger.TurnRequest, shard: ownShards.OwnedShard): Promise<void> {
   const previous = request.previous
-  const found = previous === undefined ? undefined : await withinTime(ports, findChain.findEverywhere(ports, previous))
+  const found = previous === undefined ? undefined : await storeOutage.within(ports.timers, findChain.findEverywhere(ports, previous), confirmMs)
   if (found?.type === 'found' && shard.state === 'serving') {
     const copied = shard.ledger.importChain(found.chain)
     const admission = shard.ledger.admit(request, ports.timers.now() as types.EpochMs)
@@ -87,11 +78,6 @@
   else req.reply.refuse({ type: 'shardMoving', retryAfterMs: shardRetryMs })
 }
 
-/** The result, or `undefined` where it takes too long for a refusal to wait for. */
-function withinTime<T> (ports: TurnPorts, result: Promise<T>): Promise<T | undefined> {
-  return Promise.race([result, timerService.sleep(ports.timers, confirmMs).then(() => undefined)])
-}
-
 /** One turn under way. */
 class TurnRun {
   private readonly answer: answerStream.AnswerStream
@@ -132,11 +118,6 @@
   private async onWhole (): Promise<void> {
     const tokens = Math.min(this.request.maxTokens, this.answer.eventCount * this.req.tokensPerEvent)
     const end: Extract<turnLedger.TurnEnd, { type: 'whole' }> = { type: 'whole', input: this.req.body, output: this.answer.output(), tokens }
-    if (!this.request.keeps) {
-      this.settle(end)
-      this.req.reply.end()
-      return
-    }
     const kept = await settleTurn.settleWhole(this.ports, this.shard, this.request, end, this.req.deadlineAt)
     if (kept) this.req.reply.end()
     else this.req.reply.abort()
--- a/packages/turn-ledger/src/turn-ledger.ts
+++ b/packages/turn-ledger/src/turn-ledger.ts
@@ -58,6 +58,8 @@
 export type TurnEnd =
   /** Answered whole: kept, and its tokens are known. */
   | { readonly type: 'whole', readonly input: Uint8Array, readonly output: Uint8Array, readonly tokens: number }
+  /** Nothing of it is kept; so many tokens were handed out, whether it was whole or broke off. */
+  | { readonly type: 'counted', readonly tokens: number }
   /** Broke off: counts at its most. */
   | { readonly type: 'broken' }
   /** No upstream worked on it: counts nothing. */
@@ -163,6 +165,7 @@
       case 'broken':
         program.spentTokens += request.maxTokens
         break
+      case 'counted':
       case 'whole':
         program.spentTokens += end.tokens
     }
