Kept turns that came back run while the store is away

Hypothesis: in an outage of 7 s every kept program was refused for good, since three refused tries last 3.5 s. Change: a turn is told to come back after a second, and is run when it does, if its tokens are covered; its end waits for the store. Three tries then outlast 9 s. Promises hold: the end of a stream still waits for the stored turn.

--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -20,6 +20,7 @@
 import * as retryPool from './retry-pool.js'
 import * as routeTurn from './route-turn.js'
 import type * as settings from './settings.js'
+import * as storeOutage from './store-outage.js'
 import * as upstreamView from './upstream-view.js'
 
 /** How the published documents are written; the adapter implements it. */
@@ -219,6 +220,7 @@
       watch: this.watch,
       suspects: new routeTurn.Suspects(),
       places: new promptPlaces.PromptPlaces(),
+      outageTurns: new storeOutage.OutageTurns(),
       retries: new retryPool.RetryPool(),
       upstreams: upstreams.list,
       loads: upstreams.loads,
--- a/packages/front/src/serve-turn.ts
+++ b/packages/front/src/serve-turn.ts
@@ -15,6 +15,7 @@
 export interface TurnPorts extends dispatch.DispatchPorts {
   readonly shards: ownShards.ShardOwner
   readonly places: promptPlaces.PromptPlaces
+  readonly outageTurns: storeOutage.OutageTurns
 }
 
 /** Time to come back where the shard is changing hands, in ms: a lease lapses or a handover ends within about this. */
@@ -25,11 +26,6 @@
 
 /** Serves one turn on a shard that this process owns and that serves. */
 export async function serveTurn (ports: TurnPorts, req: inbound.Inbound, turn: dialects.TurnFields, shard: ownShards.OwnedShard): Promise<void> {
-  if (storeOutage.isAway(shard)) {
-    ports.decisions.note({ event: 'turnRefused', reason: 'the store does not answer', request: req.attempt.id, program: turn.program, epoch: shard.epoch, detail: { unansweredMs: Math.round(shard.unansweredMs) } })
-    req.reply.refuse({ type: 'storeAway', retryAfterMs: storeOutage.retryMs })
-    return
-  }
   const request: turnLedger.TurnRequest = {
     turn: req.attempt.id,
     program: turn.program,
@@ -39,6 +35,11 @@
     keeps: true,
     retainMs: req.route.retain?.retainMs ?? 0
   }
+  if (storeOutage.isAway(shard) && !mayRunNow(ports, request, shard)) {
+    ports.decisions.note({ event: 'turnRefused', reason: 'the store does not answer', request: req.attempt.id, program: turn.program, epoch: shard.epoch, detail: { unansweredMs: Math.round(shard.unansweredMs) } })
+    req.reply.refuse({ type: 'storeAway', retryAfterMs: storeOutage.retryMs })
+    return
+  }
   const now = ports.timers.now() as types.EpochMs
   const admission = shard.ledger.admit(request, now)
   switch (admission.type) {
@@ -53,6 +54,11 @@
   }
 }
 
+/** While the store is away, a turn runs whose tokens are covered and whose client has come back for it. */
+function mayRunNow (ports: TurnPorts, request: turnLedger.TurnRequest, shard: ownShards.OwnedShard): boolean {
+  return shard.ledger.covers(request) && ports.outageTurns.mayRun(request.program, request.previous, ports.timers.monotonic())
+}
+
 /** A final refusal is true only if the store confirms that nobody else may know more. */
 async function refuseOverBudget (ports: TurnPorts, req: inbound.Inbound, request: turnLedger.TurnRequest, shard: ownShards.OwnedShard, admission: turnLedger.Admission): Promise<void> {
   const confirmed = await storeOutage.within(ports.timers, shard.confirm(), confirmMs)
--- a/packages/front/src/store-outage.ts
+++ b/packages/front/src/store-outage.ts
@@ -1,6 +1,8 @@
 /** How turns fare while the store is away. */
 import type * as ownShards from '@eelgrasswind/own-shards'
 import * as timerService from '@eelgrasswind/timer-service'
+import type * as turnLedger from '@eelgrasswind/turn-ledger'
+import type * as types from '@eelgrasswind/types'
 
 /** An append that is this long without an answer, in ms, says that the store is away: a slow one takes about 300. */
 const stalledMs = 600
@@ -11,6 +13,33 @@
  */
 export const retryMs = 1_000
 
+/** A turn that was told to come back and has not for this long, in ms, won't: clients wait a third of the time they have, 4 s at the most seen. */
+const comeBackMs = 3_000
+/** Turns that are remembered; the oldest go first. */
+const mostTurns = 10_000
+
+/**
+ * Kept turns in an outage of the store. A turn can run, but its end has to wait until the turn is stored, and clients
+ * give a stream up 2 s after its last event. So a turn is first told to come back, and is run when it does: each of a
+ * client's three tries then outlasts 1 s and 2 s more, and the three together outages of 9 s, against 3.5 s if it is
+ * refused each time. To run it at once would outlast 7 s, and cost engines a run for each of the tries at the start.
+ */
+export class OutageTurns {
+  private readonly toldAt = new Map<string, number>()
+
+  /** Whether the turn may run now, monotonic ms; if not, it has to be told to come back. */
+  mayRun (program: types.ProgramId, previous: turnLedger.TurnId | undefined, now: number): boolean {
+    const key = `${program} ${previous ?? ''}`
+    const told = this.toldAt.get(key)
+    this.toldAt.delete(key)
+    if (told !== undefined && now - told < comeBackMs) return true
+    this.toldAt.set(key, now)
+    const oldest = this.toldAt.keys().next()
+    if (this.toldAt.size > mostTurns && !oldest.done) this.toldAt.delete(oldest.value)
+    return false
+  }
+}
+
 /** Whether the store leaves the shard's appends unanswered. */
 export function isAway (shard: ownShards.OwnedShard): boolean {
   return shard.unansweredMs > stalledMs
--- a/packages/turn-ledger/src/turn-ledger.ts
+++ b/packages/turn-ledger/src/turn-ledger.ts
@@ -148,6 +148,12 @@
     return { type: 'admitted', chain, writes, covered }
   }
 
+  /** Whether a turn could be admitted without waiting for the store. */
+  covers (request: TurnRequest): boolean {
+    const program = this.programs.get(request.program)
+    return program !== undefined && request.budgetTokens !== undefined && used(program) + request.maxTokens <= program.coverage.tokens
+  }
+
   /** A kept turn can be settled with the next owner only if its record names it; others are written when the usual next turn would not be covered. */
   private mustWrite (request: TurnRequest, program: ProgramState): boolean {
     if (request.keeps) return true
