--- a/packages/front/src/settle-turn.ts
+++ b/packages/front/src/settle-turn.ts
@@ -60,7 +60,9 @@
   end: peerCalls.SettleCall['end']
 ): Promise<peerCalls.SettleAnswer> {
   if (shard.state !== 'serving') return { type: 'notOwner' }
-  const outcome = shard.ledger.end(request, end, ports.timers.now() as types.EpochMs)
+  const now = ports.timers.now() as types.EpochMs
+  const ended = shard.ledger.end(request, end, now)
+  const outcome = ended.type === 'unknown' ? shard.ledger.adopt(request, end, now) : ended
   if (outcome.type === 'unknown') return { type: 'unknown' }
   const commit = await shard.commit(outcome.type === 'settled' ? outcome.writes : [])
   return commit.type === 'committed' ? { type: 'kept' } : { type: 'notOwner' }
--- a/packages/turn-ledger/src/turn-ledger.test.ts
+++ b/packages/turn-ledger/src/turn-ledger.test.ts
@@ -11,7 +11,7 @@
   return { turn: id as records.TurnId, program, previous: previous as records.TurnId | undefined, maxTokens: 40, budgetTokens, keeps: true, retainMs: 60_000 }
 }
 
-function whole (text: string, tokens = 20): turnLedger.TurnEnd {
+function whole (text: string, tokens = 20): Extract<turnLedger.TurnEnd, { type: 'whole' }> {
   return { type: 'whole', input: Buffer.from(`in ${text};`), output: Buffer.from(`out ${text};`), tokens }
 }
 
@@ -195,3 +195,18 @@
   t.match(next.admit(request, now), { type: 'admitted', covered: false })
   t.end()
 })
+
+tap.test('a turn whose reservation the former owner could not store is kept by the next one, and counts', (t) => {
+  const former = new turnLedger.TurnLedger()
+  const writes = play(former, 'a')
+  const next = new turnLedger.TurnLedger()
+  for (const { key, value } of writes) next.load(key, value!)
+  const request = turnRequest('b', 'a', 100)
+  t.equal(next.end(request, whole('b'), now).type, 'unknown')
+  t.equal(next.adopt(request, whole('b'), now).type, 'settled')
+  t.equal(next.adopt(request, whole('b'), now).type, 'alreadyKept')
+  t.equal(next.adopt(turnRequest('d', 'c'), whole('d'), now).type, 'unknown')
+  t.equal(promptOf(next, 'b'), 'in a;out a;in b;out b;')
+  t.match(next.admit({ ...turnRequest('e', 'b', 100), maxTokens: 61 }, now), { type: 'overBudget' })
+  t.end()
+})
--- a/packages/turn-ledger/src/turn-ledger.ts
+++ b/packages/turn-ledger/src/turn-ledger.ts
@@ -180,6 +180,20 @@
     return { type: 'settled', writes: [this.keepTurn(request, end, now), this.programWrite(program, request)] }
   }
 
+  /**
+   * Keeps a turn that a former owner ran whole, and whose reservation it could not store: its tokens were covered then,
+   * and were handed out. `unknown` where the chain that it continues is not here.
+   */
+  adopt (request: TurnRequest, end: Extract<TurnEnd, { type: 'whole' }>, now: types.EpochMs): EndOutcome {
+    if (this.turns.has(request.turn)) return { type: 'alreadyKept' }
+    if (this.chainOf(request.previous) === undefined) return { type: 'unknown' }
+    const program = this.programs.get(request.program) ?? this.createProgram(request, now)
+    this.programs.set(request.program, program)
+    program.keepUntil = later(program.keepUntil, now, request.retainMs)
+    program.open.set(request.turn, request.maxTokens)
+    return this.end(request, end, now)
+  }
+
   /** Drops what is past its retention; the writes remove it from the store. */
   expire (now: types.EpochMs): readonly LedgerWrite[] {
     const writes: LedgerWrite[] = []
