--- a/packages/front/src/dispatch.test.ts
+++ b/packages/front/src/dispatch.test.ts
@@ -13,7 +13,7 @@
 import * as upstreamHealth from './upstream-health.js'
 
 /** How an upstream answers the next request. */
-type Behaviour = 'silent' | 'answers' | 'full' | 'refusesConnections' | 'breaks' | 'other' | 'errors'
+type Behaviour = 'silent' | 'stops' | 'cut' | 'answers' | 'full' | 'refusesConnections' | 'breaks' | 'other' | 'errors'
 
 const id = 'request-1' as turnLedger.TurnId
 const service = 'orders' as types.ServiceId
@@ -29,7 +29,7 @@
   other: { requestId: 'another', signed: true, notRun: false, wrongIncarnation: false }
 }
 
-function fixture (behaviours: Readonly<Record<string, Behaviour>>, repeatability: routeRequest.Repeatability) {
+function fixture (behaviours: Readonly<Record<string, Behaviour>>, repeatability: routeRequest.Repeatability, stream?: routeRequest.StreamRules) {
   const timers = timerService.createManualTimers()
   const upstreams = new trackUpstreams.UpstreamList()
   for (const name of Object.keys(behaviours)) {
@@ -51,6 +51,13 @@
         case 'breaks':
           sink.fail({ verdict: 'mayHaveRun', cause: 'reset', reused: true, detail: '' })
           return
+        case 'stops':
+        case 'cut':
+          next = facts.answers
+          sink.head({ status: 200, headers: {}, rawHeaders: [] })
+          sink.data(Buffer.from('id: 1'))
+          if (behaviour === 'cut') sink.fail({ verdict: 'mayHaveRun', cause: 'truncated', reused: false, detail: '' })
+          return
         default:
           next = facts[behaviour]
           sink.head({ status: behaviour === 'errors' ? 500 : 200, headers: {}, rawHeaders: [] })
@@ -59,8 +66,9 @@
     })
     return { cancel: () => { cancelled.push(request.address) }, pause: () => {}, resume: () => {} }
   }
-  const req = { attempt: { id, deadlineMs: 2_000, turn: undefined }, method: 'GET', path: '/', rawHeaders: [], body: Buffer.alloc(0), route: routeOf(repeatability), service, tokensPerEvent: 1, deadlineAt: timers.monotonic() + 2_000 } as unknown as inbound.Inbound
+  const req = { attempt: { id, deadlineMs: 2_000, turn: undefined }, method: 'GET', path: '/', rawHeaders: [], body: Buffer.alloc(0), route: { ...routeOf(repeatability), stream }, service, tokensPerEvent: 1, deadlineAt: timers.monotonic() + 2_000 } as unknown as inbound.Inbound
   let ended: string | undefined
+  let resumed = 0
   const run = (preferred: string): dispatch.Dispatch => {
     const started = new dispatch.Dispatch({
       upstreams,
@@ -75,13 +83,14 @@
     }, req, { body: req.body, affinity: { holder: preferred as types.UpstreamId, sharedPart: undefined } }, {
       head: () => {},
       data: () => {},
+      resumed: () => { resumed += 1 },
       end: () => { ended = 'whole' },
       fail: (failure) => { ended = dispatch.refusalOf(failure).type }
     })
     started.start()
     return started
   }
-  return { timers, upstreams, sentTo, cancelled, marks, run, ended: () => ended }
+  return { timers, upstreams, sentTo, cancelled, marks, run, ended: () => ended, resumed: () => resumed }
 }
 
 tap.test('a repeatable request leaves a silent upstream for another', (t) => {
@@ -135,3 +144,25 @@
   }
   t.end()
 })
+
+tap.test('a stream that breaks off or falls silent goes on elsewhere, where it may be resumed', (t) => {
+  for (const behaviour of ['stops', 'cut'] as const) {
+    const { timers, sentTo, run, ended, resumed } = fixture({ a: behaviour, b: 'answers' }, 'idempotent', { gapMs: 200, resumable: true })
+    run('a')
+    timers.advance(1_200)
+    t.same([sentTo, resumed(), ended()], [['a', 'b'], 1, 'whole'], behaviour)
+  }
+  t.end()
+})
+
+tap.test('no other answer is gone on with elsewhere', (t) => {
+  for (const stream of [undefined, { gapMs: 200, resumable: false }]) {
+    for (const [behaviour, end] of [['stops', undefined], ['cut', 'answerLost']] as const) {
+      const { timers, sentTo, run, ended } = fixture({ a: behaviour, b: 'answers' }, stream === undefined ? 'idempotent' : 'atMostOnce', stream)
+      run('a')
+      timers.advance(1_900)
+      t.same([sentTo, ended()], [['a'], end], behaviour)
+    }
+  }
+  t.end()
+})
--- a/packages/front/src/dispatch.ts
+++ b/packages/front/src/dispatch.ts
@@ -72,6 +72,11 @@
 /** The least and the most time until an upstream is taken for silent, in ms: a queue of short requests, and a client's patience. */
 const minSilentMs = 500
 const maxSilentMs = 1_000
+/**
+ * The same within a stream, in ms: its client gives it up after 2 s without an event, and what goes on elsewhere needs
+ * time for its prompt. Pauses of working engines stay below half of it.
+ */
+const midStreamSilentMs = 1_000
 
 const okStatus = 200
 const leastServerError = 500
@@ -171,8 +176,7 @@
       leftMs: Math.round(leftMs)
     })
     const sentAt = timers.monotonic()
-    this.silence?.cancel()
-    this.silence = timers.after(this.silentMs(), () => { this.onSilence(upstream, sentAt) })
+    this.awaitSign(upstream, sentAt, this.silentMs())
     let accepted = false
     let first = true
     const noteFirst = (): void => {
@@ -193,7 +197,7 @@
       atMostOnce: this.req.route.repeatability === 'atMostOnce'
     }, {
       head: (head) => {
-        this.silence?.cancel()
+        this.awaitSign(upstream, sentAt, midStreamSilentMs)
         trackUpstreams.noteHeard(upstream, timers.monotonic())
         const problem = this.checkHead(head, upstream) ?? this.checkResumed(head)
         if (problem === undefined) {
@@ -205,18 +209,22 @@
           return
         }
         // The rest of an answer that is of no use is not read.
+        this.silence?.cancel()
         this.exchange?.cancel()
         if (problem.verdict !== 'notRun') health.noteBadAnswer(upstream)
         this.failedAt(upstream, problem)
       },
       data: (chunk) => {
-        trackUpstreams.noteHeard(upstream, timers.monotonic())
+        const now = timers.monotonic()
+        trackUpstreams.noteHeard(upstream, now)
         if (!accepted) return
         noteFirst()
+        this.awaitSign(upstream, now, midStreamSilentMs)
         this.sink.data(chunk)
       },
       end: () => {
         if (!accepted) return
+        this.silence?.cancel()
         noteFirst()
         this.release?.()
         trackUpstreams.noteSuccess(upstream)
@@ -228,7 +236,7 @@
         const broken: errors.Failure = failure.verdict === 'notRun'
           ? { tag: 'upstreamUnavailable', verdict: 'notRun', message: failure.detail, retryAfterMs: 0 }
           : { tag: 'answerBroken', verdict: 'mayHaveRun', message: failure.cause, detail: failure.detail }
-        if (accepted && this.req.route.stream?.resumable !== true) {
+        if (accepted && !this.mayGoElsewhere()) {
           this.release?.()
           this.fail(broken)
           return
@@ -248,12 +256,24 @@
     else this.sink.head(head, upstream)
   }
 
+  /** A part of an answer can only be gone on with where its stream may be resumed. */
+  private mayGoElsewhere (): boolean {
+    const { repeatability, stream } = this.req.route
+    return this.answered ? stream?.resumable === true : repeatability === 'idempotent'
+  }
+
   /** An answer that is to go on with a stream must be one itself. */
   private checkResumed (head: sendHttp.Head): errors.Failure | undefined {
     if (!this.answered || head.status === okStatus) return undefined
     return { tag: 'answerBroken', verdict: 'mayHaveRun', message: 'stream not gone on with', detail: String(head.status) }
   }
 
+  /** Looks again after the time given, in ms, whether anything has come; a later sign starts the wait anew. */
+  private awaitSign (upstream: trackUpstreams.Upstream, since: number, limitMs: number): void {
+    this.silence?.cancel()
+    this.silence = this.ports.timers.after(limitMs, () => { this.onSilence(upstream, since) })
+  }
+
   private silentMs (): number {
     return Math.min(maxSilentMs, Math.max(minSilentMs, this.req.route.objectiveMs * silentObjectives))
   }
@@ -262,16 +282,16 @@
    * Nothing has come back yet. Where the upstream answers others, the request may just take its time: it is sent again
    * elsewhere only if it may be repeated, and within a budget, so that a service with too much to do gets no more.
    */
-  private onSilence (upstream: trackUpstreams.Upstream, sentAt: number): void {
+  private onSilence (upstream: trackUpstreams.Upstream, since: number): void {
     if (this.over) return
     const { health, retries } = this.ports
     const repeatable = this.req.route.repeatability === 'idempotent'
-    if (upstream.heardAt <= sentAt) health.noteSilent(upstream)
+    if (upstream.heardAt <= since) health.noteSilent(upstream)
     // A stream keeps its place in the upstream's queue: elsewhere it would begin at the end of another.
     else if (repeatable && this.req.route.stream === undefined && retries.take()) health.noteBadAnswer(upstream)
     else return
-    this.ports.decisions.note({ event: 'upstreamSilent', request: this.req.attempt.id, upstream: upstream.listed.id, afterMs: Math.round(this.ports.timers.monotonic() - sentAt) })
-    if (!repeatable) return
+    this.ports.decisions.note({ event: 'upstreamSilent', request: this.req.attempt.id, upstream: upstream.listed.id, afterMs: Math.round(this.ports.timers.monotonic() - since) })
+    if (!this.mayGoElsewhere()) return
     this.exchange?.cancel()
     this.failedAt(upstream, { tag: 'upstreamUnavailable', verdict: 'mayHaveRun', message: 'silent', retryAfterMs: 0 })
   }
--- a/packages/front/src/forward-turn.ts
+++ b/packages/front/src/forward-turn.ts
@@ -3,6 +3,7 @@
 import type * as dispatch from './dispatch.js'
 import * as forwardHeader from './forward-header.js'
 import type * as inbound from './inbound.js'
+import type * as peerProbe from './peer-probe.js'
 
 /** What came of passing a turn on. */
 export type ForwardOutcome =
@@ -21,13 +22,27 @@
  */
 const confirmMs = 250
 
+/**
+ * A passed-on turn from which nothing came for this long, in ms, makes its owner be asked whether it lives. A host that
+ * lost its power closes no connection: without the question each turn there waits for its whole time, 4 s, and its
+ * client with it; with it the client can send the turn again after about 0.8 s.
+ */
+const quietMs = 400
+
+/** What it takes to pass turns on. */
+export interface ForwardPorts extends dispatch.DispatchPorts {
+  readonly probe: peerProbe.PeerProbe
+}
+
 /** Resolves when the client has its answer, or when it is certain that nothing ran. */
-export function forwardTurn (ports: dispatch.DispatchPorts, req: inbound.Inbound, address: string): Promise<ForwardOutcome> {
+export function forwardTurn (ports: ForwardPorts, req: inbound.Inbound, address: string): Promise<ForwardOutcome> {
   const { dialect, sender, timers } = ports
   const leftMs = Math.floor(req.deadlineAt - timers.monotonic())
   return new Promise((resolve) => {
     const { reply } = req
     let relaying = false
+    let over = false
+    let heardAt = timers.monotonic()
     const exchange = sender.send({
       address,
       method: req.method,
@@ -40,16 +55,17 @@
       atMostOnce: false
     }, {
       head: (head) => {
+        heardAt = timers.monotonic()
         if (forwardHeader.saysNotOwner(head.headers)) {
           exchange.cancel()
-          limit.cancel()
-          resolve({ type: 'notOwner' })
+          finish({ type: 'notOwner' })
           return
         }
         relaying = true
         reply.head(head.status, dialect.answerHeaders(head.rawHeaders))
       },
       data: (chunk) => {
+        heardAt = timers.monotonic()
         if (reply.data(chunk)) return
         exchange.pause()
         reply.onDrain(() => { exchange.resume() })
@@ -61,9 +77,19 @@
       fail: (failure) => { onFail(failure) }
     })
     const finish = (outcome: ForwardOutcome): void => {
+      over = true
       limit.cancel()
+      watch.cancel()
       resolve(outcome)
     }
+    const watch = timers.every(quietMs, () => { void checkOwner() })
+    const checkOwner = async (): Promise<void> => {
+      const quietSince = heardAt
+      if (timers.monotonic() - quietSince < quietMs || await ports.probe.lives(address)) return
+      if (over || heardAt !== quietSince) return
+      exchange.cancel()
+      onFail({ verdict: 'mayHaveRun', cause: 'cancelled', detail: 'the owner of the program does not answer any more', reused: false })
+    }
     const onFail = (failure: sendHttp.SendFailure): void => {
       if (failure.verdict === 'notRun') {
         finish({ type: 'unreachable', detail: failure.detail, ended: failure.cause === 'refused' })
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -14,6 +14,7 @@
 import * as memberName from './member-name.js'
 import * as peerCalls from './peer-calls.js'
 import * as peerListener from './peer-listener.js'
+import * as peerProbe from './peer-probe.js'
 import * as peerWatch from './peer-watch.js'
 import * as promptPlaces from './prompt-places.js'
 import * as requestsUnderWay from './requests-under-way.js'
@@ -205,12 +206,16 @@
     return new peerWatch.PeerWatch({
       ...this.ports,
       peers: () => this.otherMembers(),
-      ping: async (address) => await peerCalls.callPeer(this.peerPorts, address, { type: 'ping' }, pingTimeoutMs) !== undefined,
+      ping: (address) => this.ping(address),
       onSilent: (address) => { this.onSilent(address) },
       onChange: (isolated) => { this.onIsolation(isolated) }
     })
   }
 
+  private async ping (address: string): Promise<boolean> {
+    return await peerCalls.callPeer(this.peerPorts, address, { type: 'ping' }, pingTimeoutMs) !== undefined
+  }
+
   private turnPorts (): routeTurn.RouteTurnPorts {
     const { upstreams } = this
     return {
@@ -220,6 +225,7 @@
       watch: this.watch,
       suspects: new routeTurn.Suspects(),
       places: new promptPlaces.PromptPlaces(),
+      probe: new peerProbe.PeerProbe({ ping: (address) => this.ping(address) }),
       outageTurns: new storeOutage.OutageTurns(),
       retries: new retryPool.RetryPool(),
       upstreams: upstreams.list,
--- a/packages/front/src/route-turn.ts
+++ b/packages/front/src/route-turn.ts
@@ -12,7 +12,7 @@
 import * as serveUnkept from './serve-unkept.js'
 
 /** What it takes to bring turns to their owners. */
-export interface RouteTurnPorts extends serveTurn.TurnPorts {
+export interface RouteTurnPorts extends serveTurn.TurnPorts, forwardTurn.ForwardPorts {
   /** Peers that did not answer lately. */
   readonly suspects: Suspects
   /** Told when a peer did not answer; knows whether this process is the one that is cut off. */
