A call that stands in the history holds no place in its branch

A caller that asks again gets the call from the history, sends the next one, and was told that its place is taken. Ruled out: the budget itself (nothing ran twice, the refused call had not run). Change: only calls that do not stand in the history hold a place. Test fails before and passes after; whether it was the only cause of that red is told after repeated runs.

--- a/packages/program-home/src/check-call.ts
+++ b/packages/program-home/src/check-call.ts
@@ -41,9 +41,13 @@
   return { type: 'run' }
 }
 
+/**
+ * Whether another call of the branch is under way. One that stands in the history has its answer: its caller may have it
+ * from there and send the next call while this process still waits to hear that the record is stored.
+ */
 function isTaken (program: local.LocalProgram, call: types.Call): boolean {
-  for (const other of program.running.values()) {
-    if (other.call.branch === call.branch) return true
+  for (const { call: other } of program.running.values()) {
+    if (other.branch === call.branch && programState.findTurn(program.state, other.key) === undefined) return true
   }
   return false
 }
