--- a/packages/front/src/dispatch.test.ts
+++ b/packages/front/src/dispatch.test.ts
@@ -166,3 +166,12 @@
   }
   t.end()
 })
+
+tap.test('the last upstream that may be asked is waited for', (t) => {
+  const { timers, sentTo, run, ended } = fixture({ a: 'silent', b: 'silent', c: 'silent', d: 'answers' }, 'idempotent')
+  run('a')
+  timers.advance(1_950)
+  t.equal(sentTo.length, 3)
+  t.equal(ended(), undefined)
+  t.end()
+})
--- a/packages/front/src/dispatch.ts
+++ b/packages/front/src/dispatch.ts
@@ -256,9 +256,11 @@
     else this.sink.head(head, upstream)
   }
 
-  /** A part of an answer can only be gone on with where its stream may be resumed. */
+  /** Whether another upstream may take over; a part of an answer can only be gone on with where its stream may be resumed. */
   private mayGoElsewhere (): boolean {
-    const { repeatability, stream } = this.req.route
+    const { repeatability, stream, maxAttempts } = this.req.route
+    // The last upstream that may be asked is waited for: it may yet answer.
+    if (this.attempts >= maxAttempts) return false
     return this.answered ? stream?.resumable === true : repeatability === 'idempotent'
   }
 
@@ -285,13 +287,13 @@
   private onSilence (upstream: trackUpstreams.Upstream, since: number): void {
     if (this.over) return
     const { health, retries } = this.ports
-    const repeatable = this.req.route.repeatability === 'idempotent'
+    const movable = this.mayGoElsewhere()
     if (upstream.heardAt <= since) health.noteSilent(upstream)
     // A stream keeps its place in the upstream's queue: elsewhere it would begin at the end of another.
-    else if (repeatable && this.req.route.stream === undefined && retries.take()) health.noteBadAnswer(upstream)
+    else if (movable && this.req.route.stream === undefined && retries.take()) health.noteBadAnswer(upstream)
     else return
     this.ports.decisions.note({ event: 'upstreamSilent', request: this.req.attempt.id, upstream: upstream.listed.id, afterMs: Math.round(this.ports.timers.monotonic() - since) })
-    if (!this.mayGoElsewhere()) return
+    if (!movable) return
     this.exchange?.cancel()
     this.failedAt(upstream, { tag: 'upstreamUnavailable', verdict: 'mayHaveRun', message: 'silent', retryAfterMs: 0 })
   }
