New programs are admitted by the load of the engines

Change: the owner of a program refuses its first turn with a time to come back, by chance rising with the load from 0.9 to 1.5 of the slots; who came back is preferred.

--- a/packages/admit-program/src/index.ts
+++ b/packages/admit-program/src/index.ts
@@ -2,3 +2,4 @@
 export * from './decide-admission.js'
 export * from './usable-slots.js'
 export * from './mean-use.js'
+export * from './admit-by-load.js'
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -16,6 +16,7 @@
 import * as peerListener from './peer-listener.js'
 import * as peerProbe from './peer-probe.js'
 import * as peerWatch from './peer-watch.js'
+import * as programAdmission from './program-admission.js'
 import * as promptPlaces from './prompt-places.js'
 import * as requestsUnderWay from './requests-under-way.js'
 import * as retryPool from './retry-pool.js'
@@ -226,6 +227,7 @@
       suspects: new routeTurn.Suspects(),
       places: new promptPlaces.PromptPlaces(),
       probe: new peerProbe.PeerProbe({ ping: (address) => this.ping(address) }),
+      admission: new programAdmission.ProgramAdmission({ ...this.ports, upstreams: upstreams.list, loads: upstreams.loads, random: Math.random }),
       outageTurns: new storeOutage.OutageTurns(),
       retries: new retryPool.RetryPool(),
       upstreams: upstreams.list,
--- a/packages/front/src/peer-calls.ts
+++ b/packages/front/src/peer-calls.ts
@@ -19,6 +19,7 @@
 export interface ReserveCall {
   readonly type: 'reserve'
   readonly request: turnLedger.TurnRequest
+  readonly service: types.ServiceId
   /** Parts of the prompt in order. */
   readonly promptParts: readonly string[]
 }
@@ -28,8 +29,8 @@
   /** The tokens may be handed out. Holder: the upstream that has the prompt's beginning, where the owner knows it. */
   | { readonly type: 'reserved', readonly holder?: types.UpstreamId | undefined }
   | { readonly type: 'overBudget' }
-  /** Not before the store answers. */
-  | { readonly type: 'later', readonly retryAfterMs: number }
+  /** Not now: the store does not answer, or the engines have too much to do for a new program. */
+  | { readonly type: 'later', readonly reason: 'storeAway' | 'upstreamsFull', readonly retryAfterMs: number }
   /** The asked process does not own the program. */
   | { readonly type: 'notOwner' }
 
--- a/packages/front/src/reserve-turn.ts
+++ b/packages/front/src/reserve-turn.ts
@@ -1,10 +1,12 @@
 /** Reserves the tokens of turns of which nothing is kept: the owner only counts, the process that has the client runs the turn. */
+import * as admitProgram from '@eelgrasswind/admit-program'
 import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as ownShards from '@eelgrasswind/own-shards'
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
 import type * as peerCalls from './peer-calls.js'
+import type * as programAdmission from './program-admission.js'
 import type * as promptPlaces from './prompt-places.js'
 import * as storeOutage from './store-outage.js'
 
@@ -13,6 +15,7 @@
   readonly timers: timerService.TimerService
   readonly decisions: decisionLog.DecisionLog
   readonly places: promptPlaces.PromptPlaces
+  readonly admission: Pick<programAdmission.ProgramAdmission, 'admits'>
 }
 
 /** The longest that an answer waits for the store, in ms: a slow append takes about this, and the asking process waits a little longer. */
@@ -21,6 +24,7 @@
 /** Reserves the tokens of a turn at a shard that this process owns and that serves. */
 export async function reserveHere (ports: ReservePorts, shard: ownShards.OwnedShard, call: peerCalls.ReserveCall): Promise<peerCalls.ReserveAnswer> {
   const { request } = call
+  if (shard.ledger.isNew(request.program) && !ports.admission.admits(request, call.service)) return { type: 'later', reason: 'upstreamsFull', retryAfterMs: admitProgram.loadRetryMs }
   const admission = shard.ledger.admit(request, ports.timers.now() as types.EpochMs)
   switch (admission.type) {
     case 'overBudget': return refuse(ports, shard, request, admission)
@@ -33,7 +37,7 @@
       const commit = storeOutage.isAway(shard) ? undefined : await storeOutage.within(ports.timers, stored ?? shard.confirm(), storeMs)
       if (commit?.type === 'committed') return reserved
       shard.ledger.end(request, { type: 'notRun' }, ports.timers.now() as types.EpochMs)
-      return commit?.type === 'lost' ? { type: 'notOwner' } : { type: 'later', retryAfterMs: storeOutage.retryMs }
+      return commit?.type === 'lost' ? { type: 'notOwner' } : { type: 'later', reason: 'storeAway', retryAfterMs: storeOutage.retryMs }
     }
   }
 }
@@ -48,5 +52,5 @@
 async function refuse (ports: ReservePorts, shard: ownShards.OwnedShard, request: turnLedger.TurnRequest, admission: Extract<turnLedger.Admission, { type: 'overBudget' }>): Promise<peerCalls.ReserveAnswer> {
   const confirmed = await storeOutage.within(ports.timers, shard.confirm(), storeMs)
   ports.decisions.note({ event: 'turnRefused', reason: 'over budget', request: request.turn, program: request.program, epoch: shard.epoch, detail: { confirmed: confirmed?.type, admission, budgetTokens: request.budgetTokens, maxTokens: request.maxTokens } })
-  return confirmed?.type === 'committed' ? { type: 'overBudget' } : { type: 'later', retryAfterMs: storeOutage.retryMs }
+  return confirmed?.type === 'committed' ? { type: 'overBudget' } : { type: 'later', reason: 'storeAway', retryAfterMs: storeOutage.retryMs }
 }
--- a/packages/front/src/route-turn.ts
+++ b/packages/front/src/route-turn.ts
@@ -165,7 +165,7 @@
       req.reply.refuse({ type: 'overBudget' })
       return { type: 'done' }
     case 'later':
-      req.reply.refuse({ type: 'storeAway', retryAfterMs: answer.retryAfterMs })
+      req.reply.refuse({ type: answer.reason, retryAfterMs: answer.retryAfterMs })
       return { type: 'done' }
   }
 }
--- a/packages/front/src/serve-turn.ts
+++ b/packages/front/src/serve-turn.ts
@@ -1,4 +1,5 @@
 /** Serves a turn that is kept at the owner of its program: checks chain and budget, puts the prompt together, keeps what was said. */
+import * as admitProgram from '@eelgrasswind/admit-program'
 import type * as ownShards from '@eelgrasswind/own-shards'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
@@ -7,6 +8,7 @@
 import type * as dialects from './dialect.js'
 import * as findChain from './find-chain.js'
 import type * as inbound from './inbound.js'
+import type * as programAdmission from './program-admission.js'
 import type * as promptPlaces from './prompt-places.js'
 import * as settleTurn from './settle-turn.js'
 import * as storeOutage from './store-outage.js'
@@ -16,6 +18,7 @@
   readonly shards: ownShards.ShardOwner
   readonly places: promptPlaces.PromptPlaces
   readonly outageTurns: storeOutage.OutageTurns
+  readonly admission: Pick<programAdmission.ProgramAdmission, 'admits'>
 }
 
 /** Time to come back where the shard is changing hands, in ms: a lease lapses or a handover ends within about this. */
@@ -40,6 +43,10 @@
     req.reply.refuse({ type: 'storeAway', retryAfterMs: storeOutage.retryMs })
     return
   }
+  if (shard.ledger.isNew(request.program) && !ports.admission.admits(request, req.service)) {
+    req.reply.refuse({ type: 'upstreamsFull', retryAfterMs: admitProgram.loadRetryMs })
+    return
+  }
   const now = ports.timers.now() as types.EpochMs
   const admission = shard.ledger.admit(request, now)
   switch (admission.type) {
--- a/packages/front/src/serve-unkept.ts
+++ b/packages/front/src/serve-unkept.ts
@@ -7,13 +7,10 @@
 import type * as dispatch from './dispatch.js'
 import type * as inbound from './inbound.js'
 import * as peerCalls from './peer-calls.js'
-import type * as promptPlaces from './prompt-places.js'
 import * as reserveTurn from './reserve-turn.js'
 
 /** What it takes to run such turns. */
-export interface UnkeptPorts extends dispatch.DispatchPorts {
-  readonly places: promptPlaces.PromptPlaces
-}
+export interface UnkeptPorts extends dispatch.DispatchPorts, reserveTurn.ReservePorts {}
 
 /** Where the tokens of a turn were reserved. */
 export type Owner =
@@ -35,7 +32,7 @@
     keeps: false,
     retainMs: req.route.retain?.retainMs ?? 0
   }
-  return { type: 'reserve', request, promptParts: turn.promptParts }
+  return { type: 'reserve', request, service: req.service, promptParts: turn.promptParts }
 }
 
 /** Asks the owner of the program, here or at a peer. */
--- a/packages/track-upstreams/src/choose-upstream.ts
+++ b/packages/track-upstreams/src/choose-upstream.ts
@@ -62,6 +62,12 @@
   return leastUsed(pool, input)
 }
 
+/** How full a service is: requests of all processes at its sound upstreams, as a share of their slots. */
+export function serviceLoad (input: Pick<ChooseInput, 'candidates' | 'othersRunning' | 'now'>): number {
+  const usable = input.candidates.filter((upstream) => !upstream.listed.leaving)
+  return meanLoad(soundest(usable, input.now), input)
+}
+
 /** Rendezvous hashing: the same order in every process, with no messages. */
 function rankFor (part: string, pool: readonly list.Upstream[]): list.Upstream[] {
   const scored = pool.map((upstream) => ({ upstream, score: hashText.hashText(part + upstream.listed.id) }))
@@ -76,14 +82,14 @@
   return hopeful.length > 0 ? hopeful : usable
 }
 
-function meanLoad (pool: readonly list.Upstream[], input: ChooseInput): number {
+function meanLoad (pool: readonly list.Upstream[], input: Pick<ChooseInput, 'othersRunning'>): number {
   let sum = 0
   for (const upstream of pool) sum += load(upstream, input)
   return sum / Math.max(1, pool.length)
 }
 
 /** Requests of all processes as a share of the slots. */
-function load (upstream: list.Upstream, input: ChooseInput): number {
+function load (upstream: list.Upstream, input: Pick<ChooseInput, 'othersRunning'>): number {
   return (upstream.running + input.othersRunning(upstream.listed.id)) / Math.max(1, upstream.listed.slots)
 }
 
--- a/packages/turn-ledger/src/turn-ledger.ts
+++ b/packages/turn-ledger/src/turn-ledger.ts
@@ -148,6 +148,12 @@
     return { type: 'admitted', chain, writes, covered }
   }
 
+  /** Whether nothing of the program has run yet, as far as is known here. */
+  isNew (id: types.ProgramId): boolean {
+    const program = this.programs.get(id)
+    return program === undefined || (program.spentTokens === 0 && program.open.size === 0)
+  }
+
   /** Whether a turn could be admitted without waiting for the store. */
   covers (request: TurnRequest): boolean {
     const program = this.programs.get(request.program)
