Budgets: the property test uses up what is left, so that whatever was not counted shows

Broken on purpose in the compiled code: covered tokens forgotten at a takeover, no presumption, an allowance for presumed programs, unacknowledged writes counted, a handover without records, an allowance never in force. The first version of the test stayed green under five of the six; each turns it red now.

--- a/packages/turn-ledger/src/turn-ledger.test.ts
+++ b/packages/turn-ledger/src/turn-ledger.test.ts
@@ -122,8 +122,8 @@
 
 tap.test('over owners that crash or hand over, with a store that lags, a program gets its budget and one turn at the most', (t) => {
   const most = 40
-  const step = fc.record({ how: fc.constantFrom('whole', 'whole', 'broken', 'notRun', 'leave', 'store', 'storeAll', 'crash', 'handOver'), tokens: fc.integer({ min: 0, max: most }) })
-  fc.assert(fc.property(fc.array(step, { maxLength: 80 }), fc.integer({ min: most, max: 400 }), fc.boolean(), (steps, budgetTokens, keeps) => {
+  const step = fc.record({ how: fc.constantFrom('whole', 'whole', 'whole', 'broken', 'notRun', 'leave', 'store', 'storeAll', 'crash', 'handOver'), tokens: fc.constantFrom(0, 11, most) })
+  fc.assert(fc.property(fc.array(step, { maxLength: 40 }), fc.integer({ min: most, max: 320 }), fc.boolean(), (steps, budgetTokens, keeps) => {
     const stored = new Map<string, Uint8Array>()
     let handedOut = 0
     let at = now as number
@@ -165,8 +165,10 @@
       const outcome = life.ledger.end(request, end, at as types.EpochMs)
       if (outcome.type === 'settled') life.waiting.push(outcome.writes)
     })
+    // What is left is used up: whatever was not counted shows.
+    for (let turn = 0; life!.ledger.admit({ ...turnRequest(`rest${turn}`, undefined, budgetTokens), keeps }, at as types.EpochMs).type === 'admitted'; turn += 1) handedOut += most
     return handedOut <= budgetTokens + most
-  }), { seed: 11, numRuns: 3_000 })
+  }), { seed: 11, numRuns: 10_000 })
   t.end()
 })
 
