--- a/packages/front/src/dispatch.ts
+++ b/packages/front/src/dispatch.ts
@@ -73,8 +73,8 @@
 const minSilentMs = 500
 const maxSilentMs = 1_000
 /**
- * The same within a stream, in ms: its client gives it up after 2 s without an event, and what goes on elsewhere needs
- * time for its prompt. Pauses of working engines stay below half of it.
+ * The same within a stream, in ms: half of the 2 s after which its client gives it up, so that as much is left for the
+ * prompt to be read elsewhere.
  */
 const midStreamSilentMs = 1_000
 
@@ -83,7 +83,7 @@
 
 const unlimited: decideRetry.RetryAllowance = { retriesLeft: Infinity }
 
-/** One request on its way to one upstream after another. */
+/** One request on its way to one upstream after another: while it is repeatable, or while nothing has run. */
 export class Dispatch {
   private readonly tried = new Set<types.UpstreamId>()
   private attempts = 0
