Budgets: room for another turn after a crash, and no reservation left behind by a lost answer

Cause: after an owner's crash all that its record counts ahead is taken for spent. The record counted 0.3 of the budget ahead wherever that much was left, so a program late in its life had nothing left and was told 402. And a reservation that was granted, its answer lost within 300 ms, stayed open at the owner for ever and counted at its most.

Change: what is counted ahead leaves room for one more turn at its most, and for kept turns is two turns at most: what an outage of the store needs. A peer that did not answer is told that nothing is run on the reservation; the same turn is not asked of it again. One way to confirm a refusal (confirm-refusal), the tokens of a stream counted in one place; a turn that names none before it is never told that its budget is spent for that reason.

Before: turn-ledger.test 'a program that has room' red at 10 and more of its steps, serve-unkept.test red. After: both green, and the 10,000 schedules of the ledger's property. One turn ahead was tried first: site.test 'a kept turn that came back' went red, since the try that the outage finds under way counts as well.

--- a/packages/front/src/answer-stream.ts
+++ b/packages/front/src/answer-stream.ts
@@ -22,7 +22,7 @@
   /** The upstream answered with an error, which the client has in full. */
   readonly error?: () => void
   /** No whole answer. The client has been told, unless it is the one that left. */
-  readonly broken?: (reason: string) => void
+  readonly broken?: () => void
 }
 
 const lineFeed = Buffer.from('\n')
@@ -68,9 +68,9 @@
     return this.sent.ran
   }
 
-  /** Whole events so far. */
-  get eventCount (): number {
-    return this.count
+  /** Tokens of the whole events so far; a turn makes no more than it asked for. */
+  tokens (maxTokens: number): number {
+    return Math.min(maxTokens, this.count * this.req.tokensPerEvent)
   }
 
   /** The data of all events, each followed by a line feed. */
@@ -97,9 +97,8 @@
     this.finish()
     const { ran } = this
     this.sent.cancel()
-    const reason = refusal?.type ?? 'clientGone'
-    this.ports.decisions.note({ event: 'streamBroken', request: this.req.attempt.id, ran, events: this.count, reason })
-    this.sink.broken?.(reason)
+    this.ports.decisions.note({ event: 'streamBroken', request: this.req.attempt.id, ran, events: this.count, reason: refusal?.type ?? 'clientGone' })
+    this.sink.broken?.()
     if (refusal === undefined) return
     if (this.req.reply.headSent) this.req.reply.abort()
     else this.req.reply.refuse(refusal)
--- a/packages/front/src/reserve-turn.ts
+++ b/packages/front/src/reserve-turn.ts
@@ -5,6 +5,7 @@
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
+import * as confirmRefusal from './confirm-refusal.js'
 import type * as peerCalls from './peer-calls.js'
 import type * as programAdmission from './program-admission.js'
 import type * as promptPlaces from './prompt-places.js'
@@ -28,7 +29,8 @@
   const admission = shard.ledger.admit(request, ports.timers.now() as types.EpochMs)
   switch (admission.type) {
     case 'overBudget': return refuse(ports, shard, request, admission)
-    case 'unknownPrevious': return { type: 'overBudget' }
+    // Such a turn names none before it; one that does belongs to another way of serving.
+    case 'unknownPrevious': return { type: 'notOwner' }
     case 'admitted': {
       ports.decisions.note({ event: 'tokensReserved', request: request.turn, program: request.program, epoch: shard.epoch, covered: admission.covered, budgetTokens: request.budgetTokens, maxTokens: request.maxTokens })
       const stored = admission.writes.length === 0 ? undefined : shard.commit(admission.writes)
@@ -48,9 +50,7 @@
   if (call.upstream !== undefined) ports.places.note(call.request.turn, { promptParts: call.promptParts }, call.upstream)
 }
 
-/** A final refusal is true only if the store confirms that nobody else may know more. */
-async function refuse (ports: ReservePorts, shard: ownShards.OwnedShard, request: turnLedger.TurnRequest, admission: Extract<turnLedger.Admission, { type: 'overBudget' }>): Promise<peerCalls.ReserveAnswer> {
-  const confirmed = await storeOutage.within(ports.timers, shard.confirm(), storeMs)
-  ports.decisions.note({ event: 'turnRefused', reason: 'over budget', request: request.turn, program: request.program, epoch: shard.epoch, detail: { confirmed: confirmed?.type, admission, budgetTokens: request.budgetTokens, maxTokens: request.maxTokens } })
-  return confirmed?.type === 'committed' ? { type: 'overBudget' } : { type: 'later', reason: 'storeAway', retryAfterMs: storeOutage.retryMs }
+async function refuse (ports: ReservePorts, shard: ownShards.OwnedShard, request: turnLedger.TurnRequest, admission: confirmRefusal.OverBudget): Promise<peerCalls.ReserveAnswer> {
+  if (await confirmRefusal.confirmOverBudget(ports, shard, request, admission, storeMs)) return { type: 'overBudget' }
+  return { type: 'later', reason: 'storeAway', retryAfterMs: storeOutage.retryMs }
 }
--- a/packages/front/src/serve-turn.ts
+++ b/packages/front/src/serve-turn.ts
@@ -4,6 +4,7 @@
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
 import * as answerStream from './answer-stream.js'
+import * as confirmRefusal from './confirm-refusal.js'
 import type * as dispatch from './dispatch.js'
 import type * as dialects from './dialect.js'
 import * as findChain from './find-chain.js'
@@ -66,11 +67,8 @@
   return shard.ledger.covers(request) && ports.outageTurns.mayRun(request.program, request.previous, ports.timers.monotonic())
 }
 
-/** A final refusal is true only if the store confirms that nobody else may know more. */
-async function refuseOverBudget (ports: TurnPorts, req: inbound.Inbound, request: turnLedger.TurnRequest, shard: ownShards.OwnedShard, admission: turnLedger.Admission): Promise<void> {
-  const confirmed = await storeOutage.within(ports.timers, shard.confirm(), confirmMs)
-  ports.decisions.note({ event: 'turnRefused', reason: 'over budget', request: request.turn, program: request.program, epoch: shard.epoch, detail: { confirmed: confirmed?.type, admission, budgetTokens: request.budgetTokens, maxTokens: request.maxTokens } })
-  if (confirmed?.type === 'committed') req.reply.refuse({ type: 'overBudget' })
+async function refuseOverBudget (ports: TurnPorts, req: inbound.Inbound, request: turnLedger.TurnRequest, shard: ownShards.OwnedShard, admission: confirmRefusal.OverBudget): Promise<void> {
+  if (await confirmRefusal.confirmOverBudget(ports, shard, request, admission, confirmMs)) req.reply.refuse({ type: 'overBudget' })
   else req.reply.refuse({ type: 'shardMoving', retryAfterMs: shardRetryMs })
 }
 
@@ -129,8 +127,7 @@
 
   /** The engine's answer is complete and passed on but for its end. */
   private async onWhole (): Promise<void> {
-    const tokens = Math.min(this.request.maxTokens, this.answer.eventCount * this.req.tokensPerEvent)
-    const end: Extract<turnLedger.TurnEnd, { type: 'whole' }> = { type: 'whole', input: this.req.body, output: this.answer.output(), tokens }
+    const end: Extract<turnLedger.TurnEnd, { type: 'whole' }> = { type: 'whole', input: this.req.body, output: this.answer.output(), tokens: this.answer.tokens(this.request.maxTokens) }
     const kept = await settleTurn.settleWhole(this.ports, this.shard, this.request, end, this.req.deadlineAt)
     if (kept) this.req.reply.end()
     else this.req.reply.abort()
--- a/packages/front/src/serve-unkept.ts
+++ b/packages/front/src/serve-unkept.ts
@@ -35,18 +35,20 @@
   return { type: 'reserve', request, service: req.service, promptParts: turn.promptParts }
 }
 
-/** Asks the owner of the program, here or at a peer. */
+/** Asks the owner of the program, here or at a peer. A peer that did not answer must not be asked again for the same turn: it may yet hear the release. */
 export async function reserve (ports: UnkeptPorts, owner: Owner, call: peerCalls.ReserveCall): Promise<peerCalls.CallOutcome<peerCalls.ReserveAnswer>> {
   if (owner.type === 'here') return { type: 'answer', answer: await reserveTurn.reserveHere(ports, owner.shard, call) }
-  return peerCalls.tryPeer<peerCalls.ReserveAnswer>(ports, owner.address, call, reserveTimeoutMs)
+  const outcome = await peerCalls.tryPeer<peerCalls.ReserveAnswer>(ports, owner.address, call, reserveTimeoutMs)
+  // If only the answer was lost, the tokens are reserved: nothing is run on them, and the program may need them.
+  if (outcome.type === 'none' && !outcome.ended) release(ports, owner, { ...call, type: 'release', tokens: 0 })
+  return outcome
 }
 
 /** Runs the turn and tells the owner what it made; where that does not arrive, the turn counts at its most. */
 export function run (ports: UnkeptPorts, req: inbound.Inbound, turn: dialects.TurnFields, owner: Owner, call: peerCalls.ReserveCall, holder: types.UpstreamId | undefined): void {
   let upstream: types.UpstreamId | undefined
   const end = (): void => {
-    const tokens = Math.min(turn.maxTokens, answer.eventCount * req.tokensPerEvent)
-    release(ports, owner, { ...call, type: 'release', tokens, upstream })
+    release(ports, owner, { ...call, type: 'release', tokens: answer.tokens(turn.maxTokens), upstream })
   }
   const known = ports.places.find(turn)
   const affinity = { ...known, holder: holder ?? known.holder }
--- a/packages/turn-ledger/src/coverage.ts
+++ b/packages/turn-ledger/src/coverage.ts
@@ -6,8 +6,32 @@
  */
 const usualShare = 0.3
 
-/** Tokens that a record counts ahead of those that are used. They are lost to the program if its owner crashes. */
-export function aheadTokens (budgetTokens: number, maxTokens: number): number {
+/** An outage of the store finds one kept turn of a program under way, and its client sends that turn once more meanwhile. */
+const keptAheadTurns = 2
+
+/** What a record is written for. */
+export interface AheadInput {
+  readonly budgetTokens: number
+  /** Tokens that are spent or may still be spent in open turns. */
+  readonly usedTokens: number
+  readonly maxTokens: number
+  /** Whether the program's turns are kept. */
+  readonly keeps: boolean
+}
+
+/**
+ * Tokens that a record counts ahead of those that are used. They are lost to the program if its owner crashes, so room
+ * for one more turn at its most is left wherever there is any. Kept turns each write a record, so that no more than
+ * `keptAheadTurns` of them need be covered.
+ */
+export function aheadTokens ({ budgetTokens, usedTokens, maxTokens, keeps }: AheadInput): number {
+  const usual = usualRest(budgetTokens, maxTokens)
+  const wanted = keeps ? Math.min(usual, maxTokens * keptAheadTurns) : usual
+  return Math.max(0, Math.min(wanted, budgetTokens - usedTokens - maxTokens))
+}
+
+/** What the turns after the first one usually make of a budget. */
+function usualRest (budgetTokens: number, maxTokens: number): number {
   return Math.floor(Math.max(0, budgetTokens - maxTokens) * usualShare)
 }
 
@@ -16,7 +40,7 @@
  * of three turns needs 1.5 times the most of one, and so gets through an outage without a call to the store.
  */
 export function allowanceTokens (budgetTokens: number, maxTokens: number): number {
-  return maxTokens + aheadTokens(budgetTokens, maxTokens)
+  return maxTokens + usualRest(budgetTokens, maxTokens)
 }
 
 /** Tokens beyond what is used that let the usual next turn be covered as well. */
--- a/packages/turn-ledger/src/turn-ledger.test.ts
+++ b/packages/turn-ledger/src/turn-ledger.test.ts
@@ -187,6 +187,27 @@
   t.end()
 })
 
+tap.test('a program that has room for another turn has it after its owner crashed', (t) => {
+  for (const [budgetTokens, keeps] of [[800, true], [400, true], [120, true], [800, false], [400, false]] as const) {
+    const former = new turnLedger.TurnLedger()
+    const writes: turnLedger.LedgerWrite[] = [...former.begin(now)]
+    const request = (id: string): turnLedger.TurnRequest => ({ ...turnRequest(id, undefined, budgetTokens), keeps })
+    for (let spent = 0; spent + 2 * 40 <= budgetTokens; spent += 40) {
+      const admission = former.admit(request(`t${spent}`), now)
+      if (admission.type !== 'admitted') throw new Error(admission.type)
+      const end = former.end(request(`t${spent}`), whole('x', 40), now)
+      if (end.type !== 'settled') throw new Error(end.type)
+      writes.push(...admission.writes, ...end.writes)
+      former.noteStored([...admission.writes, ...end.writes])
+      const next = new turnLedger.TurnLedger()
+      for (const { key, value } of writes) next.load(key, value!)
+      next.finishLoad()
+      t.match(next.admit(request('after'), now), { type: 'admitted' }, `${spent + 40} of ${budgetTokens} spent, ${keeps ? 'kept' : 'not kept'}`)
+    }
+  }
+  t.end()
+})
+
 tap.test('after every process lost power, programs that continue from kept turns have their whole budget', (t) => {
   const former = new turnLedger.TurnLedger()
   const writes = [...former.begin(now), ...play(former, 'a')]
--- a/packages/turn-ledger/src/turn-ledger.ts
+++ b/packages/turn-ledger/src/turn-ledger.ts
@@ -293,8 +293,8 @@
   /** The record counts tokens ahead of those that are used, as far as the budget goes. */
   private programWrite (program: ProgramState, request: TurnRequest): LedgerWrite {
     const usedTokens = used(program)
-    const { budgetTokens = usedTokens, maxTokens } = request
-    const ahead = Math.min(coverage.aheadTokens(budgetTokens, maxTokens), Math.max(0, budgetTokens - usedTokens))
+    const { budgetTokens = usedTokens, maxTokens, keeps } = request
+    const ahead = coverage.aheadTokens({ budgetTokens, usedTokens, maxTokens, keeps })
     return this.recordWrite(request.program, program, usedTokens + ahead)
   }
 
