--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -8,5 +8,5 @@
   process.stdout.write(loaded.text)
   process.exit(loaded.code)
 }
-const running = await entry.startEntry(loaded.settings)
+const running = await processBase.awaitStart(entry.startEntry(loaded.settings))
 processBase.runUntilSignal(running, loaded.settings.drainMs)
--- a/packages/process-base/src/run-process.ts
+++ b/packages/process-base/src/run-process.ts
@@ -18,6 +18,21 @@
 }
 
 const exitForced = 1
+/** Any time will do, in ms: what counts is that the timer exists. */
+const stayMs = 60_000
+
+/**
+ * Awaits the start of a process. While it waits for the log or for a peer nothing but timers may be left, and the ones
+ * of the timer service let Node.js end: without this a process that starts in an outage of the log ends by itself.
+ */
+export async function awaitStart (starting: Promise<RunningProcess>): Promise<RunningProcess> {
+  const stay = setInterval(() => {}, stayMs)
+  try {
+    return await starting
+  } finally {
+    clearInterval(stay)
+  }
+}
 
 /** Ends gracefully on SIGTERM and SIGINT; a second signal, or more than drainMs, ends it at once. */
 export function runUntilSignal (running: RunningProcess, drainMs: number): void {
