Dispatch: a stream that waits is looked at again after its upstream answered others

Change: the wait starts anew. Before: dispatch.test 'a stream that waits while its upstream answers others' red, one send and no end. After: green, the other 31 as before.

--- a/packages/front/src/dispatch.test.ts
+++ b/packages/front/src/dispatch.test.ts
@@ -167,6 +167,18 @@
   t.end()
 })
 
+tap.test('a stream that waits while its upstream answers others leaves it once it answers nobody', (t) => {
+  const { timers, upstreams, sentTo, run, ended } = fixture({ a: 'silent', b: 'answers' }, 'idempotent', { gapMs: 200, resumable: true })
+  run('a')
+  timers.advance(300)
+  trackUpstreams.noteHeard(upstreams.get('a' as types.UpstreamId)!, timers.monotonic())
+  timers.advance(400)
+  t.same(sentTo, ['a'], 'it keeps its place in the queue')
+  timers.advance(700)
+  t.same([sentTo, ended()], [['a', 'b'], 'whole'])
+  t.end()
+})
+
 tap.test('the last upstream that may be asked is waited for', (t) => {
   const { timers, sentTo, run, ended } = fixture({ a: 'silent', b: 'silent', c: 'silent', d: 'silent' }, 'idempotent')
   run('a')
--- a/packages/front/src/dispatch.ts
+++ b/packages/front/src/dispatch.ts
@@ -273,7 +273,7 @@
   /** Looks again after the time given, in ms, whether anything has come; a later sign starts the wait anew. */
   private awaitSign (upstream: trackUpstreams.Upstream, since: number, limitMs: number): void {
     this.silence?.cancel()
-    this.silence = this.ports.timers.after(limitMs, () => { this.onSilence(upstream, since) })
+    this.silence = this.ports.timers.after(limitMs, () => { this.onSilence(upstream, since, limitMs) })
   }
 
   private silentMs (): number {
@@ -284,15 +284,18 @@
    * Nothing has come back yet. Where the upstream answers others, the request may just take its time: it is sent again
    * elsewhere only if it may be repeated, and within a budget, so that a service with too much to do gets no more.
    */
-  private onSilence (upstream: trackUpstreams.Upstream, since: number): void {
+  private onSilence (upstream: trackUpstreams.Upstream, since: number, limitMs: number): void {
     if (this.over) return
-    const { health, retries } = this.ports
+    const { health, retries, timers } = this.ports
     const movable = this.mayGoElsewhere()
     if (upstream.heardAt <= since) health.noteSilent(upstream)
-    // A stream keeps its place in the upstream's queue: elsewhere it would begin at the end of another.
     else if (movable && this.req.route.stream === undefined && retries.take()) health.noteBadAnswer(upstream)
-    else return
-    this.ports.decisions.note({ event: 'upstreamSilent', request: this.req.attempt.id, upstream: upstream.listed.id, afterMs: Math.round(this.ports.timers.monotonic() - since) })
+    else {
+      // A stream keeps its place in the upstream's queue: elsewhere it would begin at the end of another. The upstream may yet fall silent.
+      this.awaitSign(upstream, timers.monotonic(), limitMs)
+      return
+    }
+    this.ports.decisions.note({ event: 'upstreamSilent', request: this.req.attempt.id, upstream: upstream.listed.id, afterMs: Math.round(timers.monotonic() - since) })
     if (!movable) return
     this.exchange?.cancel()
     this.failedAt(upstream, { tag: 'upstreamUnavailable', verdict: 'mayHaveRun', message: 'silent', retryAfterMs: 0 })
