--- a/packages/front/src/dispatch.ts
+++ b/packages/front/src/dispatch.ts
@@ -6,6 +6,7 @@
 import type * as timerService from '@eelgrasswind/timer-service'
 import * as trackUpstreams from '@eelgrasswind/track-upstreams'
 import type * as types from '@eelgrasswind/types'
+import * as checkAnswer from './check-answer.js'
 import type * as dialects from './dialect.js'
 import type * as inbound from './inbound.js'
 import type * as retryPool from './retry-pool.js'
@@ -191,8 +192,8 @@
       head: (head) => {
         this.awaitSign(upstream, sentAt, midStreamSilentMs)
         trackUpstreams.noteHeard(upstream, timers.monotonic())
-        const problem = this.checkHead(head, upstream) ?? this.checkResumed(head)
-        if (problem === undefined) {
+        const useless = checkAnswer.checkAnswer(dialect.answerFacts(head), head, this.req.attempt.id) ?? this.checkResumed(head)
+        if (useless === undefined) {
           // Passed on as it is, and yet a failure: an upstream that makes many of them gets less work.
           if (head.status >= leastServerError) health.noteBadAnswer(upstream)
           accepted = true
@@ -203,8 +204,8 @@
         // The rest of an answer that is of no use is not read.
         this.silence?.cancel()
         this.exchange?.cancel()
-        if (problem.verdict !== 'notRun') health.noteBadAnswer(upstream)
-        this.failedAt(upstream, problem)
+        this.noteUseless(upstream, useless.says)
+        this.failedAt(upstream, useless.failure)
       },
       data: (chunk) => {
         const now = timers.monotonic()
@@ -257,9 +258,9 @@
   }
 
   /** An answer that is to go on with a stream must be one itself. */
-  private checkResumed (head: sendHttp.Head): errors.Failure | undefined {
+  private checkResumed (head: sendHttp.Head): checkAnswer.Useless | undefined {
     if (!this.answered || head.status === okStatus) return undefined
-    return { tag: 'answerBroken', verdict: 'mayHaveRun', message: 'stream not gone on with', detail: String(head.status) }
+    return checkAnswer.faulty('stream not gone on with', String(head.status))
   }
 
   /** Looks again after the time given, in ms, whether anything has come; a later sign starts the wait anew. */
@@ -289,30 +290,14 @@
     this.failedAt(upstream, { tag: 'upstreamUnavailable', verdict: 'mayHaveRun', message: 'silent', retryAfterMs: 0 })
   }
 
-  /** What makes the head of an answer unusable; `undefined` where it may be passed on. */
-  private checkHead (head: sendHttp.Head, upstream: trackUpstreams.Upstream): errors.Failure | undefined {
-    const facts = this.ports.dialect.answerFacts(head)
-    const now = this.ports.timers.monotonic()
-    if (facts.requestId !== undefined && facts.requestId !== this.req.attempt.id) {
-      return { tag: 'answerBroken', verdict: 'mayHaveRun', message: 'answer to another request', detail: facts.requestId }
-    }
-    // An unsigned refusal may lack the id; a signed answer without it could be anybody's.
-    if (facts.signed && facts.requestId === undefined) {
-      return { tag: 'answerBroken', verdict: 'mayHaveRun', message: 'signed answer without id', detail: String(head.status) }
-    }
-    if (facts.wrongIncarnation) {
-      this.ports.health.noteFailure(upstream)
-      return { tag: 'wrongIncarnation', verdict: 'notRun', message: 'another incarnation has the address' }
-    }
-    if (facts.notRun) {
-      trackUpstreams.noteFull(upstream, now)
-      return { tag: 'upstreamUnavailable', verdict: 'notRun', message: `refused with ${head.status}`, retryAfterMs: 0 }
-    }
-    if (!facts.signed) return { tag: 'answerBroken', verdict: 'mayHaveRun', message: 'answer without signature', detail: String(head.status) }
-    if (head.headers['content-encoding'] !== undefined) {
-      return { tag: 'answerBroken', verdict: 'mayHaveRun', message: 'encoded answer', detail: head.headers['content-encoding'] }
+  /** What a useless answer says of its upstream. */
+  private noteUseless (upstream: trackUpstreams.Upstream, says: checkAnswer.Useless['says']): void {
+    const { health, timers } = this.ports
+    switch (says) {
+      case 'full': return trackUpstreams.noteFull(upstream, timers.monotonic())
+      case 'replaced': return health.noteFailure(upstream)
+      case 'faulty': return health.noteBadAnswer(upstream)
     }
-    return undefined
   }
 
   private failedAt (upstream: trackUpstreams.Upstream, failure: errors.Failure, reused?: boolean): void {
