--- a/packages/front/src/dispatch.ts
+++ b/packages/front/src/dispatch.ts
@@ -66,7 +66,15 @@
 const leastTimeMs = 5
 
 /**
- * An upstream that sends nothing to anybody here for this long within a stream is taken for silent, in ms: half of the 2 s after which its client gives it up, so that as much is left for the
+ * An upstream that has sent nothing to anybody here for this many times the route's objective after a request was sent
+ * is taken for silent. Repeatable requests go elsewhere then, and new ones avoid it.
+ */
+const silentObjectives = 1.5
+/** The least and the most time until an upstream is taken for silent, in ms: a queue of short requests, and a client's patience. */
+const minSilentMs = 500
+const maxSilentMs = 1_000
+/**
+ * The same within a stream, in ms: half of the 2 s after which its client gives it up, so that as much is left for the
  * prompt to be read elsewhere.
  */
 const midStreamSilentMs = 1_000
@@ -169,7 +177,7 @@
       leftMs: Math.round(leftMs)
     })
     const sentAt = timers.monotonic()
-    this.awaitSign(upstream, sentAt, health.silentAfterMs(this.req.route))
+    this.awaitSign(upstream, sentAt, this.silentMs())
     let accepted = false
     let first = true
     const noteFirst = (): void => {
@@ -269,6 +277,10 @@
     this.silence = this.ports.timers.after(limitMs, () => { this.onSilence(upstream, since, limitMs) })
   }
 
+  private silentMs (): number {
+    return Math.min(maxSilentMs, Math.max(minSilentMs, this.req.route.objectiveMs * silentObjectives))
+  }
+
   /**
    * Nothing has come back yet. Where the upstream answers others, the request may just take its time: it is sent again
    * elsewhere only if it may be repeated, and within a budget, so that a service with too much to do gets no more.
--- a/packages/front/src/upstream-health.ts
+++ b/packages/front/src/upstream-health.ts
@@ -34,11 +34,6 @@
     if (this.usual.note(route.name, tookMs, route.objectiveMs)) this.mark(upstream.listed.id, 'slow')
   }
 
-  /** How long an upstream may leave a request of the route without any sign before it is taken for silent, in ms. */
-  silentAfterMs (route: routeRequest.Route): number {
-    return trackUpstreams.silentAfterMs({ objectiveMs: route.objectiveMs, usualMs: this.usual.get(route.name) })
-  }
-
   /** No usable answer came. */
   noteFailure (upstream: trackUpstreams.Upstream): void {
     trackUpstreams.noteFailure(upstream, this.ports.timers.monotonic())
