--- a/packages/front/src/reserve-turn.ts
+++ b/packages/front/src/reserve-turn.ts
@@ -29,7 +29,7 @@
   const admission = shard.ledger.admit(request, ports.timers.now() as types.EpochMs)
   switch (admission.type) {
     case 'overBudget': return refuse(ports, shard, request, admission)
-    // Such a turn names none before it; one that does belongs to another way of serving.
+    // Nothing is reserved for a turn that continues from another: such turns are kept, and run at their owner.
     case 'unknownPrevious': return { type: 'notOwner' }
     case 'admitted': {
       ports.decisions.note({ event: 'tokensReserved', request: request.turn, program: request.program, epoch: shard.epoch, covered: admission.covered, budgetTokens: request.budgetTokens, maxTokens: request.maxTokens })
--- a/packages/front/src/serve-unkept.ts
+++ b/packages/front/src/serve-unkept.ts
@@ -35,7 +35,10 @@
   return { type: 'reserve', request, service: req.service, promptParts: turn.promptParts }
 }
 
-/** Asks the owner of the program, here or at a peer. A peer that did not answer must not be asked again for the same turn: it may yet hear the release. */
+/**
+ * Asks the owner of the program, here or at a peer. A peer that did not answer must not be asked again for the same
+ * turn: the release of the first reservation could undo the second.
+ */
 export async function reserve (ports: UnkeptPorts, owner: Owner, call: peerCalls.ReserveCall): Promise<peerCalls.CallOutcome<peerCalls.ReserveAnswer>> {
   if (owner.type === 'here') return { type: 'answer', answer: await reserveTurn.reserveHere(ports, owner.shard, call) }
   const outcome = await peerCalls.tryPeer<peerCalls.ReserveAnswer>(ports, owner.address, call, reserveTimeoutMs)
