--- a/packages/slopes/src/series.ts
+++ b/packages/slopes/src/series.ts
@@ -70,7 +70,7 @@
   return size >= 1 ? value.toFixed(1) : value.toFixed(3)
 }
 
-/** One row of the table of docs/RESULTS.md. */
+/** One row of the table of docs/results/slopes.md. */
 export function tableRow (fitted: FittedSeries): string {
   const points = fitted.points.map(({ size, value }) => `${size}: ${short(value)}`).join(', ')
   return `| ${fitted.slope} | ${fitted.series} | ${short(fitted.perEntry)} ${fitted.unit} a ${fitted.per} | ${short(fitted.least)} to ${short(fitted.most)} | ${short(fitted.fixed)} | ${fitted.r2.toFixed(3)} | ${points} |`
