Home: the next place of a branch is not called taken while an open intent is being found out

Cause: nextSeq counts an open intent as a used place, so after a takeover the call behind it asks for the right place; any other call under way on the branch then made it a sequenceRepeat: a final refusal that is not true.

Ruled out: a lost answer of k1 (k1 stands in the history and holds no place, mended before).

Change: a call behind one that has not ended gets sequenceGap, which names the place that has to end first.

Before: check-call.test 'a call whose place is free' red.

--- a/packages/program-home/src/check-call.ts
+++ b/packages/program-home/src/check-call.ts
@@ -34,22 +34,30 @@
   if (finished !== null) return refuse({ tag: 'programFinished', verdict: 'notRun', message: `the program has ended: ${finished}`, result: finished })
   if (program.releasing) return refuse({ tag: 'notHome', verdict: 'notRun', message: 'the program is moving to another home', home: null, retryAfterMs: inProgressRetryMs })
   const expectedSeq = programState.nextSeq(program.state, call.branch)
-  if (call.seq > expectedSeq) return refuse({ tag: 'sequenceGap', verdict: 'notRun', message: `branch ${call.branch} expects ${expectedSeq}`, expectedSeq })
-  if (call.seq < expectedSeq || isTaken(program, call)) {
+  const underWay = callUnderWay(program, call.branch)
+  // An open intent counts as a place that is used, also while its end is being found out: the next place belongs to nobody.
+  if (underWay !== undefined && underWay.seq < call.seq) return refuse(sequenceGap(call, underWay.seq))
+  if (call.seq > expectedSeq) return refuse(sequenceGap(call, expectedSeq))
+  if (call.seq < expectedSeq || underWay !== undefined) {
     return refuse({ tag: 'sequenceRepeat', verdict: 'notRun', message: `place ${call.seq} of branch ${call.branch} belongs to another call`, expectedSeq })
   }
   return { type: 'run' }
 }
 
+/** An earlier call of the branch is missing, or has not ended. */
+function sequenceGap (call: types.Call, expectedSeq: number): errors.Failure {
+  return { tag: 'sequenceGap', verdict: 'notRun', message: `branch ${call.branch} expects ${expectedSeq}`, expectedSeq }
+}
+
 /**
- * Whether another call of the branch is under way. One that stands in the history has its answer: its caller may have it
+ * The call of the branch that is under way. One that stands in the history has its answer: its caller may have it
  * from there and send the next call while this process still waits to hear that the record is stored.
  */
-function isTaken (program: local.LocalProgram, call: types.Call): boolean {
+function callUnderWay (program: local.LocalProgram, branch: types.BranchId): types.Call | undefined {
   for (const { call: other } of program.running.values()) {
-    if (other.branch === call.branch && programState.findTurn(program.state, other.key) === undefined) return true
+    if (other.branch === branch && programState.findTurn(program.state, other.key) === undefined) return other
   }
-  return false
+  return undefined
 }
 
 function refuse (failure: errors.Failure): CallCheck {
