--- a/packages/turn-ledger/src/turn-ledger.ts
+++ b/packages/turn-ledger/src/turn-ledger.ts
@@ -225,7 +225,7 @@
     return { key: records.turnKey(request.turn), value: records.encodeTurn(state) }
   }
 
-  /** A turn is kept as long as any turn that continues from it. */
+  /** Extends the retention of a turn and of all before it to that of a turn that continues from it. */
   private extendChain (turn: records.TurnId | undefined, keepUntil: types.EpochMs): void {
     let next = turn
     while (next !== undefined) {
--- a/scripts/bundle-from-sources.mjs
+++ b/scripts/bundle-from-sources.mjs
@@ -33,7 +33,7 @@
     target: 'node20',
     mainFields: ['module', 'main'],
     banner: { js: executable ? `#!/usr/bin/env node\n${requireShim}` : requireShim },
-    external: ['dtrace-provider', 'mv', 'source-map-support', 'unix-dgram', 'esbuild', 'tap'],
+    external: ['dtrace-provider', 'mv', 'source-map-support', 'unix-dgram'],
     plugins: [fromSources],
     logLevel: 'warning'
   })
