losses: sums up from the logs of a fleet why requests failed and which programs they ended

The command reads any number of log files side by side in order of time, a line of each in memory, and prints a row for each reason, those that ended most programs first, with one request each for explain-request. A line that tells how a request ended now names its program.

A program counts as ended where its last request failed: the logs do not tell the end of a program. Late programs are not told apart yet.

Tests: find-losses, cli explain-request test.

--- a/packages/cli/src/commands/explain-request/call.ts
+++ b/packages/cli/src/commands/explain-request/call.ts
@@ -1,21 +1,18 @@
 /** Explains one request from log files. */
-import * as fs from 'node:fs'
-import * as readline from 'node:readline'
 import * as errors from '@eelgrasswind/errors'
 import * as explainRequests from '@eelgrasswind/explain-request'
+import * as logFiles from '../../base/log-files.js'
 import type * as outcome from '../../base/outcome.js'
 import * as table from '../../base/table.js'
 
 const headings = ['TIME', 'HOST', 'EVENT', 'ABOUT', 'FIELDS']
 
 export async function explainRequest (request: string, files: readonly string[]): Promise<outcome.CliResult> {
+  const missing = logFiles.findMissing(files)
+  if (missing !== undefined) return errors.fail(missing)
   const lines: explainRequests.LogLine[] = []
   for (const file of files) {
-    if (!fs.existsSync(file)) return errors.fail({ tag: 'unreadableFile', file, message: 'no such file' })
-    for await (const text of readline.createInterface({ input: fs.createReadStream(file) })) {
-      const line = explainRequests.parseLine(text)
-      if (line !== undefined) lines.push(line)
-    }
+    for await (const line of logFiles.readLines(file)) lines.push(line)
   }
   const story = explainRequests.explainRequest(lines, request)
   if (story.lines.length === 0) return errors.fail({ tag: 'notFound', message: `no line in ${files.length} files is about request ${request}` })
--- a/packages/cli/src/explain-request.test.ts
+++ b/packages/cli/src/explain-request.test.ts
@@ -61,3 +61,13 @@
   t.match(await operate('explain-request', 'r1', '--logs', path.join(dir, 'none')), { code: 2, stderr: /none: no such file/ })
   t.match(await operate('explain-request', 'nobody', '--logs', first), { code: 1, stderr: /nobody/ })
 })
+
+tap.test('losses are summed over the logs of several hosts', async (t) => {
+  const { code, stdout } = await operate('losses', '--json', '--logs', first, '--logs', second)
+  t.equal(code, 0)
+  t.match(JSON.parse(stdout), { requests: 1, failed: 1, losses: [{ cause: 'turn refused: the store does not answer', status: 503 }] })
+  t.match(JSON.parse((await operate('losses', '--json', '--until', '2026-06-01T08:00:05.000Z', '--logs', first)).stdout), { requests: 0 })
+  t.match(await operate('losses'), { code: 2, stderr: /--logs/ })
+  t.match(await operate('losses', '--logs', first, '--since', 'noon'), { code: 2, stderr: /--since: expected a time/ })
+  t.match(await operate('losses', '--logs', path.join(dir, 'none')), { code: 2, stderr: /none: no such file/ })
+})
--- a/packages/cli/src/run-cli.ts
+++ b/packages/cli/src/run-cli.ts
@@ -9,6 +9,7 @@
 import * as configShow from './commands/config-show/parse.js'
 import * as explain from './commands/explain/parse.js'
 import * as explainRequest from './commands/explain-request/parse.js'
+import * as losses from './commands/losses/parse.js'
 import * as programsList from './commands/programs-list/parse.js'
 import * as programsShow from './commands/programs-show/parse.js'
 import * as programsWatch from './commands/programs-watch/parse.js'
@@ -27,7 +28,8 @@
   programsShow.ProgramsShowCommand,
   programsWatch.ProgramsWatchCommand,
   explain.ExplainCommand,
-  explainRequest.ExplainRequestCommand
+  explainRequest.ExplainRequestCommand,
+  losses.LossesCommand
 ]
 
 function createCli (enableColors: boolean): clipanion.Cli<baseCommand.CliContext> {
--- a/packages/decision-log/src/decisions.ts
+++ b/packages/decision-log/src/decisions.ts
@@ -64,7 +64,7 @@
   | OfRequest & { readonly event: 'streamBroken', readonly ran: boolean, readonly events: number, readonly reason: string }
   | OfTurn & { readonly event: 'turnSettledElsewhere' }
   | OfTurn & { readonly event: 'turnNotKept', readonly epoch: number }
-  | OfRequest & { readonly event: 'ended', readonly kind: RequestKind, readonly outcome: RequestOutcome, readonly status: number, readonly reason?: string, readonly firstMs?: number | undefined, readonly tookMs: number }
+  | OfRequest & { readonly event: 'ended', readonly program?: types.ProgramId | undefined, readonly kind: RequestKind, readonly outcome: RequestOutcome, readonly status: number, readonly reason?: string, readonly firstMs?: number | undefined, readonly tookMs: number }
 
 /** Calls and streams are served by any process; a turn by the owner of its program, for a client or for the process that passed it on. */
 export type RequestKind = 'call' | 'stream' | 'turn' | 'passedOnTurn'
--- a/packages/front/src/client-listener.ts
+++ b/packages/front/src/client-listener.ts
@@ -77,7 +77,7 @@
     return
   }
   const kind = kindOf(route, attempt.turn)
-  ports.requests.add(res, reply, attempt.id, kind, arrivedAt)
+  ports.requests.add(res, reply, attempt, kind, arrivedAt)
   const request: inbound.Inbound = {
     attempt,
     method: req.method ?? 'GET',
--- a/packages/front/src/dialect.ts
+++ b/packages/front/src/dialect.ts
@@ -24,6 +24,8 @@
   readonly id: turnLedger.TurnId
   /** How long the client waits from now on, in ms; `undefined` where it does not say. */
   readonly deadlineMs: number | undefined
+  /** The program that makes the request, if it says so. */
+  readonly program: types.ProgramId | undefined
   /** Present on requests of programs that name a token limit. */
   readonly turn: TurnFields | undefined
 }
--- a/packages/front/src/peer-listener.ts
+++ b/packages/front/src/peer-listener.ts
@@ -46,7 +46,7 @@
     return
   }
   res.writeContinue()
-  ports.requests.add(res, reply, attempt.id, 'passedOnTurn', arrivedAt)
+  ports.requests.add(res, reply, attempt, 'passedOnTurn', arrivedAt)
   readRequest.readBody(req, Infinity, (body) => {
     if (body === undefined) return
     void routeTurn.serveHere(ports, {
--- a/packages/front/src/requests-under-way.ts
+++ b/packages/front/src/requests-under-way.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http'
 import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as timerService from '@eelgrasswind/timer-service'
+import type * as dialects from './dialect.js'
 import type * as inbound from './inbound.js'
 
 /** What it takes to tell how requests ended. */
@@ -21,13 +22,13 @@
   }
 
   /** A request is served; arrivedAt: monotonic ms. */
-  add (res: http.ServerResponse, reply: inbound.Reply, request: string, kind: decisionLog.RequestKind, arrivedAt: number): void {
+  add (res: http.ServerResponse, reply: inbound.Reply, attempt: dialects.ClientAttempt, kind: decisionLog.RequestKind, arrivedAt: number): void {
     const { timers, decisions } = this.ports
     const elapsed = (): number => Math.round(timers.monotonic() - arrivedAt)
     let firstMs: number | undefined
     this.running += 1
     res.once('close', () => { this.running -= 1 })
     reply.onHead(() => { firstMs = elapsed() })
-    reply.onEnd((end) => { decisions.note({ event: 'ended', request, kind, ...end, firstMs, tookMs: elapsed() }) })
+    reply.onEnd((end) => { decisions.note({ event: 'ended', request: attempt.id, program: attempt.program, kind, ...end, firstMs, tookMs: elapsed() }) })
   }
 }
--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -3,7 +3,7 @@
 // Each layer may import the layers before it; `pure` and `peers` packages also import their own layer where listed.
 const base = ['types', 'errors', 'logger', 'decision-log', 'timer-service']
 const pure = ['parse-settings', 'program-state', 'config-state', 'choose-home', 'place-call', 'order-queue',
-  'admit-program', 'retain-prefix', 'limit-client', 'decide-retry', 'membership', 'hash-text', 'explain-request', 'route-request', 'turn-ledger',
+  'admit-program', 'retain-prefix', 'limit-client', 'decide-retry', 'membership', 'hash-text', 'explain-request', 'find-losses', 'route-request', 'turn-ledger',
   'track-upstreams']
 const peers = ['log-client', 'host-list-client', 'engine-client', 'service-client', 'weight-store-client',
   'sidecar-client', 'send-http', 'shard-log', 'caller-server', 'caller-client', 'metrics', 'tracing']
