Packages lie in seven groups, and a group imports none of those above it

54 packages in one flat folder are now packages/GROUP/NAME: base, decide, peers, state, programs, operate, testing, at most ten each. Scripts ask scripts/packages.mjs where a package lies; the linter checks the order of the groups beside the layers; docs/architecture.md has the picture and a table of what to change where. No source of a program changed but for paths in comments and tests.

--- a/packages/metrics/src/metrics.test.ts
+++ b/packages/base/metrics/src/metrics.test.ts
@@ -3,7 +3,7 @@
 import tap from 'tap'
 import * as metrics from './index.js'
 
-const page = new URL('../../../../docs/metrics.md', import.meta.url)
+const page = new URL('../../../../../docs/metrics.md', import.meta.url)
 
 interface Receiver {
   readonly port: number
--- a/packages/cli/src/cli.test.ts
+++ b/packages/operate/cli/src/cli.test.ts
@@ -12,7 +12,7 @@
 import tap from 'tap'
 import * as cli from './index.js'
 
-const root = url.fileURLToPath(new URL('../../../../', import.meta.url))
+const root = url.fileURLToPath(new URL('../../../../../', import.meta.url))
 const timers = timerService.createRealTimers()
 
 interface Scope {
--- a/packages/load/src/workload/deployments.ts
+++ b/packages/operate/load/src/workload/deployments.ts
@@ -1,6 +1,6 @@
 /**
  * The kinds of programs of both deployments. Kinds and distributions are those of the decision rules' comparison in
- * packages/model-engines, which a shipped package may not import; keep the numbers the same.
+ * packages/testing/model-engines, which a shipped package may not import; keep the numbers the same.
  */
 import type * as random from './random.js'
 
--- a/packages/sidecar-client/src/bench/rpc-cost.ts
+++ b/packages/peers/sidecar-client/src/bench/rpc-cost.ts
@@ -1,6 +1,6 @@
 /**
  * Processor time of one exchange of 300 bytes each way between a client and a server in this process, by several
- * ways. Run: node packages/sidecar-client/dist/src/bench/rpc-cost.js [EXCHANGES]
+ * ways. Run: node packages/peers/sidecar-client/dist/src/bench/rpc-cost.js [EXCHANGES]
  */
 import * as http2 from 'node:http2'
 import type * as net from 'node:net'
--- a/packages/demo/src/load-main.ts
+++ b/packages/testing/demo/src/load-main.ts
@@ -36,7 +36,7 @@
   }
 }
 
-const loadBinary = url.fileURLToPath(new URL('../../../load/dist/eelgrasswind-load.mjs', import.meta.url))
+const loadBinary = url.fileURLToPath(new URL('../../../../operate/load/dist/eelgrasswind-load.mjs', import.meta.url))
 /** Engines run five times as fast as those of the deployments, and so do people and tools. */
 const timeScale = 0.2
 const slots = 8
--- a/packages/demo/src/overhead.ts
+++ b/packages/testing/demo/src/overhead.ts
@@ -7,7 +7,7 @@
 import * as testUtils from '@eelgrasswind/test-utils'
 import * as scopes from './scope.js'
 
-const loadBinary = url.fileURLToPath(new URL('../../../load/dist/eelgrasswind-load.mjs', import.meta.url))
+const loadBinary = url.fileURLToPath(new URL('../../../../operate/load/dist/eelgrasswind-load.mjs', import.meta.url))
 const availabilityZone = 'makati-a'
 const slots = 256
 const homesOption = '--homes='
--- a/packages/demo/src/pages.test.ts
+++ b/packages/testing/demo/src/pages.test.ts
@@ -11,7 +11,7 @@
 import * as pageExamples from './page-examples.js'
 import * as settingsReference from './settings-reference.js'
 
-const root = url.fileURLToPath(new URL('../../../../', import.meta.url))
+const root = url.fileURLToPath(new URL('../../../../../', import.meta.url))
 
 const execFile = util.promisify(childProcess.execFile)
 
@@ -69,7 +69,7 @@
     for (const file of files) {
       const role = file.startsWith('entry') ? 'entry' : 'sidecar'
       const sample = `samples/${deployment}/${file}`
-      const binary = `packages/${role}/dist/eelgrasswind-${role}.mjs`
+      const binary = `packages/programs/${role}/dist/eelgrasswind-${role}.mjs`
       const ran = childProcess.spawnSync(process.execPath, [binary, '--settings', sample, '--check'], { cwd: root, encoding: 'utf8' })
       t.match({ status: ran.status, stdout: ran.stdout }, { status: 0, stdout: `${sample}: ok\n` }, sample)
     }
--- a/packages/demo/src/settings-reference.ts
+++ b/packages/testing/demo/src/settings-reference.ts
@@ -48,7 +48,7 @@
 
 const introduction = `# Settings
 
-Made from the schemas by \`node packages/demo/dist/src/write-settings.js\`; a test compares this page with them.
+Made from the schemas by \`node packages/testing/demo/dist/src/write-settings.js\`; a test compares this page with them.
 
 Files are JSON with comments and trailing commas. A field without a default must be given. \`<id>\` stands for an id: letters, digits and \`. _ ~ -\`, at most 128 characters.
 `
--- a/packages/slopes/src/rest-memory.ts
+++ b/packages/testing/slopes/src/rest-memory.ts
@@ -19,7 +19,7 @@
 
 const use = {
   undici: "import { Agent } from 'undici'; globalThis.kept = new Agent()",
-  connect: "import * as connectNode from '@connectrpc/connect-node'; import * as gen from '../../packages/sidecar-client/dist/src/gen/eelgrasswind_pb.js'; globalThis.kept2 = [gen, connectNode.createConnectTransport({ baseUrl: 'http://127.0.0.1:1', httpVersion: '2' })]",
+  connect: "import * as connectNode from '@connectrpc/connect-node'; import * as gen from '../../packages/peers/sidecar-client/dist/src/gen/eelgrasswind_pb.js'; globalThis.kept2 = [gen, connectNode.createConnectTransport({ baseUrl: 'http://127.0.0.1:1', httpVersion: '2' })]",
   bunyan: "import bunyan from 'bunyan'; globalThis.kept3 = bunyan.createLogger({ name: 'rest' })",
   zod: "import * as z from 'zod'; globalThis.kept4 = z.object({ a: z.string() })",
   hotShots: "import hotShots from 'hot-shots'; globalThis.kept5 = new hotShots.StatsD({ mock: true })",
--- a/packages/slopes/src/slopes/resting-fleet.ts
+++ b/packages/testing/slopes/src/slopes/resting-fleet.ts
@@ -23,7 +23,7 @@
 /** Clock ticks of /proc/PID/stat in a second, on Linux. */
 const ticksPerSecond = 100
 const microsPerSecond = 1_000_000
-const sidecarFile = url.fileURLToPath(new URL('../../../../sidecar/dist/eelgrasswind-sidecar.mjs', import.meta.url))
+const sidecarFile = url.fileURLToPath(new URL('../../../../../programs/sidecar/dist/eelgrasswind-sidecar.mjs', import.meta.url))
 
 interface Used {
   readonly cpuUs: number
--- a/packages/stand-ins/src/protocols.test.ts
+++ b/packages/testing/stand-ins/src/protocols.test.ts
@@ -3,7 +3,7 @@
 import * as timerService from '@eelgrasswind/timer-service'
 import * as standIns from './index.js'
 
-const page = new URL('../../../../docs/platform-protocols.md', import.meta.url)
+const page = new URL('../../../../../docs/platform-protocols.md', import.meta.url)
 const startMs = 1_760_000_000_000
 
 interface Message {
--- a/packages/test-utils/src/start-system.ts
+++ b/packages/testing/test-utils/src/start-system.ts
@@ -56,7 +56,7 @@
 }
 
 function binary (name: 'entry' | 'sidecar'): string {
-  return url.fileURLToPath(new URL(`../../../${name}/dist/eelgrasswind-${name}.mjs`, import.meta.url))
+  return url.fileURLToPath(new URL(`../../../../programs/${name}/dist/eelgrasswind-${name}.mjs`, import.meta.url))
 }
 
 /** Two entries, two engines and one service in three availability zones of ncr. */
--- a/scripts/bundle-from-sources.mjs
+++ b/scripts/bundle-from-sources.mjs
@@ -1,6 +1,7 @@
 // Bundles a program of this workspace straight from TypeScript: no compiler has to run before.
 import * as fs from 'node:fs'
 import * as esbuild from 'esbuild'
+import { dirOf } from './packages.mjs'
 
 const scope = '@eelgrasswind/'
 // Some libraries are CommonJS and call require for Node's own modules.
@@ -12,8 +13,7 @@
   setup (build) {
     build.onResolve({ filter: new RegExp(`^${scope}`) }, ({ path }) => {
       const name = path.slice(scope.length)
-      const dir = name === 'platform' ? 'platform' : `packages/${name}`
-      return { path: fs.realpathSync(`${dir}/src/index.ts`) }
+      return { path: fs.realpathSync(`${dirOf(name)}/src/index.ts`) }
     })
     build.onResolve({ filter: /^\.{1,2}\/.*\.js$/ }, ({ path, importer }) => {
       if (!importer.endsWith('.ts')) return undefined
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,5 +1,6 @@
-// Bundles each binary into one file: packages/NAME/dist/BINARY.mjs.
+// Bundles each binary into one file: packages/GROUP/NAME/dist/BINARY.mjs.
 import { bundleFromSources } from './bundle-from-sources.mjs'
+import { dirOf } from './packages.mjs'
 
 const binaries = [
   { name: 'entry', binary: 'eelgrasswind-entry' },
@@ -9,4 +10,4 @@
   { name: 'stand-ins', binary: 'eelgrasswind-stand-in' }
 ]
 
-await Promise.all(binaries.map(({ name, binary }) => bundleFromSources(`packages/${name}/src/main.ts`, `packages/${name}/dist/${binary}.mjs`, { executable: true })))
+await Promise.all(binaries.map(({ name, binary }) => bundleFromSources(`${dirOf(name)}/src/main.ts`, `${dirOf(name)}/dist/${binary}.mjs`, { executable: true })))
--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -1,5 +1,8 @@
 // Which package may import which: the table of docs/architecture.md, as the linter checks it.
 
+/** The folders under packages/, from the bottom up: no package imports one of a group above its own, but for its tests. */
+export const groups = ['base', 'decide', 'peers', 'state', 'programs', 'operate', 'testing']
+
 // Each layer may import the layers before it; `pure` and `peers` packages also import their own layer where listed.
 const base = ['types', 'errors', 'logger', 'decision-log', 'timer-service']
 const pure = ['parse-settings', 'program-state', 'config-state', 'choose-home', 'place-call', 'order-queue',
--- a/scripts/make-package.mjs
+++ b/scripts/make-package.mjs
@@ -1,11 +1,11 @@
-// Creates the skeleton of a workspace package: node scripts/make-package.mjs NAME "ONE LINE" [--private] [DEP ...]
+// Creates the skeleton of a workspace package: node scripts/make-package.mjs GROUP NAME "ONE LINE" [--private] [DEP ...]
 import * as fs from 'node:fs'
 import * as path from 'node:path'
 
-const [name, line, ...rest] = process.argv.slice(2)
+const [group, name, line, ...rest] = process.argv.slice(2)
 const isPrivate = rest.includes('--private')
 const deps = rest.filter((word) => word !== '--private')
-const dir = path.join('packages', name)
+const dir = path.join('packages', group, name)
 if (fs.existsSync(path.join(dir, 'package.json'))) throw new Error(`${dir} exists`)
 fs.mkdirSync(path.join(dir, 'src'), { recursive: true })
 const dependencies = Object.fromEntries(deps.sort().map((dep) => {
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -4,6 +4,7 @@
 import * as fs from 'node:fs'
 import * as path from 'node:path'
 import { Parser } from 'tap-parser'
+import { packageDirs } from './packages.mjs'
 
 const filters = process.argv.slice(2)
 const knownRedFile = 'KNOWN-RED.txt'
@@ -12,8 +13,7 @@
 
 function testFiles () {
   const files = []
-  const dirs = [...fs.readdirSync('packages').sort().map((name) => path.join('packages', name)), 'platform']
-  for (const dir of dirs) {
+  for (const dir of packageDirs().values()) {
     const src = path.join(dir, 'src')
     if (!fs.existsSync(src)) continue
     for (const file of fs.readdirSync(src, { recursive: true })) {
--- a/scripts/sync-references.mjs
+++ b/scripts/sync-references.mjs
@@ -1,11 +1,11 @@
 // Writes each package's tsconfig.json from its dependencies; with --check, fails where one is out of date.
 import * as fs from 'node:fs'
 import * as path from 'node:path'
+import { packageDirs } from './packages.mjs'
 
 const check = process.argv.includes('--check')
 const scope = '@eelgrasswind/'
-const dirs = [...fs.readdirSync('packages').map((name) => path.join('packages', name)), 'platform']
-  .filter((dir) => fs.existsSync(path.join(dir, 'package.json')))
+const dirs = packageDirs()
 let stale = 0
 
 function write (file, value) {
@@ -16,11 +16,11 @@
   else fs.writeFileSync(file, text)
 }
 
-for (const dir of dirs) {
+for (const dir of dirs.values()) {
   const manifest = JSON.parse(fs.readFileSync(path.join(dir, 'package.json'), 'utf8'))
   const deps = Object.keys({ ...manifest.dependencies, ...manifest.devDependencies })
     .filter((dep) => dep.startsWith(scope))
-    .map((dep) => ({ path: path.relative(dir, path.join('packages', dep.slice(scope.length))) }))
+    .map((dep) => ({ path: path.relative(dir, dirs.get(dep.slice(scope.length))) }))
   write(path.join(dir, 'tsconfig.json'), {
     extends: path.relative(dir, 'tsconfig.base.json'),
     compilerOptions: { rootDir: '.', outDir: 'dist', tsBuildInfoFile: 'dist/tsconfig.tsbuildinfo' },
@@ -28,5 +28,5 @@
     references: deps
   })
 }
-write('tsconfig.json', { files: [], references: dirs.map((dir) => ({ path: dir })) })
+write('tsconfig.json', { files: [], references: [...dirs.values()].map((dir) => ({ path: dir })) })
 process.exit(check && stale > 0 ? 1 : 0)
