--- a/packages/programs/front/src/peer-calls.ts
+++ b/packages/programs/front/src/peer-calls.ts
@@ -2,7 +2,7 @@
 import type * as http from 'node:http'
 import type * as decisionLog from '@eelgrasswind/decision-log'
 import * as msgpack from '@msgpack/msgpack'
-import type * as sendHttp from '@eelgrasswind/send-http'
+import * as sendHttp from '@eelgrasswind/send-http'
 import type * as shardLog from '@eelgrasswind/shard-log'
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
@@ -88,6 +88,7 @@
 
 const path = '/peer-call'
 const connectTimeoutMs = 200
+const okStatus = 200
 
 /** Whether a request is such a call. */
 export function isPeerCall (req: http.IncomingMessage): boolean {
@@ -127,38 +128,21 @@
 }
 
 /** Makes the call and tells why there is no answer within the time, in ms. */
-export function tryPeer<Answer> (ports: PeerCallPorts, address: string, call: PeerCall, timeoutMs: number): Promise<CallOutcome<Answer>> {
+export async function tryPeer<Answer> (ports: PeerCallPorts, address: string, call: PeerCall, timeoutMs: number): Promise<CallOutcome<Answer>> {
   const body = encode(call)
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = []
-    let status = 0
-    const exchange = ports.sender.send({
-      address,
-      method: 'PUT',
-      path,
-      headers: ['Host', address, 'Content-Length', String(body.length)],
-      body,
-      connectTimeoutMs,
-      confirmMs: undefined,
-      atMostOnce: false
-    }, {
-      head: (head) => { status = head.status },
-      data: (chunk) => { chunks.push(chunk) },
-      end: () => {
-        const answer = status === 200 ? decodeAnswer<Answer>(ports, Buffer.concat(chunks)) : undefined
-        finish(answer === undefined ? { type: 'none', ended: false } : { type: 'answer', answer })
-      },
-      fail: (failure) => { finish({ type: 'none', ended: failure.cause === 'refused' }) }
-    })
-    const limit = ports.timers.after(timeoutMs, () => {
-      exchange.cancel()
-      finish({ type: 'none', ended: false })
-    })
-    const finish = (outcome: CallOutcome<Answer>): void => {
-      limit.cancel()
-      resolve(outcome)
-    }
-  })
+  const outcome = await sendHttp.sendWhole(ports.sender, ports.timers, {
+    address,
+    method: 'PUT',
+    path,
+    headers: ['Host', address, 'Content-Length', String(body.length)],
+    body,
+    connectTimeoutMs,
+    confirmMs: undefined,
+    atMostOnce: false
+  }, timeoutMs)
+  if (outcome.type === 'failed') return { type: 'none', ended: outcome.failure.cause === 'refused' }
+  const answer = outcome.status === okStatus ? decodeAnswer<Answer>(ports, outcome.body) : undefined
+  return answer === undefined ? { type: 'none', ended: false } : { type: 'answer', answer }
 }
 
 /** What can't be read is no answer. */
