--- a/packages/operate/find-losses/src/loss-finder.test.ts
+++ b/packages/operate/find-losses/src/loss-finder.test.ts
@@ -39,6 +39,13 @@
   t.end()
 })
 
+tap.test('a reason that comes after the end counts, a second later it does not', (t) => {
+  const reason = (second: number): explainRequest.LogLine => line(second, 'front-2', 'turnRefused', { request: 'a1', reason: 'moving' })
+  t.match(reportOf(refused(0, 'a1', 'a'), reason(0)).losses, [{ cause: 'turn refused: moving' }])
+  t.match(reportOf(refused(0, 'a1', 'a'), whole(2, 'b1', 'b'), reason(2)).losses, [{ cause: 'no line tells' }])
+  t.end()
+})
+
 tap.test('what no line explains is a row of its own, and lines left out are counted', (t) => {
   const report = reportOf(line(0, 'front-1', 'linesLeftOut', { counts: {} }), refused(0, 'a1', 'a'))
   t.match(report, { unexplained: 1, gaps: 1, losses: [{ cause: 'no line tells' }] })
--- a/packages/operate/find-losses/src/loss-finder.ts
+++ b/packages/operate/find-losses/src/loss-finder.ts
@@ -43,6 +43,11 @@
 
 /** Requests whose lines are remembered until they end, and programs until they fall silent; the oldest go first. */
 const mostRemembered = 50_000
+/**
+ * Clocks of hosts differ, and processes write their lines in batches: the reason that one host gives for a request may
+ * come this long after another host has told its end, in ms. Batches are a few hundred ms long.
+ */
+const reasonLagMs = 1_000
 const unexplained = 'no line tells'
 const msPerSecond = 1_000
 /** Statuses from here on are no success. */
@@ -51,6 +56,12 @@
 const ofPeers: ReadonlySet<unknown> = new Set<decisionLog.RequestKind>(['passedOnTurn'])
 const gapEvents: ReadonlySet<string> = new Set(['linesLeftOut', 'linesDropped'])
 
+interface End {
+  readonly line: explainRequest.LogLine
+  readonly request: string
+  readonly timeMs: number
+}
+
 interface Sum {
   readonly kind: string
   readonly outcome: string
@@ -67,6 +78,9 @@
 /** Takes lines one by one and reports once. */
 export class LossFinder {
   private readonly causes = new Map<string, string>()
+  /** Ends of requests whose reasons may still come, in order of arrival. */
+  private readonly waiting: End[] = []
+  private newestMs = -Infinity
   /** The sum of the last request of each program, if that one failed. */
   private readonly lastOf = new Map<string, Sum | undefined>()
   private readonly sums = new Map<string, Sum>()
@@ -82,10 +96,13 @@
     if (line.request === undefined) return
     const cause = causeOf(line)
     if (cause !== undefined) remember(this.causes, line.request, cause)
-    if (line.event === 'ended') this.takeEnd(line, line.request, timeMs)
+    if (line.event === 'ended' && !ofPeers.has(line['kind'])) this.waiting.push({ line, request: line.request, timeMs })
+    this.newestMs = Math.max(this.newestMs, timeMs)
+    this.takeEnds(this.newestMs - reasonLagMs)
   }
 
   report (): LossReport {
+    this.takeEnds(Infinity)
     for (const sum of this.lastOf.values()) settle(sum)
     this.lastOf.clear()
     const sums = [...this.sums.values()].sort((a, b) => b.programsEnded - a.programsEnded || b.requests - a.requests)
@@ -100,14 +117,14 @@
     }
   }
 
-  private takeEnd (line: explainRequest.LogLine, request: string, timeMs: number): void {
+  private takeEnds (untilMs: number): void {
+    const waits = this.waiting.findIndex(({ timeMs }) => timeMs > untilMs)
+    for (const end of this.waiting.splice(0, waits === -1 ? this.waiting.length : waits)) this.takeEnd(end)
+  }
+
+  private takeEnd ({ line, request, timeMs }: End): void {
     const cause = this.causes.get(request)
     this.causes.delete(request)
-    if (ofPeers.has(line['kind'])) {
-      // The peer that has the client tells its end; what was decided here is the reason.
-      if (cause !== undefined && line['outcome'] !== 'whole') remember(this.causes, request, cause)
-      return
-    }
     this.requests += 1
     const failed = isServed(line) ? undefined : this.add(line, request, cause ?? unexplained, timeMs)
     if (typeof line['program'] === 'string') this.noteProgram(line['program'], failed)
