Clean-up: one bounded map, one race against a time limit, one name for serving a turn

OutageTurns, PromptPlaces and the loss finder each held a map whose oldest entry goes first: base/bounded-map. storeOutage.within was a general race and handOver wrote it again: timer-service has it, and it leaves no timer behind. serveHere was a second name of serveTurn. Behaviour of requests unchanged.

--- /dev/null
+++ b/packages/base/bounded-map/src/index.ts
@@ -0,0 +1,2 @@
+/** A map that holds so many entries at most. */
+export * from './bounded-map.js'
--- a/packages/base/timer-service/src/manual-timers.test.ts
+++ b/packages/base/timer-service/src/manual-timers.test.ts
@@ -1,5 +1,6 @@
 import tap from 'tap'
 import * as manual from './manual-timers.js'
+import * as timerService from './timer-service.js'
 
 tap.test('runs timers in order of due time', async (t) => {
   const timers = manual.createManualTimers(0)
@@ -21,3 +22,13 @@
   t.equal(runs, 3)
   t.equal(timers.nextDue(), undefined)
 })
+
+tap.test('a result in time counts and leaves no timer, a later one does not count', async (t) => {
+  const timers = manual.createManualTimers(0)
+  t.equal(await timerService.within(timers, Promise.resolve('in time'), 10), 'in time')
+  t.equal(timers.nextDue(), undefined)
+  const late = timerService.within(timers, timerService.sleep(timers, 20).then(() => 'late'), 10)
+  await timers.advanceAsync(30)
+  t.equal(await late, undefined)
+  await t.rejects(timerService.within(timers, Promise.reject(new Error('failed')), 10), /failed/)
+})
--- a/packages/base/timer-service/src/timer-service.ts
+++ b/packages/base/timer-service/src/timer-service.ts
@@ -20,3 +20,14 @@
 export function sleep (timers: TimerService, delayMs: number): Promise<void> {
   return new Promise((resolve) => { timers.after(delayMs, resolve) })
 }
+
+/** The result, or `undefined` where it takes longer than the time given, in ms. */
+export async function within<T> (timers: TimerService, result: Promise<T>, limitMs: number): Promise<T | undefined> {
+  let limit: Subscription | undefined
+  const late = new Promise<undefined>((resolve) => { limit = timers.after(limitMs, () => { resolve(undefined) }) })
+  try {
+    return await Promise.race([result, late])
+  } finally {
+    limit?.cancel()
+  }
+}
--- a/packages/operate/find-losses/src/loss-finder.ts
+++ b/packages/operate/find-losses/src/loss-finder.ts
@@ -2,6 +2,7 @@
  * Reads the log lines of a fleet once, in order of time, and keeps sums: which requests of clients failed and why, and
  * which of them were the last that was heard of their program.
  */
+import * as boundedMap from '@eelgrasswind/bounded-map'
 import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as explainRequest from '@eelgrasswind/explain-request'
 
@@ -77,12 +78,12 @@
 
 /** Takes lines one by one and reports once. */
 export class LossFinder {
-  private readonly causes = new Map<string, string>()
+  private readonly causes = new boundedMap.BoundedMap<string, string>(mostRemembered)
   /** Ends of requests whose reasons may still come, in order of arrival. */
   private readonly waiting: End[] = []
   private newestMs = -Infinity
   /** The sum of the last request of each program, if that one failed. */
-  private readonly lastOf = new Map<string, Sum | undefined>()
+  private readonly lastOf = new boundedMap.BoundedMap<string, Sum | undefined>(mostRemembered)
   private readonly sums = new Map<string, Sum>()
   private startMs: number | undefined
   private requests = 0
@@ -95,7 +96,7 @@
     if (gapEvents.has(line.event)) this.gaps += 1
     if (line.request === undefined) return
     const cause = causeOf(line)
-    if (cause !== undefined) remember(this.causes, line.request, cause)
+    if (cause !== undefined) this.causes.set(line.request, cause)
     if (line.event === 'ended' && !ofPeers.has(line['kind'])) this.waiting.push({ line, request: line.request, timeMs })
     this.newestMs = Math.max(this.newestMs, timeMs)
     this.takeEnds(this.newestMs - reasonLagMs)
@@ -104,7 +105,6 @@
   report (): LossReport {
     this.takeEnds(Infinity)
     for (const sum of this.lastOf.values()) settle(sum)
-    this.lastOf.clear()
     const sums = [...this.sums.values()].sort((a, b) => b.programsEnded - a.programsEnded || b.requests - a.requests)
     return {
       requests: this.requests,
@@ -146,12 +146,7 @@
 
   private noteProgram (program: string, failed: Sum | undefined): void {
     if (!this.lastOf.has(program)) this.programs += 1
-    this.lastOf.delete(program)
-    this.lastOf.set(program, failed)
-    if (this.lastOf.size <= mostRemembered) return
-    const [oldest, last] = this.lastOf.entries().next().value!
-    this.lastOf.delete(oldest)
-    settle(last)
+    settle(this.lastOf.set(program, failed))
   }
 }
 
@@ -184,13 +179,6 @@
   if (sum !== undefined) sum.programsEnded += 1
 }
 
-function remember (map: Map<string, string>, key: string, value: string): void {
-  map.delete(key)
-  map.set(key, value)
-  const oldest = map.keys().next()
-  if (map.size > mostRemembered && oldest.done !== true) map.delete(oldest.value)
-}
-
 function countIn<Key> (counts: Map<Key, number>, key: Key): void {
   counts.set(key, (counts.get(key) ?? 0) + 1)
 }
--- a/packages/programs/front/src/confirm-refusal.ts
+++ b/packages/programs/front/src/confirm-refusal.ts
@@ -1,9 +1,8 @@
 /** Makes sure of a final refusal before a client is told. */
 import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as ownShards from '@eelgrasswind/own-shards'
-import type * as timerService from '@eelgrasswind/timer-service'
+import * as timerService from '@eelgrasswind/timer-service'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
-import * as storeOutage from './store-outage.js'
 
 /** What it takes to ask the store. */
 export interface ConfirmPorts {
@@ -16,7 +15,7 @@
 
 /** Whether the refusal is true: the store confirms, within the time given in ms, that nobody else may know more of the program. */
 export async function confirmOverBudget (ports: ConfirmPorts, shard: ownShards.OwnedShard, request: turnLedger.TurnRequest, admission: OverBudget, limitMs: number): Promise<boolean> {
-  const confirmed = await storeOutage.within(ports.timers, shard.confirm(), limitMs)
+  const confirmed = await timerService.within(ports.timers, shard.confirm(), limitMs)
   ports.decisions.note({
     event: 'turnRefused',
     reason: 'over budget',
--- a/packages/programs/front/src/peer-listener.ts
+++ b/packages/programs/front/src/peer-listener.ts
@@ -10,6 +10,7 @@
 import type * as requestsUnderWay from './requests-under-way.js'
 import * as reserveTurn from './reserve-turn.js'
 import * as routeTurn from './route-turn.js'
+import * as serveTurn from './serve-turn.js'
 import * as settleTurn from './settle-turn.js'
 
 /** What it takes to serve peers. */
@@ -49,7 +50,7 @@
   ports.requests.add(res, reply, attempt, 'passedOnTurn', arrivedAt)
   readRequest.readBody(req, Infinity, (body) => {
     if (body === undefined) return
-    void routeTurn.serveHere(ports, {
+    void serveTurn.serveTurn(ports, {
       ...forwarded,
       attempt,
       method: req.method ?? 'POST',
--- a/packages/programs/front/src/prompt-places.ts
+++ b/packages/programs/front/src/prompt-places.ts
@@ -1,4 +1,5 @@
 /** Which engine holds the beginning of a prompt, from what this process sent where. */
+import * as boundedMap from '@eelgrasswind/bounded-map'
 import type * as trackUpstreams from '@eelgrasswind/track-upstreams'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
@@ -9,7 +10,7 @@
 
 /** Remembers where the turns of this process ran. A wrong guess costs reading the prompt again, nothing else. */
 export class PromptPlaces {
-  private readonly places = new Map<string, types.UpstreamId>()
+  private readonly places = new boundedMap.BoundedMap<string, types.UpstreamId>(maxPlaces)
 
   /** What of the turn's prompt may lie where. */
   find (turn: Pick<dialects.TurnFields, 'promptParts' | 'previous'>): trackUpstreams.PromptAffinity {
@@ -21,16 +22,8 @@
 
   /** A turn runs at an upstream: later ones continue from it by its id, or repeat its prompt in full. */
   note (id: turnLedger.TurnId, turn: Pick<dialects.TurnFields, 'promptParts'>, upstream: types.UpstreamId): void {
-    this.remember(id, upstream)
+    this.places.set(id, upstream)
     const lastPart = turn.promptParts.at(-1)
-    if (lastPart !== undefined && turn.promptParts.length > 1) this.remember(lastPart, upstream)
-  }
-
-  private remember (key: string, upstream: types.UpstreamId): void {
-    this.places.delete(key)
-    this.places.set(key, upstream)
-    if (this.places.size <= maxPlaces) return
-    const oldest = this.places.keys().next()
-    if (!oldest.done) this.places.delete(oldest.value)
+    if (lastPart !== undefined && turn.promptParts.length > 1) this.places.set(lastPart, upstream)
   }
 }
--- a/packages/programs/front/src/reserve-turn.ts
+++ b/packages/programs/front/src/reserve-turn.ts
@@ -2,7 +2,7 @@
 import * as admitProgram from '@eelgrasswind/admit-program'
 import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as ownShards from '@eelgrasswind/own-shards'
-import type * as timerService from '@eelgrasswind/timer-service'
+import * as timerService from '@eelgrasswind/timer-service'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
 import * as confirmRefusal from './confirm-refusal.js'
@@ -36,7 +36,7 @@
       const stored = admission.writes.length === 0 ? undefined : shard.commit(admission.writes)
       const reserved: peerCalls.ReserveAnswer = { type: 'reserved', holder: ports.places.find({ promptParts: call.promptParts, previous: undefined }).holder }
       if (admission.covered) return reserved
-      const commit = storeOutage.isAway(shard) ? undefined : await storeOutage.within(ports.timers, stored ?? shard.confirm(), storeMs)
+      const commit = storeOutage.isAway(shard) ? undefined : await timerService.within(ports.timers, stored ?? shard.confirm(), storeMs)
       if (commit?.type === 'committed') return reserved
       shard.ledger.end(request, { type: 'notRun' }, ports.timers.now() as types.EpochMs)
       return commit?.type === 'lost' ? { type: 'notOwner' } : { type: 'later', reason: 'storeAway', retryAfterMs: storeOutage.retryMs }
--- a/packages/programs/front/src/route-turn.ts
+++ b/packages/programs/front/src/route-turn.ts
@@ -187,5 +187,3 @@
     case 'here': return { type: 'here', state: place.shard.state }
   }
 }
-
-export { serveTurn as serveHere } from './serve-turn.js'
--- a/packages/programs/front/src/store-outage.ts
+++ b/packages/programs/front/src/store-outage.ts
@@ -1,6 +1,6 @@
 /** How turns fare while the store is away. */
+import * as boundedMap from '@eelgrasswind/bounded-map'
 import type * as ownShards from '@eelgrasswind/own-shards'
-import * as timerService from '@eelgrasswind/timer-service'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
 
@@ -26,7 +26,7 @@
  * a day with one such outage. To run it at once would outlast 7 s, and cost engines a run for each of the tries at the start.
  */
 export class OutageTurns {
-  private readonly toldAt = new Map<string, number>()
+  private readonly toldAt = new boundedMap.BoundedMap<string, number>(mostTurns)
 
   /** Whether the turn may run now, monotonic ms; if not, it has to be told to come back. */
   mayRun (program: types.ProgramId, previous: turnLedger.TurnId | undefined, now: number): boolean {
@@ -35,8 +35,6 @@
     this.toldAt.delete(key)
     if (told !== undefined && now - told < comeBackMs) return true
     this.toldAt.set(key, now)
-    const oldest = this.toldAt.keys().next()
-    if (this.toldAt.size > mostTurns && !oldest.done) this.toldAt.delete(oldest.value)
     return false
   }
 }
@@ -45,8 +43,3 @@
 export function isAway (shard: ownShards.OwnedShard): boolean {
   return shard.unansweredMs > stalledMs
 }
-
-/** The result, or `undefined` where it takes longer than the time given, in ms. */
-export function within<T> (timers: timerService.TimerService, result: Promise<T>, limitMs: number): Promise<T | undefined> {
-  return Promise.race([result, timerService.sleep(timers, limitMs).then(() => undefined)])
-}
--- a/packages/state/own-shards/src/owned-shard.ts
+++ b/packages/state/own-shards/src/owned-shard.ts
@@ -89,9 +89,8 @@
    */
   async handOver (limitMs: number): Promise<void> {
     this.refuseNew()
-    const limit = timerService.sleep(this.ports.timers, limitMs)
     const writes = this.begun && this.current !== 'lost' ? this.ledger.finish() : []
-    await Promise.race([this.commit(writes), limit])
+    await timerService.within(this.ports.timers, this.commit(writes), limitMs)
     this.close()
   }
 
