--- a/packages/operate/cli/src/explain-request.test.ts
+++ b/packages/operate/cli/src/explain-request.test.ts
@@ -1,33 +1,11 @@
 import * as fs from 'node:fs'
 import * as os from 'node:os'
 import * as path from 'node:path'
-import * as stream from 'node:stream'
 import tap from 'tap'
-import * as timerService from '@eelgrasswind/timer-service'
-import * as runCli from './run-cli.js'
+import * as operateCli from './operate.js'
 
 const dir = fs.mkdtempSync(path.join(os.tmpdir(), 'explain-'))
 
-/** Runs a command line as an operator would. */
-async function operate (...args: string[]): Promise<{ readonly code: number, readonly stdout: string, readonly stderr: string }> {
-  const written = { stdout: '', stderr: '' }
-  const sink = (name: 'stdout' | 'stderr'): stream.Writable => new stream.Writable({
-    write (chunk: Buffer, _encoding, done) {
-      written[name] += chunk.toString()
-      done()
-    }
-  })
-  const code = await runCli.runCli(args, {
-    stdin: stream.Readable.from([]),
-    stdout: sink('stdout'),
-    stderr: sink('stderr'),
-    env: {},
-    colorDepth: 1,
-    timers: timerService.createRealTimers()
-  })
-  return { code, ...written }
-}
-
 function logFile (name: string, lines: readonly object[]): string {
   const file = path.join(dir, name)
   fs.writeFileSync(file, lines.map((line) => `${JSON.stringify(line)}\n`).join(''))
@@ -44,7 +22,7 @@
 ])
 
 tap.test('the story of a request goes across the logs of several hosts', async (t) => {
-  const { code, stdout } = await operate('explain-request', 'r1', '--logs', first, '--logs', second)
+  const { code, stdout } = await operateCli.operate('explain-request', 'r1', '--logs', first, '--logs', second)
   t.equal(code, 0)
   const events = stdout.split('\n').map((line) => line.split(/\s+/)[2]).filter((word) => word !== undefined)
   t.same(events, ['EVENT', 'storeAway', 'passedOn', 'turnRefused', 'ended'])
@@ -52,22 +30,22 @@
 })
 
 tap.test('the story as JSON, for programs', async (t) => {
-  const { stdout } = await operate('explain-request', 'r1', '--json', '--logs', first)
+  const { stdout } = await operateCli.operate('explain-request', 'r1', '--json', '--logs', first)
   t.match(JSON.parse(stdout), { request: 'r1', gaps: 0, lines: [{ event: 'passedOn' }, { event: 'ended' }] })
 })
 
 tap.test('errors name what is wrong', async (t) => {
-  t.match(await operate('explain-request', 'r1'), { code: 2, stderr: /--logs/ })
-  t.match(await operate('explain-request', 'r1', '--logs', path.join(dir, 'none')), { code: 2, stderr: /none: no such file/ })
-  t.match(await operate('explain-request', 'nobody', '--logs', first), { code: 1, stderr: /nobody/ })
+  t.match(await operateCli.operate('explain-request', 'r1'), { code: 2, stderr: /--logs/ })
+  t.match(await operateCli.operate('explain-request', 'r1', '--logs', path.join(dir, 'none')), { code: 2, stderr: /none: no such file/ })
+  t.match(await operateCli.operate('explain-request', 'nobody', '--logs', first), { code: 1, stderr: /nobody/ })
 })
 
 tap.test('losses are summed over the logs of several hosts', async (t) => {
-  const { code, stdout } = await operate('losses', '--json', '--logs', first, '--logs', second)
+  const { code, stdout } = await operateCli.operate('losses', '--json', '--logs', first, '--logs', second)
   t.equal(code, 0)
   t.match(JSON.parse(stdout), { requests: 1, failed: 1, losses: [{ cause: 'turn refused: the store does not answer', status: 503 }] })
-  t.match(JSON.parse((await operate('losses', '--json', '--until', '2026-06-01T08:00:05.000Z', '--logs', first)).stdout), { requests: 0 })
-  t.match(await operate('losses'), { code: 2, stderr: /--logs/ })
-  t.match(await operate('losses', '--logs', first, '--since', 'noon'), { code: 2, stderr: /--since: expected a time/ })
-  t.match(await operate('losses', '--logs', path.join(dir, 'none')), { code: 2, stderr: /none: no such file/ })
+  t.match(JSON.parse((await operateCli.operate('losses', '--json', '--until', '2026-06-01T08:00:05.000Z', '--logs', first)).stdout), { requests: 0 })
+  t.match(await operateCli.operate('losses'), { code: 2, stderr: /--logs/ })
+  t.match(await operateCli.operate('losses', '--logs', first, '--since', 'noon'), { code: 2, stderr: /--since: expected a time/ })
+  t.match(await operateCli.operate('losses', '--logs', path.join(dir, 'none')), { code: 2, stderr: /none: no such file/ })
 })
