Clean-up: tracing has no import circle, stand-ins apply faults in one place

tracing and exported-tracing imported each other for their types: span.ts holds them. Engine, service and weight store stand-ins each had the same switch over fault messages: control.applyFault.

--- a/packages/base/tracing/src/exported-tracing.ts
+++ b/packages/base/tracing/src/exported-tracing.ts
@@ -3,10 +3,10 @@
 import { OTLPTraceExporter } from '@opentelemetry/exporter-trace-otlp-http'
 import { resourceFromAttributes } from '@opentelemetry/resources'
 import { BasicTracerProvider, BatchSpanProcessor } from '@opentelemetry/sdk-trace-base'
+import type * as span from './span.js'
 import * as traceparents from './traceparent.js'
-import type * as tracing from './tracing.js'
 
-const statusCodes: Readonly<Record<tracing.SpanStatus, otel.SpanStatusCode>> = {
+const statusCodes: Readonly<Record<span.SpanStatus, otel.SpanStatusCode>> = {
   ok: otel.SpanStatusCode.OK,
   error: otel.SpanStatusCode.ERROR
 }
@@ -18,11 +18,11 @@
   return otel.trace.setSpanContext(otel.ROOT_CONTEXT, { traceId: parent.traceId, spanId: parent.spanId, traceFlags, isRemote: true })
 }
 
-function wrap (inner: otel.Span): tracing.Span {
+function wrap (inner: otel.Span): span.Span {
   const { traceId, spanId, traceFlags } = inner.spanContext()
   const sampled = (traceFlags & otel.TraceFlags.SAMPLED) !== 0
 
-  function end (status: tracing.SpanStatus, attributes: tracing.SpanAttributes = {}): void {
+  function end (status: span.SpanStatus, attributes: span.SpanAttributes = {}): void {
     inner.setAttributes(attributes)
     inner.setStatus({ code: statusCodes[status] })
     inner.end()
@@ -32,14 +32,14 @@
 }
 
 /** Spans of an unsampled caller are passed on but not sent. */
-export function createExportedTracing (serviceName: string, url: string): tracing.Tracing {
+export function createExportedTracing (serviceName: string, url: string): span.Tracing {
   const provider = new BasicTracerProvider({
     resource: resourceFromAttributes({ 'service.name': serviceName }),
     spanProcessors: [new BatchSpanProcessor(new OTLPTraceExporter({ url }))]
   })
   const tracer = provider.getTracer('eelgrasswind')
 
-  function startSpan (name: string, parentTraceparent?: string, attributes: tracing.SpanAttributes = {}): tracing.Span {
+  function startSpan (name: string, parentTraceparent?: string, attributes: span.SpanAttributes = {}): span.Span {
     return wrap(tracer.startSpan(name, { attributes }, contextOf(parentTraceparent)))
   }
 
--- a/packages/testing/stand-ins/src/control.ts
+++ b/packages/testing/stand-ins/src/control.ts
@@ -1,5 +1,7 @@
 /** Control over HTTP, for stand-ins that run as a process of their own. */
+import * as errors from '@eelgrasswind/errors'
 import * as zod from 'zod'
+import type * as standInFaults from './faults.js'
 import * as httpHost from './http-host.js'
 
 /** Path of the control requests: POST sends one message, GET reads the counters. */
@@ -15,6 +17,23 @@
   ] as const
 }
 
+/** A control message that sets or clears faults. */
+export type FaultMessage<Fault> =
+  | standInFaults.FaultOptions & { readonly type: 'fault', readonly fault: Fault }
+  | { readonly type: 'clearFaults' }
+
+/** Does what such a message says. */
+export function applyFault<Fault> (faults: standInFaults.Faults<Fault>, message: FaultMessage<Fault>): void {
+  switch (message.type) {
+    case 'fault':
+      return faults.set(message.fault, message)
+    case 'clearFaults':
+      return faults.clear()
+    default:
+      errors.unreachable(message)
+  }
+}
+
 /** Parses a control message, or answers 400. */
 export function parseControl<Schema extends zod.ZodType> (schema: Schema, body: string): zod.output<Schema> {
   const parsed = schema.safeParse(parseJson(body))
--- a/packages/testing/stand-ins/src/engine-stand-in.ts
+++ b/packages/testing/stand-ins/src/engine-stand-in.ts
@@ -97,14 +97,7 @@
   }
 
   function apply (message: messages.EngineControl): void {
-    switch (message.type) {
-      case 'fault':
-        return faults.set(message.fault, message)
-      case 'clearFaults':
-        return faults.clear()
-      default:
-        errors.unreachable(message)
-    }
+    control.applyFault(faults, message)
   }
 
   function counters (): EngineCounters {
--- a/packages/testing/stand-ins/src/service-stand-in.ts
+++ b/packages/testing/stand-ins/src/service-stand-in.ts
@@ -177,14 +177,7 @@
   }
 
   function apply (message: ServiceControl): void {
-    switch (message.type) {
-      case 'fault':
-        return faults.set(message.fault, message)
-      case 'clearFaults':
-        return faults.clear()
-      default:
-        errors.unreachable(message)
-    }
+    control.applyFault(faults, message)
   }
 
   function counters (): ServiceCounters {
--- a/packages/testing/stand-ins/src/weight-store-stand-in.ts
+++ b/packages/testing/stand-ins/src/weight-store-stand-in.ts
@@ -1,6 +1,5 @@
 /** Stand-in of the platform's rate-limited weight store. */
 import * as crypto from 'node:crypto'
-import * as errors from '@eelgrasswind/errors'
 import * as timerService from '@eelgrasswind/timer-service'
 import * as zod from 'zod'
 import * as control from './control.js'
@@ -93,14 +92,7 @@
   }
 
   function apply (message: WeightStoreControl): void {
-    switch (message.type) {
-      case 'fault':
-        return faults.set(message.fault, message)
-      case 'clearFaults':
-        return faults.clear()
-      default:
-        errors.unreachable(message)
-    }
+    control.applyFault(faults, message)
   }
 
   function counters (): WeightStoreCounters {
