--- a/packages/operate/cli/src/cli.test.ts
+++ b/packages/operate/cli/src/cli.test.ts
@@ -308,6 +308,11 @@
   for (const host of hosts) host.version = 2
   fs.symlinkSync(path.join(root, 'samples'), path.join(folder, 'samples'))
   fs.writeFileSync(path.join(folder, 'edited.jsonc'), fs.readFileSync(sample('dimasalang/config.jsonc'), 'utf8').replace('"weight": 3', '"weight": 4'))
+  const refused = { time: '2026-06-01T08:00:00.000Z', host: 'front-1', request: '202dc96612d46b26', program: 'roster-118' }
+  fs.writeFileSync(path.join(folder, 'front-1.log'), [
+    { ...refused, event: 'turnRefused', reason: 'the store does not answer' },
+    { ...refused, event: 'ended', kind: 'turn', outcome: 'refused', status: 503, reason: 'storeAway', tookMs: 4 }
+  ].map((line) => `${JSON.stringify(line)}\n`).join(''))
   process.chdir(folder)
   const page = fs.readFileSync(path.join(root, 'docs/operators.md'), 'utf8')
   const examples = examplesOf(page)
