--- a/deploy/regression.mjs
+++ b/deploy/regression.mjs
@@ -23,7 +23,11 @@
 let failed = 0
 for (const { site, worth, target } of sites.filter(({ site }) => filters.length === 0 || filters.some((part) => site.includes(part)))) {
   const args = ['score', path.join(folder, site), '--jobs', String(jobs), '--why', `regression run, last mean worth ${worth ?? 'not known'}`]
-  const { stdout } = childProcess.spawnSync(bench, args, { encoding: 'utf8', stdio: ['ignore', 'pipe', 'inherit'], maxBuffer: Infinity })
+  const { stdout, error } = childProcess.spawnSync(bench, args, { encoding: 'utf8', stdio: ['ignore', 'pipe', 'inherit'], maxBuffer: Infinity })
+  if (error !== undefined) {
+    console.error(`BENCH: ${bench} can't be run: ${error.message}`)
+    process.exit(2)
+  }
   const now = worthOf(stdout)
   const gate = /GATE passed/.test(stdout)
   const held = gate && (worth === null || now >= worth - boundWorth)
