--- a/packages/base/decision-log/src/decision-metrics.ts
+++ b/packages/base/decision-log/src/decision-metrics.ts
@@ -39,6 +39,10 @@
           whole.observe({ kind: decision.kind, outcome: decision.outcome }, decision.tookMs)
           if (decision.firstMs !== undefined) first.observe({ kind: decision.kind }, decision.firstMs)
           break
+        case 'overLimit':
+        case 'unknownKey':
+          refusals.inc({ reason: decision.event })
+          break
         case 'turnRefused':
         case 'streamBroken':
           refusals.inc({ reason: decision.reason })
--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -25,8 +25,12 @@
 
 /** Decisions that touch one request. */
 export type RequestDecision =
-  | OfRequest & { readonly event: 'routed', readonly route: string, readonly service: string, readonly kind: RequestKind, readonly version: number, readonly leftMs: number }
+  | OfRequest & { readonly event: 'routed', readonly route: string, readonly service: string, readonly kind: RequestKind, readonly account: types.AccountId | undefined, readonly version: number, readonly leftMs: number }
   | OfRequest & { readonly event: 'unknownRoute', readonly host: string | undefined, readonly path: string, readonly version: number | undefined }
+  /** No account of this version has the key that came, or none came. */
+  | OfRequest & { readonly event: 'unknownKey', readonly route: string, readonly key: 'none' | 'key' | 'unreadable', readonly version: number, readonly routingAgeMs: number }
+  /** Level: requests that the account had left. By: who decided. */
+  | OfRequest & { readonly event: 'overLimit', readonly program: types.ProgramId | undefined, readonly account: types.AccountId, readonly route: string, readonly part: 'first' | 'further', readonly by: 'owner' | 'share', readonly level: number, readonly retryAfterMs: number, readonly version: number }
   /** Passed to the process that owns the program. */
   | OfTurn & { readonly event: 'passedOn', readonly owner: string, readonly ownersAgeMs: number }
   | OfTurn & { readonly event: 'turnAdmitted', readonly previous: string | undefined, readonly epoch: number, readonly promptBytes: number, readonly covered: boolean, readonly budgetTokens: number | undefined, readonly maxTokens: number }
@@ -79,7 +83,7 @@
   | { readonly event: 'stopping', readonly underWay: number }
   | { readonly event: 'stopped', readonly underWay: number, readonly tookMs: number }
   | { readonly event: 'failedToStop', readonly err: unknown }
-  | { readonly event: 'routing', readonly version: number, readonly former: number | undefined, readonly routes: number }
+  | { readonly event: 'routing', readonly version: number, readonly former: number | undefined, readonly routes: number, readonly accounts: number | undefined }
   | { readonly event: 'routingUnreadable', readonly version: number | undefined, readonly err: unknown }
   | { readonly event: 'upstream', readonly upstream: types.UpstreamId, readonly service: string, readonly address: string, readonly leaving: boolean }
   | { readonly event: 'upstreamGone', readonly upstream: types.UpstreamId, readonly graceMs: number }
@@ -90,6 +94,8 @@
   | { readonly event: 'upstreamUnreadable', readonly key: string, readonly err: unknown }
   | { readonly event: 'assignment', readonly generation: number, readonly owned: number, readonly handedOver: number }
   | { readonly event: 'leaseNotRenewed', readonly failure: FailureField }
+  /** Whoever counts the accounts of the group can't be asked. */
+  | { readonly event: 'meterOwnerAway', readonly group: number, readonly why: string }
   | { readonly event: 'groupLeft', readonly outcome: string }
   | { readonly event: 'memberEvicted', readonly member: string, readonly why: 'ended' | 'silent', readonly outcome: string }
   | { readonly event: 'ownersNotRead', readonly failure: FailureField }
@@ -125,6 +131,8 @@
 export const eventTable: Readonly<Record<DecisionEvent, EventInfo>> = {
   routed: { level: 'info', message: 'route chosen' },
   unknownRoute: { level: 'info', message: 'no route matches' },
+  unknownKey: { level: 'info', message: 'no client account has the key of the request' },
+  overLimit: { level: 'info', message: 'the client account has used its limit up' },
   passedOn: { level: 'info', message: 'passed on to the owner of the program' },
   turnAdmitted: { level: 'info', message: 'turn admitted, its tokens are being reserved' },
   tokensReserved: { level: 'info', message: 'tokens of a turn reserved' },
@@ -153,6 +161,7 @@
   upstreamUnreadable: { level: 'error', message: 'entry of an upstream not understood' },
   assignment: { level: 'info', message: 'shards dealt anew' },
   leaseNotRenewed: { level: 'warn', message: 'lease not renewed' },
+  meterOwnerAway: { level: 'warn', message: 'requests of client accounts are not counted for a moment, this host keeps to its share' },
   groupLeft: { level: 'info', message: 'left the group that shares the shards' },
   memberEvicted: { level: 'warn', message: 'a member was given up, its lease was given back' },
   ownersNotRead: { level: 'warn', message: 'owners of the shards not read' },
--- a/packages/base/types/src/ids.ts
+++ b/packages/base/types/src/ids.ts
@@ -11,6 +11,8 @@
 export type AvailabilityZoneId = Branded<string, 'AvailabilityZoneId'>
 export type RegionId = Branded<string, 'RegionId'>
 export type UpstreamId = Branded<string, 'UpstreamId'>
+/** A client account of the published configuration, by its name. */
+export type AccountId = Branded<string, 'AccountId'>
 export type ClientId = Branded<string, 'ClientId'>
 export type KindId = Branded<string, 'KindId'>
 export type ModelId = Branded<string, 'ModelId'>
--- /dev/null
+++ b/packages/decide/identify-client/src/identify-client.test.ts
@@ -0,0 +1,60 @@
+import tap from 'tap'
+import * as fc from 'fast-check'
+import type * as routeRequest from '@eelgrasswind/route-request'
+import type * as types from '@eelgrasswind/types'
+import * as accountDirectory from './account-directory.js'
+import * as identify from './identify.js'
+
+function account (name: string, ...keys: string[]): routeRequest.ClientAccount {
+  return { name: name as types.AccountId, keys, limit: undefined }
+}
+
+const directory = accountDirectory.createAccountDirectory([account('coaches', 'k-1', 'k-2'), account('leagues', 'k-3')])
+const closed = { isPublic: false }
+const open = { isPublic: true }
+
+tap.test('any key of an account names it', (t) => {
+  for (const [key, name] of [['k-1', 'coaches'], ['k-2', 'coaches'], ['k-3', 'leagues']] as const) {
+    t.same(identify.identify(directory, closed, { type: 'key', key }), { type: 'caller', caller: { type: 'account', account: name } })
+  }
+  t.end()
+})
+
+tap.test('without a known key only public routes are open', (t) => {
+  const presented: identify.PresentedKey[] = [{ type: 'none' }, { type: 'unreadable' }, { type: 'key', key: 'k-4' }, { type: 'key', key: '' }, { type: 'key', key: 'K-1' }]
+  for (const key of presented) {
+    t.same(identify.identify(directory, closed, key), { type: 'unknownKey' }, JSON.stringify(key))
+    t.same(identify.identify(directory, open, key), { type: 'caller', caller: { type: 'anonymous' } }, JSON.stringify(key))
+  }
+  t.end()
+})
+
+tap.test('a configuration without accounts asks for no key, one with an empty list refuses all', (t) => {
+  const none = accountDirectory.createAccountDirectory(undefined)
+  t.same(identify.identify(none, closed, { type: 'key', key: 'k-1' }), { type: 'caller', caller: { type: 'anyone' } })
+  const empty = accountDirectory.createAccountDirectory([])
+  t.same(identify.identify(empty, closed, { type: 'key', key: 'k-1' }), { type: 'unknownKey' })
+  t.end()
+})
+
+tap.test('accounts that share a key or a name are refused, and the error shows no key', (t) => {
+  t.throws(() => accountDirectory.createAccountDirectory([account('a', 'secret-1'), account('b', 'x', 'secret-1')]), /account b: keys\.1/)
+  t.throws(() => accountDirectory.createAccountDirectory([account('a', 'x'), account('a', 'y')]), /account a: name/)
+  t.doesNotThrow(() => accountDirectory.createAccountDirectory([account('a', 'x', 'x')]))
+  try {
+    accountDirectory.createAccountDirectory([account('a', 'secret-1'), account('b', 'secret-1')])
+  } catch (err) {
+    t.notMatch(String((err as Error).stack), /secret-1/)
+  }
+  t.end()
+})
+
+tap.test('programs of two accounts never share a name', (t) => {
+  const word = fc.stringMatching(/^[a-z/:@ ]{0,6}$/)
+  fc.assert(fc.property(word, word, word, word, (a, p, b, q) => {
+    const first = identify.scopedProgram({ type: 'account', account: a as types.AccountId }, p as types.ProgramId)
+    const second = identify.scopedProgram({ type: 'account', account: b as types.AccountId }, q as types.ProgramId)
+    return (first === second) === (a === b && p === q)
+  }), { seed: 7, numRuns: 2_000 })
+  t.end()
+})
--- /dev/null
+++ b/packages/decide/meter-account/src/account-belief.ts
@@ -0,0 +1,71 @@
+/**
+ * A host's side: what it believes is left of an account's limit. While there is plenty it lets requests through unasked
+ * and reports them soon after; near the limit it asks the owner first. So an account well below its limit waits for
+ * nobody, and one at its limit is counted exactly.
+ */
+import * as accountMeter from './account-meter.js'
+import type * as meterBook from './meter-book.js'
+
+/** Plain state; replaced, never changed. */
+export interface AccountBelief {
+  /** As the owner last said, and the term in which it did. */
+  readonly confirmed: accountMeter.AccountMeter
+  readonly term: number
+  /** The same, less what was let through here since. */
+  readonly meter: accountMeter.AccountMeter
+  /** Let through here and not reported yet. */
+  readonly unreported: accountMeter.PartCounts
+}
+
+/** Requests go unasked while this share of the capacity is left: what all hosts together send before they hear of one another. */
+const unaskedShare = 0.35
+
+/** The belief after an answer of the owner; since: what was let through after the report that it answers. */
+export function believe (limit: accountMeter.MeterLimit, answer: meterBook.MeterAnswer, since: accountMeter.PartCounts, now: number): AccountBelief {
+  const confirmed = accountMeter.createMeter(limit, answer.state, now)
+  return { confirmed, term: answer.term, meter: accountMeter.spend(confirmed, since), unreported: since }
+}
+
+/**
+ * Whether a request may be sent without asking. The first of a program never is: it stands for many, and hosts that let
+ * programs in at the same moment would add up.
+ */
+export function mayGoUnasked (belief: AccountBelief, part: accountMeter.RequestPart): boolean {
+  if (part === 'first') return false
+  const { meter } = belief
+  return accountMeter.roomFor(meter, part) >= unaskedShare * accountMeter.capacityOf(meter.limit)
+}
+
+/** Counts a request that was let through here, or takes one back that did not run (`by` -1). */
+export function count (belief: AccountBelief, part: accountMeter.RequestPart, by: 1 | -1): AccountBelief {
+  const counts = { ...accountMeter.noRequests, [part]: by }
+  return { ...belief, meter: accountMeter.spend(belief.meter, counts), unreported: sum(belief.unreported, counts) }
+}
+
+/** What the owner would have said at a time, in monotonic ms, had nobody sent anything since. */
+export function confirmedState (belief: AccountBelief, now: number): accountMeter.MeterState {
+  const { level, uncommitted, expected, recent } = accountMeter.fillMeter(belief.confirmed, now)
+  return { level, uncommitted, expected, recent }
+}
+
+/** A host's part of what is left, for a meter of its own share. */
+export function shareOfState (state: accountMeter.MeterState, hosts: number): accountMeter.MeterState {
+  const part = 1 / Math.max(1, hosts)
+  return { ...state, level: state.level * part, uncommitted: state.uncommitted * part, expected: state.expected * part }
+}
+
+/** The part of a limit that one of so many hosts may use by itself while nobody counts for all: together they stay within it. */
+export function shareOf (limit: accountMeter.MeterLimit, hosts: number): accountMeter.MeterLimit {
+  const part = 1 / Math.max(1, hosts)
+  return { requestsPerSecond: limit.requestsPerSecond * part, burst: limit.burst * part, slack: limit.slack * part }
+}
+
+/** Both together. */
+export function sum (a: accountMeter.PartCounts, b: accountMeter.PartCounts): accountMeter.PartCounts {
+  return { first: a.first + b.first, further: a.further + b.further }
+}
+
+/** Whether there is nothing to report. */
+export function isNone (counts: accountMeter.PartCounts): boolean {
+  return counts.first === 0 && counts.further === 0
+}
--- /dev/null
+++ b/packages/decide/meter-account/src/account-meter.ts
@@ -0,0 +1,141 @@
+/**
+ * Two token buckets for the requests of one client account: one counts each request as it is sent, the other charges a
+ * program with all that it is likely to send when it begins. It answers an account that sends more than its limit: without it all of its programs begin and each loses some
+ * request in the middle; with it as many programs as the limit holds go through whole, and the rest are told at their
+ * first request when to come back.
+ */
+
+/** A limit in force. */
+export interface MeterLimit {
+  readonly requestsPerSecond: number
+  /** Requests that may be sent at once after a quiet time. */
+  readonly burst: number
+  /** Requests beyond the limit that the operator tolerates in a short time. */
+  readonly slack: number
+}
+
+/** Where a request stands in its program. */
+export type RequestPart =
+  /** The first of a program: many more follow if it is let in. */
+  | 'first'
+  /** Anything else: refusing it may cost a program that is nearly done. */
+  | 'further'
+
+/** Requests by their part. */
+export type PartCounts = Readonly<Record<RequestPart, number>>
+
+/** What is known of an account at one time, as hosts tell one another. */
+export interface MeterState {
+  /** Requests that may be sent now; below 0 where more were sent than there were. */
+  readonly level: number
+  /** Requests that are left for new programs once those that have begun are paid in full. */
+  readonly uncommitted: number
+  /** Requests that programs under way are still likely to send. */
+  readonly expected: number
+  /** Lately counted requests, by part: what a program takes in all. */
+  readonly recent: PartCounts
+}
+
+/** Plain state; replaced, never changed. */
+export interface AccountMeter extends MeterState {
+  readonly limit: MeterLimit
+  /** Monotonic ms. */
+  readonly at: number
+}
+
+/** No requests. */
+export const noRequests: PartCounts = { first: 0, further: 0 }
+
+/** The part of the slack that a quiet account gets on top of its burst. */
+const burstSlack = 0.25
+/** The part of it by which requests of programs under way may go beyond the limit. The rest covers what hosts learn late. */
+const debtSlack = 0.5
+/** What a program takes before any was seen to end, in requests. */
+const presetPerProgram = 10
+/** Programs that the preset weighs as much as. */
+const presetWeight = 1
+/** What programs were expected to send and did not is forgotten at this pace, in ms: much longer than a program takes. */
+const forgetExpectedMs = 20_000
+/** Pace at which counts of requests are forgotten, in ms. */
+const recentMs = 10_000
+/** Bounds of the time to come back, in ms: a limit that is empty now is worth another question soon, and none waits for minutes. */
+const leastWaitMs = 100
+const mostWaitMs = 5_000
+
+/** The most that a quiet account may send at once. */
+export function capacityOf (limit: MeterLimit): number {
+  return Math.max(1, limit.burst + limit.slack * burstSlack)
+}
+
+/** A meter of which no more is known than how many requests are left. */
+export function plainState (level: number): MeterState {
+  return { level, uncommitted: level, expected: 0, recent: noRequests }
+}
+
+/** A meter that goes on from what is known; now: monotonic ms. */
+export function createMeter (limit: MeterLimit, { level, uncommitted, expected, recent }: MeterState, now: number): AccountMeter {
+  return withLimit({ limit, level, uncommitted, expected, recent, at: now }, limit)
+}
+
+/** The level that an account starts with where nobody knows what it has sent: a second's worth, as a restart takes longer. */
+export function unknownLevel (limit: MeterLimit): number {
+  return Math.min(capacityOf(limit), limit.requestsPerSecond + limit.slack * burstSlack)
+}
+
+/** Another limit is in force. */
+export function withLimit (meter: AccountMeter, limit: MeterLimit): AccountMeter {
+  const capacity = capacityOf(limit)
+  return { ...meter, limit, level: Math.min(meter.level, capacity), uncommitted: Math.min(meter.uncommitted, capacity) }
+}
+
+/** Adds what has become free since. */
+export function fillMeter (meter: AccountMeter, now: number): AccountMeter {
+  const { limit, level, uncommitted, expected, recent } = meter
+  const capacity = capacityOf(limit)
+  const elapsedMs = Math.max(0, now - meter.at)
+  const freed = limit.requestsPerSecond * elapsedMs / 1_000
+  const kept = Math.exp(-elapsedMs / recentMs)
+  return {
+    limit,
+    level: Math.min(capacity, level + freed),
+    uncommitted: Math.min(capacity, uncommitted + freed),
+    expected: expected * Math.exp(-elapsedMs / forgetExpectedMs),
+    recent: { first: recent.first * kept, further: recent.further * kept },
+    at: Math.max(now, meter.at)
+  }
+}
+
+/** Counts requests that were let through. Negative counts take some back that did not run. */
+export function spend (meter: AccountMeter, counts: PartCounts): AccountMeter {
+  const { first, further } = counts
+  const charged = first * perProgram(meter)
+  return {
+    ...meter,
+    level: meter.level - first - further,
+    uncommitted: meter.uncommitted - charged,
+    expected: Math.max(0, meter.expected + charged - first - further),
+    recent: { first: Math.max(0, meter.recent.first + first), further: Math.max(0, meter.recent.further + further) }
+  }
+}
+
+/** Requests that a program takes from its first to its last, as lately seen; what those under way still need counts as sent. */
+function perProgram (meter: AccountMeter): number {
+  const { first, further } = meter.recent
+  return (presetPerProgram * presetWeight + first + further + meter.expected) / (presetWeight + first)
+}
+
+/**
+ * How many requests a part has to spare, a filled meter taken for granted: at 0 or above the next one may be sent. The
+ * last program that begins may be charged beyond what is left, so that small accounts get theirs as well.
+ */
+export function roomFor (meter: AccountMeter, part: RequestPart): number {
+  const { limit, level, uncommitted } = meter
+  return part === 'further' ? level - 1 + limit.slack * debtSlack : Math.min(level - 1, uncommitted)
+}
+
+/** When a part that has no room now will have some if nobody else asks, in ms. */
+export function waitFor (meter: AccountMeter, part: RequestPart): number {
+  const { requestsPerSecond } = meter.limit
+  const waitMs = requestsPerSecond > 0 ? -roomFor(meter, part) / requestsPerSecond * 1_000 : mostWaitMs
+  return Math.round(Math.min(mostWaitMs, Math.max(leastWaitMs, waitMs)))
+}
--- a/packages/decide/route-request/src/route-table.test.ts
+++ b/packages/decide/route-request/src/route-table.test.ts
@@ -6,7 +6,7 @@
 import type * as routing from './routing.js'
 
 function route (host: string, pathPrefix: string, targets: routing.Route['targets'] = []): routing.Route {
-  return { name: `${host}${pathPrefix}`, host, pathPrefix, repeatability: 'idempotent', targets, timeoutMs: 1, objectiveMs: 1, rank: 0, maxAttempts: 1, stream: undefined, retain: undefined }
+  return { name: `${host}${pathPrefix}`, host, pathPrefix, repeatability: 'idempotent', targets, timeoutMs: 1, objectiveMs: 1, rank: 0, maxAttempts: 1, stream: undefined, retain: undefined, isPublic: false }
 }
 
 tap.test('the longest prefix wins, whatever the case and port of the host', (t) => {
--- a/packages/decide/route-request/src/routing.ts
+++ b/packages/decide/route-request/src/routing.ts
@@ -49,6 +49,8 @@
   readonly maxAttempts: number
   readonly stream: StreamRules | undefined
   readonly retain: RetainRules | undefined
+  /** Takes requests without the key of a client account. */
+  readonly isPublic: boolean
 }
 
 /** What the operator says of the model engines of a service. */
@@ -67,6 +69,22 @@
   readonly engine: EngineRules | undefined
 }
 
+/** What a client account may send: a token bucket over all hosts together. */
+export interface AccountLimit {
+  readonly requestsPerSecond: number
+  /** Requests that it may send at once after a quiet time. */
+  readonly burst: number
+}
+
+/** A client account as the operator publishes it. */
+export interface ClientAccount {
+  readonly name: types.AccountId
+  /** Any of them says that a request is the account's. */
+  readonly keys: readonly string[]
+  /** `undefined`: not limited. */
+  readonly limit: AccountLimit | undefined
+}
+
 /** What a client may send, and how long it may take. */
 export interface ClientBounds {
   readonly maxHeaderBytes: number
@@ -81,4 +99,6 @@
   readonly routes: readonly Route[]
   readonly services: ReadonlyMap<types.ServiceId, Service>
   readonly bounds: ClientBounds
+  /** `undefined`: requests carry no keys. */
+  readonly accounts: readonly ClientAccount[] | undefined
 }
--- a/packages/operate/find-losses/src/loss-finder.test.ts
+++ b/packages/operate/find-losses/src/loss-finder.test.ts
@@ -52,6 +52,17 @@
   t.end()
 })
 
+tap.test('limits, keys and failures of an upstream itself are reasons', (t) => {
+  const report = reportOf(
+    line(0, 'front-1', 'overLimit', { request: 'a1', part: 'first', by: 'owner' }),
+    line(0, 'front-1', 'ended', { request: 'a1', program: 'a', kind: 'turn', outcome: 'refused', reason: 'overLimit', status: 429, tookMs: 2 }),
+    line(0, 'front-1', 'ended', { request: 'b1', program: 'b', kind: 'call', outcome: 'whole', status: 500, tookMs: 60 })
+  )
+  t.equal(report.unexplained, 0)
+  t.same(report.losses.map(({ cause }) => cause), ['account over its limit: first requests, decided by the owner', 'the upstream answered so'])
+  t.end()
+})
+
 tap.test('memory is bounded however many programs there are', (t) => {
   const finder = new losses.LossFinder()
   for (let at = 0; at < 120_000; at += 1) finder.take(refused(0, `r${at}`, `p${at}`))
--- a/packages/operate/find-losses/src/loss-finder.ts
+++ b/packages/operate/find-losses/src/loss-finder.ts
@@ -126,7 +126,7 @@
     const cause = this.causes.get(request)
     this.causes.delete(request)
     this.requests += 1
-    const failed = isServed(line) ? undefined : this.add(line, request, cause ?? unexplained, timeMs)
+    const failed = isServed(line) ? undefined : this.add(line, request, cause ?? answeredBy(line), timeMs)
     if (typeof line['program'] === 'string') this.noteProgram(line['program'], failed)
   }
 
@@ -155,11 +155,18 @@
   return line['outcome'] === 'whole' && Number(line['status']) < leastRefusal
 }
 
+/** A call is passed on as it was answered: without another reason its status is the upstream's own. */
+function answeredBy (line: explainRequest.LogLine): string {
+  return line['kind'] === 'call' && line['outcome'] === 'whole' ? 'the upstream answered so' : unexplained
+}
+
 /** What a line says of why its request may fail; later lines are nearer to the end. */
 function causeOf (line: explainRequest.LogLine): string | undefined {
   switch (line.event as decisionLog.DecisionEvent) {
     case 'turnRefused': return `turn refused: ${String(line['reason'])}`
     case 'unknownRoute': return 'no route matches'
+    case 'unknownKey': return 'no account has the key'
+    case 'overLimit': return `account over its limit: ${String(line['part'])} requests, decided by the ${String(line['by'])}`
     case 'sendFailed': return `send failed: ${failureText(line['failure'])}`
     case 'upstreamSilent': return 'upstream silent'
     case 'timedOut': return 'no answer in time'
--- a/packages/programs/front/src/current-routing.ts
+++ b/packages/programs/front/src/current-routing.ts
@@ -1,6 +1,7 @@
 /** The routing in force: follows the operator's documents, and never goes back to an older version. */
 import type * as decisionLog from '@eelgrasswind/decision-log'
 import * as followRecords from '@eelgrasswind/follow-records'
+import * as identifyClient from '@eelgrasswind/identify-client'
 import * as routeRequest from '@eelgrasswind/route-request'
 import type * as shardLog from '@eelgrasswind/shard-log'
 
@@ -28,6 +29,7 @@
   private readonly follower: followRecords.RecordFollower
   private routing: routeRequest.Routing | undefined
   private table: routeRequest.RouteTable = routeRequest.createRouteTable([])
+  private directory: identifyClient.AccountDirectory = identifyClient.createAccountDirectory([])
 
   constructor (private readonly ports: CurrentRoutingPorts) {
     const { partition, key } = ports.document
@@ -46,10 +48,24 @@
     return this.routing
   }
 
+  /** Version of the routing in force; 0 before the first. */
+  get version (): number {
+    return this.routing?.version ?? 0
+  }
+
   get routes (): routeRequest.RouteTable {
     return this.table
   }
 
+  get accounts (): identifyClient.AccountDirectory {
+    return this.directory
+  }
+
+  /** How long ago the store last confirmed that nothing newer is in force, in ms. */
+  get ageMs (): number {
+    return this.follower.ageMs()
+  }
+
   start (): void {
     this.follower.start()
   }
@@ -62,15 +78,18 @@
   private take (value: Uint8Array): void {
     const { decisions, document, onChange } = this.ports
     let next: routeRequest.Routing
+    let directory: identifyClient.AccountDirectory
     try {
       next = document.decode(value)
+      directory = identifyClient.createAccountDirectory(next.accounts)
     } catch (err) {
       decisions.note({ event: 'routingUnreadable', err, version: this.routing?.version })
       return
     }
     if (this.routing !== undefined && next.version <= this.routing.version) return
-    decisions.note({ event: 'routing', version: next.version, former: this.routing?.version, routes: next.routes.length })
+    decisions.note({ event: 'routing', version: next.version, former: this.routing?.version, routes: next.routes.length, accounts: next.accounts?.length })
     this.routing = next
+    this.directory = directory
     this.table = routeRequest.createRouteTable(next.routes)
     onChange(next)
   }
--- a/packages/programs/front/src/dialect.ts
+++ b/packages/programs/front/src/dialect.ts
@@ -1,5 +1,6 @@
 /** How requests and answers are written on the wire. The adapter implements it; nothing else knows header names. */
 import type * as http from 'node:http'
+import type * as identifyClient from '@eelgrasswind/identify-client'
 import type * as types from '@eelgrasswind/types'
 import type * as sendHttp from '@eelgrasswind/send-http'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
@@ -56,15 +57,19 @@
   readonly bodyBytes: number
   /** Id of the last event that was received: the upstream goes on after it. `undefined`: as the client asked. */
   readonly resumeAfter: string | undefined
+  /** Who asks. Where the configuration has accounts, their keys are not passed on. */
+  readonly caller: identifyClient.Caller
 }
 
 /** Reads and writes the headers of requests and answers. */
 export interface Dialect {
+  /** The key that a request carries; several are unreadable. */
+  readonly presentedKey: (raw: readonly string[]) => identifyClient.PresentedKey
   readonly decodeAttempt: (headers: http.IncomingHttpHeaders) => DecodedAttempt
   /** Headers of a request to an upstream: what the client sent end to end, less what is the system's to set. */
   readonly upstreamHeaders: (raw: readonly string[], fields: UpstreamFields) => string[]
   /** Headers of a request passed on to a peer, which decodes them as this process did. */
-  readonly peerHeaders: (raw: readonly string[], fields: { readonly deadlineMs: number, readonly bodyBytes: number }) => string[]
+  readonly peerHeaders: (raw: readonly string[], fields: { readonly deadlineMs: number, readonly bodyBytes: number, readonly caller: identifyClient.Caller }) => string[]
   readonly answerFacts: (head: sendHttp.Head) => AnswerFacts
   /** End-to-end headers of an answer, name and value in turn. */
   readonly answerHeaders: (raw: readonly string[]) => string[]
--- a/packages/programs/front/src/dispatch.test.ts
+++ b/packages/programs/front/src/dispatch.test.ts
@@ -19,7 +19,7 @@
 const service = 'orders' as types.ServiceId
 
 function routeOf (repeatability: routeRequest.Repeatability): routeRequest.Route {
-  return { name: 'r', host: 'h', pathPrefix: '/', repeatability, targets: [{ service, weight: 1 }], timeoutMs: 2_000, objectiveMs: 400, rank: 2, maxAttempts: 3, stream: undefined, retain: undefined }
+  return { name: 'r', host: 'h', pathPrefix: '/', repeatability, targets: [{ service, weight: 1 }], timeoutMs: 2_000, objectiveMs: 400, rank: 2, maxAttempts: 3, stream: undefined, retain: undefined, isPublic: false }
 }
 
 const facts: Record<'answers' | 'full' | 'other' | 'errors', dialects.AnswerFacts> = {
--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -191,7 +191,7 @@
       address: upstream.listed.address,
       method: this.req.method,
       path: this.req.path,
-      headers: dialect.upstreamHeaders(this.req.rawHeaders, { deadlineMs: Math.floor(leftMs), upstream: upstream.listed.name, bodyBytes: body.length, resumeAfter: this.options.resumeAfter?.() }),
+      headers: dialect.upstreamHeaders(this.req.rawHeaders, { deadlineMs: Math.floor(leftMs), upstream: upstream.listed.name, bodyBytes: body.length, resumeAfter: this.options.resumeAfter?.(), caller: this.req.caller }),
       body,
       connectTimeoutMs,
       confirmMs: undefined,
--- a/packages/programs/front/src/find-chain.ts
+++ b/packages/programs/front/src/find-chain.ts
@@ -2,6 +2,7 @@
 import type * as ownShards from '@eelgrasswind/own-shards'
 import * as shardLog from '@eelgrasswind/shard-log'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
+import type * as types from '@eelgrasswind/types'
 import * as memberName from './member-name.js'
 import * as peerCalls from './peer-calls.js'
 
@@ -10,6 +11,12 @@
   readonly shards: ownShards.ShardOwner
 }
 
+/** A turn to continue from, and the client account that asks for it. */
+export interface WantedTurn {
+  readonly turn: turnLedger.TurnId
+  readonly account: types.AccountId | undefined
+}
+
 /** What all owners together know of a turn. */
 export type Found =
   | { readonly type: 'found', readonly chain: readonly turnLedger.KeptTurn[] }
@@ -22,18 +29,18 @@
 const peerTimeoutMs = 250
 
 /** Asks once more where shards have changed hands since this process looked who owns them. */
-export async function findEverywhere (ports: FindPorts, turn: turnLedger.TurnId): Promise<Found> {
-  const found = await askOwners(ports, turn)
+export async function findEverywhere (ports: FindPorts, wanted: WantedTurn): Promise<Found> {
+  const found = await askOwners(ports, wanted)
   if (found.type !== 'unsure') return found
   await ports.shards.refreshOwners()
-  return askOwners(ports, turn)
+  return askOwners(ports, wanted)
 }
 
-async function askOwners (ports: FindPorts, turn: turnLedger.TurnId): Promise<Found> {
+async function askOwners (ports: FindPorts, wanted: WantedTurn): Promise<Found> {
   const { shards } = ports
   const others = shards.members().filter((member) => !shards.isSelf(member))
-  const asked = others.map((member) => peerCalls.callPeer<peerCalls.FindChainAnswer>(ports, memberName.addressOf(member), { type: 'findChain', turn }, peerTimeoutMs))
-  asked.push(findHere(shards, turn))
+  const asked = others.map((member) => peerCalls.callPeer<peerCalls.FindChainAnswer>(ports, memberName.addressOf(member), { type: 'findChain', ...wanted }, peerTimeoutMs))
+  asked.push(findHere(shards, wanted))
   const absent = new Set<shardLog.PartitionName>()
   for (const answer of await Promise.all(asked)) {
     if (answer === undefined) continue
@@ -44,10 +51,10 @@
 }
 
 /** Looks in the shards of this process. */
-export async function findHere (shards: ownShards.ShardOwner, turn: turnLedger.TurnId): Promise<peerCalls.FindChainAnswer> {
+export async function findHere (shards: ownShards.ShardOwner, { turn, account }: WantedTurn): Promise<peerCalls.FindChainAnswer> {
   const serving = shards.serving()
   for (const shard of serving) {
-    const chain = shard.ledger.exportChain(turn)
+    const chain = shard.ledger.exportChain(turn, account)
     if (chain !== undefined) return { type: 'found', chain }
   }
   const confirmed = await Promise.all(serving.map(async (shard) => {
--- a/packages/programs/front/src/forward-header.ts
+++ b/packages/programs/front/src/forward-header.ts
@@ -1,5 +1,6 @@
-/** What the front processes tell one another beside a request: the route that the first of them chose. */
+/** What the front processes tell one another beside a request: the route that the first of them chose, and who asks. */
 import type * as http from 'node:http'
+import type * as identifyClient from '@eelgrasswind/identify-client'
 import type * as routeRequest from '@eelgrasswind/route-request'
 import type * as types from '@eelgrasswind/types'
 import type * as inbound from './inbound.js'
@@ -12,11 +13,12 @@
   readonly route: routeRequest.Route
   readonly service: types.ServiceId
   readonly tokensPerEvent: number
+  readonly caller: identifyClient.Caller
 }
 
 /** The header, name and value, that goes with a turn to its owner. */
 export function encode (req: inbound.Inbound): string[] {
-  const forwarded: Forwarded = { route: req.route, service: req.service, tokensPerEvent: req.tokensPerEvent }
+  const forwarded: Forwarded = { route: req.route, service: req.service, tokensPerEvent: req.tokensPerEvent, caller: req.caller }
   return [routeHeader, encodeURIComponent(JSON.stringify(forwarded))]
 }
 
--- a/packages/programs/front/src/forward-turn.ts
+++ b/packages/programs/front/src/forward-turn.ts
@@ -47,7 +47,7 @@
       address,
       method: req.method,
       path: req.path,
-      headers: [...dialect.peerHeaders(req.rawHeaders, { deadlineMs: leftMs, bodyBytes: req.body.length }), ...forwardHeader.encode(req)],
+      headers: [...dialect.peerHeaders(req.rawHeaders, { deadlineMs: leftMs, bodyBytes: req.body.length, caller: req.caller }), ...forwardHeader.encode(req)],
       body: req.body,
       connectTimeoutMs,
       confirmMs,
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -8,6 +8,7 @@
 import type * as shardLog from '@eelgrasswind/shard-log'
 import * as timerService from '@eelgrasswind/timer-service'
 import type * as trackUpstreams from '@eelgrasswind/track-upstreams'
+import * as accountLimits from './account-limits.js'
 import * as clientListener from './client-listener.js'
 import * as currentRouting from './current-routing.js'
 import type * as dialects from './dialect.js'
@@ -79,6 +80,7 @@
   private readonly watch: peerWatch.PeerWatch
   private readonly routing: currentRouting.CurrentRouting
   private readonly upstreams: upstreamView.UpstreamView
+  private readonly limits: accountLimits.AccountLimits
   private readonly clientServer: http.Server
   private readonly peerServer: http.Server
   private readonly readyServer: http.Server
@@ -105,14 +107,17 @@
       peerAddress: cfg.peerAddress,
       peers: () => this.otherMembers()
     })
+    this.limits = new accountLimits.AccountLimits({ ...this.peerPorts, shards: this.shards, routing: this.routing, slack: cfg.limitSlack })
     const turnPorts = this.turnPorts()
     this.clientServer = clientListener.createClientServer({
       ...turnPorts,
       routing: this.routing,
       requests: this.requests,
+      limits: this.limits,
+      mostRoutingAgeMs: cfg.mostRoutingAgeMs,
       isStopping: () => this.stopping
     })
-    this.peerServer = peerListener.createPeerServer({ ...turnPorts, directLog: ports.log, requests: this.requests }, peerIdleMs)
+    this.peerServer = peerListener.createPeerServer({ ...turnPorts, directLog: ports.log, requests: this.requests, limits: this.limits }, peerIdleMs)
     this.readyServer = http.createServer((_req, res) => {
       res.writeHead(this.ready ? 200 : 503)
       res.end()
@@ -133,7 +138,7 @@
   }
 
   get routingVersion (): number {
-    return this.routing.current?.version ?? 0
+    return this.routing.version
   }
 
   get upstreamCount (): number {
@@ -173,6 +178,7 @@
     this.routing.stop()
     this.upstreams.stop()
     this.shards.close()
+    this.limits.close()
     for (const server of [this.clientServer, this.peerServer, this.readyServer]) {
       server.close()
       server.closeAllConnections()
--- a/packages/programs/front/src/inbound.ts
+++ b/packages/programs/front/src/inbound.ts
@@ -1,6 +1,7 @@
 /** One request as it came in, and the way its answer goes out. */
 import type * as http from 'node:http'
 import type * as decisionLog from '@eelgrasswind/decision-log'
+import type * as identifyClient from '@eelgrasswind/identify-client'
 import type * as routeRequest from '@eelgrasswind/route-request'
 import type * as types from '@eelgrasswind/types'
 import type * as dialects from './dialect.js'
@@ -16,6 +17,8 @@
   readonly body: Buffer
   readonly route: routeRequest.Route
   readonly service: types.ServiceId
+  /** Who asks, as the host that took the request decided. */
+  readonly caller: identifyClient.Caller
   /** Tokens that one event of the service's streams counts for. */
   readonly tokensPerEvent: number
   /** Monotonic ms by which it has its final answer. */
@@ -32,6 +35,9 @@
   | { readonly type: 'noUpstream', readonly retryAfterMs: number }
   | { readonly type: 'peerUnreachable', readonly retryAfterMs: number }
   | { readonly type: 'unknownRoute' }
+  | { readonly type: 'unknownKey' }
+  /** The client account has used its limit up. */
+  | { readonly type: 'overLimit', readonly retryAfterMs: number }
   | { readonly type: 'unknownTurn' }
   | { readonly type: 'overBudget' }
   | { readonly type: 'invalid', readonly field: string, readonly expected: string }
@@ -41,7 +47,7 @@
   | { readonly type: 'answerLost', readonly detail: string }
   | { readonly type: 'timeout' }
 
-/** HTTP status of a refusal. 503 promises that the request has not run and will not; 502 and 504 promise nothing. */
+/** HTTP status of a refusal. 429 and 503 promise that the request has not run and will not; 502 and 504 promise nothing. */
 export function statusOf (refusal: Refusal): number {
   switch (refusal.type) {
     case 'notReady':
@@ -52,6 +58,8 @@
     case 'peerUnreachable': return 503
     case 'unknownRoute':
     case 'unknownTurn': return 404
+    case 'unknownKey': return 401
+    case 'overLimit': return 429
     case 'overBudget': return 402
     case 'invalid': return 400
     case 'headerTooLarge': return 431
@@ -72,7 +80,7 @@
 /** The answer to one request. Nothing is written once the client is gone. */
 export class Reply {
   private gone: (() => void) | undefined
-  private ended: ((end: ReplyEnd) => void) | undefined
+  private readonly ended: ((end: ReplyEnd) => void)[] = []
   private headed: (() => void) | undefined
   private finished = false
 
@@ -86,9 +94,9 @@
     res.on('error', () => {})
   }
 
-  /** Called once with the way in which the answer ended. */
+  /** Each function given is called once with the way in which the answer ended. */
   onEnd (run: (end: ReplyEnd) => void): void {
-    this.ended = run
+    this.ended.push(run)
   }
 
   /** Called once when the head of an answer is sent. */
@@ -161,6 +169,6 @@
 
   private finish (end: ReplyEnd): void {
     this.finished = true
-    this.ended?.(end)
+    for (const run of this.ended) run(end)
   }
 }
--- a/packages/programs/front/src/peer-calls.ts
+++ b/packages/programs/front/src/peer-calls.ts
@@ -7,6 +7,7 @@
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
+import type * as meterChannel from './meter-channel.js'
 
 /** A turn that ended at a former owner, to be kept by the present one. */
 export interface SettleCall {
@@ -49,6 +50,8 @@
 export interface FindChainCall {
   readonly type: 'findChain'
   readonly turn: turnLedger.TurnId
+  /** The client account that asks; `undefined`: none was named. */
+  readonly account?: types.AccountId | undefined
 }
 
 /** What one process knows of a turn. */
@@ -76,7 +79,7 @@
 }
 
 /** Every call that one front makes to another, besides passing a turn on. */
-export type PeerCall = SettleCall | ReserveCall | ReleaseCall | FindChainCall | JoinNowCall | PingCall | RelayCall
+export type PeerCall = SettleCall | ReserveCall | ReleaseCall | FindChainCall | JoinNowCall | PingCall | RelayCall | meterChannel.MeterCall
 
 /** Whether a settled turn is kept. */
 export type SettleAnswer =
@@ -101,7 +104,7 @@
 }
 
 /** What a call is answered with. */
-export type PeerAnswer = SettleAnswer | ReserveAnswer | FindChainAnswer | { readonly type: 'heard' } | shardLog.StoreAnswer
+export type PeerAnswer = SettleAnswer | ReserveAnswer | FindChainAnswer | meterChannel.MeterCallAnswer | { readonly type: 'heard' } | shardLog.StoreAnswer
 
 /** Writes an answer. */
 export function encodeAnswer (answer: PeerAnswer): Buffer {
--- a/packages/programs/front/src/peer-listener.ts
+++ b/packages/programs/front/src/peer-listener.ts
@@ -2,6 +2,8 @@
 import * as http from 'node:http'
 import type * as shardLog from '@eelgrasswind/shard-log'
 import * as shardLogs from '@eelgrasswind/shard-log'
+import type * as accountLimits from './account-limits.js'
+import * as accountScope from './account-scope.js'
 import * as findChain from './find-chain.js'
 import * as forwardHeader from './forward-header.js'
 import * as inbound from './inbound.js'
@@ -18,6 +20,7 @@
   /** The store as this process itself reaches it. */
   readonly directLog: shardLog.ShardLog
   readonly requests: requestsUnderWay.RequestsUnderWay
+  readonly limits: Pick<accountLimits.AccountLimits, 'settle'>
 }
 
 const largestHeaderBytes = 131_072
@@ -39,8 +42,8 @@
     reply.refuse({ type: 'invalid', field: 'passed-on request', expected: 'a turn with its route' }, ['Connection', 'close'])
     return
   }
-  const { attempt } = decoded
-  const { turn } = decoded.attempt
+  const attempt = accountScope.scopeAttempt(decoded.attempt, forwarded.caller)
+  const turn = attempt.turn!
   const shard = routeTurn.servingShard(ports, turn.program)
   if (shard === undefined) {
     reply.refuse({ type: 'shardMoving', retryAfterMs: 0 }, [...forwardHeader.notOwner, 'Connection', 'close'])
@@ -99,7 +102,8 @@
       if (shard !== undefined) reserveTurn.releaseHere(ports, shard, call)
       return { type: 'heard' }
     }
-    case 'findChain': return findChain.findHere(ports.shards, call.turn)
+    case 'meter': return ports.limits.settle(call)
+    case 'findChain': return findChain.findHere(ports.shards, { turn: call.turn, account: call.account })
     case 'settle': {
       const shard = routeTurn.servingShard(ports, call.request.program)
       if (shard === undefined) return { type: 'notOwner' }
--- a/packages/programs/front/src/serve-turn.test.ts
+++ b/packages/programs/front/src/serve-turn.test.ts
@@ -62,7 +62,7 @@
     }
     const route = { repeatability: 'atMostOnce', objectiveMs: 200, maxAttempts: 2, stream: { resumable: false }, retain: { keepsTurns: true, retainMs: 60_000 } }
     const turn = { program, previous: undefined, maxTokens: 20, budgetTokens, finishMs: undefined, promptParts: [] } as unknown as dialects.TurnFields
-    const req = { attempt: { id }, method: 'POST', path: '/', rawHeaders: [], body: Buffer.from('in'), route, service, tokensPerEvent: 5, deadlineAt: timers.monotonic() + 3_000, reply }
+    const req = { attempt: { id }, method: 'POST', path: '/', rawHeaders: [], body: Buffer.from('in'), route, service, caller: { type: 'anyone' }, tokensPerEvent: 5, deadlineAt: timers.monotonic() + 3_000, reply }
     answering = id
     void serveTurn.serveTurn(ports, req as unknown as inbound.Inbound, turn, shard)
     return { told, leave: () => { leave() } }
@@ -89,7 +89,7 @@
     timers.advance(300)
     ask(`t${at + 1}`)
   }
-  const whole = { turn: 'last' as turnLedger.TurnId, program, previous: undefined, maxTokens: budgetTokens, budgetTokens, keeps: true, retainMs: 60_000 }
+  const whole = { turn: 'last' as turnLedger.TurnId, program, account: undefined, previous: undefined, maxTokens: budgetTokens, budgetTokens, keeps: true, retainMs: 60_000 }
   t.equal(ledger.admit(whole, timers.now() as types.EpochMs).type, 'admitted')
   t.end()
 })
--- a/packages/programs/front/src/serve-turn.ts
+++ b/packages/programs/front/src/serve-turn.ts
@@ -1,5 +1,6 @@
 /** Serves a turn that is kept at the owner of its program: checks chain and budget, puts the prompt together, keeps what was said. */
 import * as admitProgram from '@eelgrasswind/admit-program'
+import * as identifyClient from '@eelgrasswind/identify-client'
 import type * as ownShards from '@eelgrasswind/own-shards'
 import * as timerService from '@eelgrasswind/timer-service'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
@@ -34,6 +35,7 @@
   const request: turnLedger.TurnRequest = {
     turn: req.attempt.id,
     program: turn.program,
+    account: identifyClient.accountOf(req.caller),
     previous: turn.previous,
     maxTokens: turn.maxTokens,
     budgetTokens: turn.budgetTokens,
@@ -71,7 +73,7 @@
 /** The turn before is not in this shard: it may be another program's, or not exist at all. */
 async function continueElsewhere (ports: TurnPorts, req: inbound.Inbound, turn: dialects.TurnFields, request: turnLedger.TurnRequest, shard: ownShards.OwnedShard): Promise<void> {
   const previous = request.previous
-  const found = previous === undefined ? undefined : await timerService.within(ports.timers, findChain.findEverywhere(ports, previous), confirmMs)
+  const found = previous === undefined ? undefined : await timerService.within(ports.timers, findChain.findEverywhere(ports, { turn: previous, account: request.account }), confirmMs)
   if (found?.type === 'found' && shard.state === 'serving') {
     const copied = shard.ledger.importChain(found.chain)
     const admission = shard.ledger.admit(request, ports.timers.now() as types.EpochMs)
--- a/packages/programs/front/src/serve-unkept.test.ts
+++ b/packages/programs/front/src/serve-unkept.test.ts
@@ -9,7 +9,7 @@
 
 const call: peerCalls.ReserveCall = {
   type: 'reserve',
-  request: { turn: 't1' as turnLedger.TurnId, program: 'p1' as types.ProgramId, previous: undefined, maxTokens: 40, budgetTokens: 120, keeps: false, retainMs: 0 },
+  request: { turn: 't1' as turnLedger.TurnId, program: 'p1' as types.ProgramId, account: undefined, previous: undefined, maxTokens: 40, budgetTokens: 120, keeps: false, retainMs: 0 },
   service: 'engines' as types.ServiceId,
   promptParts: []
 }
--- a/packages/programs/front/src/serve-unkept.ts
+++ b/packages/programs/front/src/serve-unkept.ts
@@ -1,4 +1,5 @@
 /** Runs a turn of which nothing is kept, once the owner of its program has reserved its tokens. */
+import * as identifyClient from '@eelgrasswind/identify-client'
 import type * as ownShards from '@eelgrasswind/own-shards'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
@@ -26,6 +27,7 @@
   const request: turnLedger.TurnRequest = {
     turn: req.attempt.id,
     program: turn.program,
+    account: identifyClient.accountOf(req.caller),
     previous: undefined,
     maxTokens: turn.maxTokens,
     budgetTokens: turn.budgetTokens,
--- a/packages/programs/front/src/settings.ts
+++ b/packages/programs/front/src/settings.ts
@@ -17,6 +17,8 @@
   shardTopics: z.number().int().positive().default(2).describe('Topics that the shards are spread over; each adds as many shards as a topic has partitions.'),
   leaseMs: milliseconds('Lease of this process in the group that shares the shards, in ms.', 1_100),
   heartbeatMs: milliseconds('Time between two renewals of the lease, in ms.', 300),
+  limitSlack: z.number().nonnegative().default(0).describe('Requests beyond its limit that a client account may send in a short time: a part is given to it, the rest covers what hosts learn late.'),
+  mostRoutingAgeMs: z.number().int().positive().optional().describe('A configuration that the store has not confirmed for this long, in ms, serves nobody: a key may have been taken away since. Without it, hosts that are out of touch go on by the one they have.'),
   graceMs: milliseconds('Time between the signal to stop and the end of the process by force, in ms.', 8_000),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal']).default('info').describe('Least level of the lines that are written.')
 })
--- a/packages/state/own-shards/src/ownership.test.ts
+++ b/packages/state/own-shards/src/ownership.test.ts
@@ -89,7 +89,7 @@
       const place = owner?.locate(owner.partitionOf(program))
       if (place?.type !== 'here' || place.shard.state !== 'serving') continue
       const turn = `turn-${this.turns++}` as turnLedger.TurnId
-      const request: turnLedger.TurnRequest = { turn, program, previous: undefined, maxTokens: 10, budgetTokens: undefined, keeps: true, retainMs: 600_000 }
+      const request: turnLedger.TurnRequest = { turn, program, account: undefined, previous: undefined, maxTokens: 10, budgetTokens: undefined, keeps: true, retainMs: 600_000 }
       const admission = place.shard.ledger.admit(request, now)
       if (admission.type !== 'admitted') continue
       void place.shard.commit(admission.writes).then(async (reserved) => {
@@ -116,7 +116,7 @@
     assert.equal(serving.length, parts, 'each shard is served once')
     for (const [turn, program] of this.acknowledged) {
       const place = this.owners.map((owner) => owner!.locate(owner!.partitionOf(program))).find(({ type }) => type === 'here')
-      assert.ok(place?.type === 'here' && place.shard.ledger.exportChain(turn) !== undefined, `${turn} was acknowledged and is lost`)
+      assert.ok(place?.type === 'here' && place.shard.ledger.exportChain(turn, undefined) !== undefined, `${turn} was acknowledged and is lost`)
     }
   }
 }
--- a/packages/state/own-shards/src/shard-owner.test.ts
+++ b/packages/state/own-shards/src/shard-owner.test.ts
@@ -33,7 +33,7 @@
 async function keepTurn (timers: timerService.ManualTimers, owner: shardOwner.ShardOwner, program: types.ProgramId, turn: string): Promise<string> {
   const place = owner.locate(owner.partitionOf(program))
   if (place.type !== 'here') return place.type
-  const request: turnLedger.TurnRequest = { turn: turn as turnLedger.TurnId, program, previous: undefined, maxTokens: 10, budgetTokens: undefined, keeps: true, retainMs: 60_000 }
+  const request: turnLedger.TurnRequest = { turn: turn as turnLedger.TurnId, program, account: undefined, previous: undefined, maxTokens: 10, budgetTokens: undefined, keeps: true, retainMs: 60_000 }
   const admission = place.shard.ledger.admit(request, now)
   if (admission.type !== 'admitted') return admission.type
   const reserved = place.shard.commit(admission.writes)
@@ -67,7 +67,7 @@
   t.equal(served(b), parts)
   for (const program of atA) {
     const place = b.locate(b.partitionOf(program))
-    t.ok(place.type === 'here' && place.shard.ledger.exportChain(`turn-${program}` as turnLedger.TurnId))
+    t.ok(place.type === 'here' && place.shard.ledger.exportChain(`turn-${program}` as turnLedger.TurnId, undefined))
   }
 })
 
--- a/packages/state/turn-ledger/src/records.ts
+++ b/packages/state/turn-ledger/src/records.ts
@@ -8,6 +8,8 @@
 /** A turn that was answered whole. */
 export interface TurnRecord {
   readonly program: types.ProgramId
+  /** The only client account that may continue from it; `undefined`: no account was named. */
+  readonly account: types.AccountId | undefined
   /** The turn that it continues from; `undefined` at the start of a chain. */
   readonly previous: TurnId | undefined
   readonly input: Uint8Array
@@ -74,13 +76,14 @@
 
 /** Bytes of a turn, MessagePack. */
 export function encodeTurn (record: TurnRecord): Uint8Array {
-  return msgpack.encode([record.program, record.previous ?? null, record.input, record.output, record.keepUntil])
+  return msgpack.encode([record.program, record.previous ?? null, record.input, record.output, record.keepUntil, record.account ?? null])
 }
 
 /** Reads a turn. Throws where the bytes are no such record. */
 export function decodeTurn (value: Uint8Array): TurnRecord {
-  const [program, previous, input, output, keepUntil] = decodeRow(value, 5) as [types.ProgramId, TurnId | null, Uint8Array, Uint8Array, types.EpochMs]
-  return { program, previous: previous ?? undefined, input, output, keepUntil }
+  // Releases before accounts wrote none.
+  const [program, previous, input, output, keepUntil, account = null] = decodeRow(value, 5, 6) as [types.ProgramId, TurnId | null, Uint8Array, Uint8Array, types.EpochMs, types.AccountId | null | undefined]
+  return { program, account: account ?? undefined, previous: previous ?? undefined, input, output, keepUntil }
 }
 
 /** Bytes of the budget of a program, MessagePack. */
--- a/packages/state/turn-ledger/src/turn-ledger.test.ts
+++ b/packages/state/turn-ledger/src/turn-ledger.test.ts
@@ -8,7 +8,7 @@
 const program = 'roster-7' as types.ProgramId
 
 function turnRequest (id: string, previous?: string, budgetTokens?: number): turnLedger.TurnRequest {
-  return { turn: id as records.TurnId, program, previous: previous as records.TurnId | undefined, maxTokens: 40, budgetTokens, keeps: true, retainMs: 60_000 }
+  return { turn: id as records.TurnId, program, account: undefined, previous: previous as records.TurnId | undefined, maxTokens: 40, budgetTokens, keeps: true, retainMs: 60_000 }
 }
 
 function whole (text: string, tokens = 20): Extract<turnLedger.TurnEnd, { type: 'whole' }> {
@@ -44,11 +44,31 @@
   const other = new turnLedger.TurnLedger()
   const request = { ...turnRequest('x', 'b'), program: 'other' as types.ProgramId }
   t.equal(other.admit(request, now).type, 'unknownPrevious')
-  const writes = other.importChain(ledger.exportChain('b' as records.TurnId)!)
+  const writes = other.importChain(ledger.exportChain('b' as records.TurnId, undefined)!)
   t.same(writes.map(({ key }) => key).sort(), ['ta', 'tb'])
   t.equal(other.admit(request, now).type, 'admitted')
   t.equal(promptOf(other, 'b'), promptOf(ledger, 'b'))
-  t.equal(ledger.exportChain('c' as records.TurnId), undefined)
+  t.equal(ledger.exportChain('c' as records.TurnId, undefined), undefined)
+  t.end()
+})
+
+tap.test('a chain is continued by its own account only, also from a copy and from records', (t) => {
+  const ledger = new turnLedger.TurnLedger()
+  const account = 'coaches' as types.AccountId
+  const own = { ...turnRequest('a'), account }
+  ledger.admit(own, now)
+  const outcome = ledger.end(own, whole('a'), now)
+  if (outcome.type !== 'settled') throw new Error(outcome.type)
+  const reloaded = new turnLedger.TurnLedger()
+  for (const { key, value } of outcome.writes) reloaded.load(key, value!)
+  for (const one of [ledger, reloaded]) {
+    for (const other of [undefined, 'leagues' as types.AccountId]) {
+      t.equal(one.admit({ ...turnRequest('b', 'a'), account: other }, now).type, 'unknownPrevious')
+      t.equal(one.exportChain('a' as records.TurnId, other), undefined)
+    }
+    t.equal(one.exportChain('a' as records.TurnId, account)?.length, 1)
+    t.equal(one.admit({ ...turnRequest('b', 'a'), account }, now).type, 'admitted')
+  }
   t.end()
 })
 
--- a/packages/state/turn-ledger/src/turn-ledger.ts
+++ b/packages/state/turn-ledger/src/turn-ledger.ts
@@ -24,6 +24,8 @@
 export interface TurnRequest {
   readonly turn: records.TurnId
   readonly program: types.ProgramId
+  /** The client account that asks; `undefined`: none was named. */
+  readonly account: types.AccountId | undefined
   readonly previous: records.TurnId | undefined
   /** The most tokens that the turn may make. */
   readonly maxTokens: number
@@ -36,7 +38,7 @@
 
 /** What a turn that asks to run is told. */
 export type Admission =
-  /** No such turn is kept here. */
+  /** No such turn of this account is kept here. */
   | { readonly type: 'unknownPrevious' }
   | { readonly type: 'overBudget', readonly spentTokens: number, readonly openTokens: number }
   /**
@@ -132,7 +134,7 @@
 
   /** Whether a turn may run; if so, its tokens are reserved. */
   admit (request: TurnRequest, now: types.EpochMs): Admission {
-    const chain = this.chainOf(request.previous)
+    const chain = this.chainOf(request.previous, request.account)
     if (chain === undefined) return { type: 'unknownPrevious' }
     const program = this.programs.get(request.program) ?? this.createProgram(request, now)
     const usedTokens = used(program)
@@ -186,7 +188,7 @@
    */
   adopt (request: TurnRequest, end: Extract<TurnEnd, { type: 'whole' }>, now: types.EpochMs): EndOutcome {
     if (this.turns.has(request.turn)) return { type: 'alreadyKept' }
-    if (this.chainOf(request.previous) === undefined) return { type: 'unknown' }
+    if (this.chainOf(request.previous, request.account) === undefined) return { type: 'unknown' }
     const program = this.programs.get(request.program) ?? this.createProgram(request, now)
     this.programs.set(request.program, program)
     program.keepUntil = later(program.keepUntil, now, request.retainMs)
@@ -213,7 +215,7 @@
 
   private keepTurn (request: TurnRequest, end: Extract<TurnEnd, { type: 'whole' }>, now: types.EpochMs): LedgerWrite {
     const keepUntil = later(now, now, request.retainMs)
-    const state: TurnState = { program: request.program, previous: request.previous, input: end.input, output: end.output, keepUntil }
+    const state: TurnState = { program: request.program, account: request.account, previous: request.previous, input: end.input, output: end.output, keepUntil }
     this.turns.set(request.turn, state)
     this.extendChain(request.previous, keepUntil)
     return { key: records.turnKey(request.turn), value: records.encodeTurn(state) }
@@ -235,8 +237,9 @@
     for (const state of [...this.turns.values()]) this.extendChain(state.previous, state.keepUntil)
   }
 
-  /** A turn with all before it, newest first, for a program of another shard; `undefined` where it is not kept here. */
-  exportChain (turn: records.TurnId): KeptTurn[] | undefined {
+  /** A turn of an account with all before it, newest first, for a program of another shard; `undefined` where it is not kept here. */
+  exportChain (turn: records.TurnId, account: types.AccountId | undefined): KeptTurn[] | undefined {
+    if (!this.mayContinue(turn, account)) return undefined
     const chain: KeptTurn[] = []
     let next: records.TurnId | undefined = turn
     while (next !== undefined) {
@@ -256,8 +259,15 @@
     })
   }
 
-  /** The parts of a chain, oldest first; `undefined` where a turn is missing. */
-  private chainOf (turn: records.TurnId | undefined): Uint8Array[] | undefined {
+  /** A turn is continued by its own account only, and so are all before it. */
+  private mayContinue (turn: records.TurnId, account: types.AccountId | undefined): boolean {
+    const state = this.turns.get(turn)
+    return state !== undefined && state.account === account
+  }
+
+  /** The parts of an account's chain, oldest first; `undefined` where a turn is missing or is another account's. */
+  private chainOf (turn: records.TurnId | undefined, account: types.AccountId | undefined): Uint8Array[] | undefined {
+    if (turn !== undefined && !this.mayContinue(turn, account)) return undefined
     const parts: Uint8Array[] = []
     let next = turn
     while (next !== undefined) {
--- a/packages/testing/slopes/src/slopes/turn-ledger.ts
+++ b/packages/testing/slopes/src/slopes/turn-ledger.ts
@@ -19,6 +19,7 @@
   return {
     turn: `${program}-${index}` as turnLedger.TurnId,
     program: program as types.ProgramId,
+    account: undefined,
     previous: previous as turnLedger.TurnId | undefined,
     maxTokens: 100,
     budgetTokens: undefined,
@@ -48,7 +49,7 @@
     return ledger
   }
   const { bytes, held } = measures.bytesHeld(build)
-  if (held.exportChain('p0-0' as turnLedger.TurnId) === undefined) throw new Error('not held')
+  if (held.exportChain('p0-0' as turnLedger.TurnId, undefined) === undefined) throw new Error('not held')
   return bytes
 }
 
@@ -88,7 +89,8 @@
     rank: 0,
     maxAttempts: 1,
     stream: undefined,
-    retain: undefined
+    retain: undefined,
+    isPublic: false
   }))
   const table = routeRequest.createRouteTable(routes)
   return measures.cpuUs(() => {
