Limits: the number of hosts counts those that own no shard; a host's share stands in the pure package

Cause: with more hosts than shards, members are only those that own one: shares of the others would add up beyond the limit while nobody counts.

--- a/packages/decide/meter-account/src/account-belief.ts
+++ b/packages/decide/meter-account/src/account-belief.ts
@@ -48,10 +48,13 @@
   return { level, uncommitted, expected, recent }
 }
 
-/** A host's part of what is left, for a meter of its own share. */
-export function shareOfState (state: accountMeter.MeterState, hosts: number): accountMeter.MeterState {
+/** The meter of a host that counts by itself: its share of the limit, and of what was left when the owner was last heard, monotonic ms. */
+export function createShare (limit: accountMeter.MeterLimit, belief: AccountBelief | undefined, hosts: number, heardAt: number, now: number): accountMeter.AccountMeter {
+  const own = shareOf(limit, hosts)
+  if (belief === undefined) return accountMeter.createMeter(own, accountMeter.plainState(accountMeter.unknownLevel(own)), now)
+  const { level, uncommitted, expected, recent } = confirmedState(belief, heardAt)
   const part = 1 / Math.max(1, hosts)
-  return { ...state, level: state.level * part, uncommitted: state.uncommitted * part, expected: state.expected * part }
+  return accountMeter.createMeter(own, { level: level * part, uncommitted: uncommitted * part, expected: expected * part, recent }, now)
 }
 
 /** The part of a limit that one of so many hosts may use by itself while nobody counts for all: together they stay within it. */
--- a/packages/decide/meter-account/src/account-meter.ts
+++ b/packages/decide/meter-account/src/account-meter.ts
@@ -46,6 +46,11 @@
 /** No requests. */
 export const noRequests: PartCounts = { first: 0, further: 0 }
 
+/** One request. */
+export function oneOf (part: RequestPart): PartCounts {
+  return { ...noRequests, [part]: 1 }
+}
+
 /** The part of the slack that a quiet account gets on top of its burst. */
 const burstSlack = 0.25
 /** The part of it by which requests of programs under way may go beyond the limit. The rest covers what hosts learn late. */
--- a/packages/decide/meter-account/src/meter-book.ts
+++ b/packages/decide/meter-account/src/meter-book.ts
@@ -60,7 +60,7 @@
     // Programs under way go first.
     for (const part of ['further', 'first'] as const) {
       while (granted[part] < report.asked[part] && accountMeter.roomFor(meter, part) >= 0) {
-        meter = accountMeter.spend(meter, { ...accountMeter.noRequests, [part]: 1 })
+        meter = accountMeter.spend(meter, accountMeter.oneOf(part))
         granted[part] += 1
       }
     }
--- a/packages/programs/front/src/account-limits.ts
+++ b/packages/programs/front/src/account-limits.ts
@@ -14,6 +14,8 @@
 export interface AccountLimitsPorts extends peerCalls.PeerCallPorts {
   readonly shards: Pick<ownShards.ShardOwner, 'locate' | 'partitionOf' | 'members' | 'refreshOwners'>
   readonly routing: { readonly accounts: identifyClient.AccountDirectory, readonly version: number }
+  /** Other hosts that are heard of: where there are more hosts than shards, not all of them are members. */
+  readonly peerCount: () => number
   /** Requests beyond a limit that the operator tolerates in a short time. */
   readonly slack: number
   readonly timers: timerService.TimerService
@@ -41,7 +43,7 @@
       call: (call) => this.call(call),
       limitOf: (account) => this.limitOf(account),
       version: () => ports.routing.version,
-      hosts: () => Math.max(1, shards.members().length)
+      hosts: () => Math.max(shards.members().length, ports.peerCount() + 1)
     }
     this.channels = Array.from({ length: groupCount }, (_, group) => new meterChannel.MeterChannel(group, channelPorts))
     this.pruning = timers.every(pruneMs, () => { this.prune() })
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -107,7 +107,7 @@
       peerAddress: cfg.peerAddress,
       peers: () => this.otherMembers()
     })
-    this.limits = new accountLimits.AccountLimits({ ...this.peerPorts, shards: this.shards, routing: this.routing, slack: cfg.limitSlack })
+    this.limits = new accountLimits.AccountLimits({ ...this.peerPorts, shards: this.shards, routing: this.routing, peerCount: () => this.upstreams.loads.peerCount, slack: cfg.limitSlack })
     const turnPorts = this.turnPorts()
     this.clientServer = clientListener.createClientServer({
       ...turnPorts,
--- a/packages/programs/front/src/meter-channel.ts
+++ b/packages/programs/front/src/meter-channel.ts
@@ -93,8 +93,7 @@
     const entry = this.entryOf(account)
     entry.usedAt = now
     const belief = this.refresh(entry, limit, now)
-    const failingMs = this.failingSince === undefined ? 0 : now - this.failingSince
-    if (failingMs >= ownerlessMs) return this.takeFromShare(entry, limit, part)
+    if (this.failingMs >= ownerlessMs) return this.takeFromShare(entry, limit, part)
     if (belief !== undefined && meterAccount.mayGoUnasked(belief, part)) {
       entry.belief = meterAccount.count(belief, part, 1)
       this.report()
@@ -128,6 +127,11 @@
     this.timer?.cancel()
   }
 
+  /** How long the owner can't be asked, in ms; 0 while it can. */
+  private get failingMs (): number {
+    return this.failingSince === undefined ? 0 : this.ports.timers.monotonic() - this.failingSince
+  }
+
   private entryOf (account: types.AccountId): Entry {
     const known = this.entries.get(account)
     if (known !== undefined) return known
@@ -151,16 +155,12 @@
   private takeFromShare (entry: Entry, limit: meterAccount.MeterLimit, part: meterAccount.RequestPart): Taken {
     const now = this.ports.timers.monotonic()
     const hosts = this.ports.hosts() * shareDivisor
-    const own = meterAccount.shareOf(limit, hosts)
-    const known = entry.belief === undefined
-      ? meterAccount.plainState(meterAccount.unknownLevel(own))
-      : meterAccount.shareOfState(meterAccount.confirmedState(entry.belief, this.failingSince ?? now), hosts)
-    const started = entry.share ?? meterAccount.createMeter(own, known, now)
-    const filled = meterAccount.fillMeter(meterAccount.withLimit(started, own), now)
+    const share = entry.share ?? meterAccount.createShare(limit, entry.belief, hosts, this.failingSince ?? now, now)
+    const filled = meterAccount.fillMeter(meterAccount.withLimit(share, meterAccount.shareOf(limit, hosts)), now)
     entry.share = filled
     if (meterAccount.roomFor(filled, part) < 0) return { type: 'limited', retryAfterMs: meterAccount.waitFor(filled, part), by: 'share', level: filled.level }
-    entry.share = meterAccount.spend(filled, { ...meterAccount.noRequests, [part]: 1 })
-    if (entry.belief === undefined) entry.early = meterAccount.sum(entry.early, { ...meterAccount.noRequests, [part]: 1 })
+    entry.share = meterAccount.spend(filled, meterAccount.oneOf(part))
+    if (entry.belief === undefined) entry.early = meterAccount.sum(entry.early, meterAccount.oneOf(part))
     else entry.belief = meterAccount.count(entry.belief, part, 1)
     this.report()
     return { type: 'taken' }
@@ -269,8 +269,7 @@
 
   /** Questions wait for the next owner, or are decided here where there was none for too long. */
   private keepOrDecide (entry: Entry, questions: readonly Question[], limit: meterAccount.MeterLimit): void {
-    const failingMs = this.ports.timers.monotonic() - (this.failingSince ?? Infinity)
-    if (failingMs < ownerlessMs) {
+    if (this.failingMs < ownerlessMs) {
       entry.questions.unshift(...questions)
       return
     }
