Turns that stored records count already write no record of their own

Ruled out: appends are grouped already; a record ahead of a crash is not needed, since the next owner adopts a turn that it doesn't know and whose tokens are counted. Change: a kept turn whose tokens the stored records cover writes nothing when it begins.

--- a/packages/state/turn-ledger/src/turn-ledger.test.ts
+++ b/packages/state/turn-ledger/src/turn-ledger.test.ts
@@ -96,6 +96,31 @@
   t.end()
 })
 
+tap.test('a turn that stored records count already needs no record of its own, and is kept by the next owner', (t) => {
+  const former = new turnLedger.TurnLedger()
+  const stored = new Map<string, Uint8Array>()
+  const store = (writes: readonly turnLedger.LedgerWrite[]): void => {
+    for (const { key, value } of writes) stored.set(key, value!)
+    former.noteStored(writes)
+  }
+  const first = turnRequest('a', undefined, 800)
+  const begun = former.admit(first, now)
+  if (begun.type !== 'admitted') throw new Error(begun.type)
+  t.notOk(begun.covered)
+  store(begun.writes)
+  const ended = former.end(first, whole('a'), now)
+  if (ended.type !== 'settled') throw new Error(ended.type)
+  store(ended.writes)
+  const second = turnRequest('b', 'a', 800)
+  t.match(former.admit(second, now), { type: 'admitted', covered: true, writes: [] })
+  const next = new turnLedger.TurnLedger()
+  for (const [key, value] of stored) next.load(key, value)
+  t.equal(next.end(second, whole('b'), now).type, 'unknown')
+  t.equal(next.adopt(second, whole('b'), now).type, 'settled')
+  t.equal(promptOf(next, 'b'), 'in a;out a;in b;out b;')
+  t.end()
+})
+
 tap.test('a chain is kept as long as its newest turn', (t) => {
   const ledger = new turnLedger.TurnLedger()
   play(ledger, 'a')
--- a/packages/state/turn-ledger/src/turn-ledger.ts
+++ b/packages/state/turn-ledger/src/turn-ledger.ts
@@ -146,7 +146,7 @@
     program.unwritten = true
     this.programs.set(request.program, program)
     const covered = request.budgetTokens !== undefined && used(program) <= program.coverage.tokens
-    const writes = this.mustWrite(request, program) ? [this.programWrite(program, request)] : []
+    const writes = this.mustWrite(request, program, covered) ? [this.programWrite(program, request)] : []
     return { type: 'admitted', chain, writes, covered }
   }
 
@@ -156,9 +156,13 @@
     return program === undefined || (program.spentTokens === 0 && program.open.size === 0)
   }
 
-  /** A kept turn can be settled with the next owner only if its record names it; others are written when the usual next turn would not be covered. */
-  private mustWrite (request: TurnRequest, program: ProgramState): boolean {
-    if (request.keeps) return true
+  /**
+   * A kept turn whose tokens are counted by what is stored needs no record before its end: that saves a call to the store
+   * for most turns that continue from another, and if its owner ends first, the next one adopts it. Others are written
+   * when the usual next turn would not be covered.
+   */
+  private mustWrite (request: TurnRequest, program: ProgramState, covered: boolean): boolean {
+    if (request.keeps) return !covered
     return request.budgetTokens !== undefined && program.coverage.expected - used(program) < coverage.usualTokens(request.maxTokens)
   }
 
