Calls prefer upstreams with an open connection while those have room

Cause: a host makes some 20 calls a second over 66 upstreams, so that it comes back to each only after its connection was closed: a third of all sends opened one. Ways: draws among all (standing); draws among those heard of in the last 3 s, up to half of their slots, then among all. The rush in the test stays within the slots.

--- a/packages/decide/track-upstreams/src/choose-upstream.test.ts
+++ b/packages/decide/track-upstreams/src/choose-upstream.test.ts
@@ -22,6 +22,15 @@
   return { list, choose, get: (name: string) => list.get(name as types.UpstreamId)! }
 }
 
+/** Uniform in [0, 1), the same in every run. */
+function drawer (): () => number {
+  let state = 7
+  return () => {
+    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648
+    return state / 2_147_483_648
+  }
+}
+
 tap.test('the least used upstream takes a request that prefers none', (t) => {
   const { choose } = fixture({ a: 4, b: 1, c: 3 })
   t.equal(choose(), 'b')
@@ -30,6 +39,37 @@
   t.end()
 })
 
+tap.test('a trickle of calls keeps to upstreams with an open connection, a rush spreads over all', (t) => {
+  const names = Array.from({ length: 60 }, (_, at) => `s${at}`)
+  const play = (pauseMs: number, callMs: number): { readonly opened: number, readonly most: number } => {
+    const { list, get } = fixture(Object.fromEntries(names.map((name) => [name, 0])))
+    const random = drawer()
+    const choose = (now: number): string => chooseUpstream.chooseUpstream({ candidates: list.ofService(service), tried: new Set(), affinity: undefined, othersRunning: () => 0, now, random })!.listed.id
+    for (const { listed } of [...list.ofService(service)]) list.put({ ...listed, slots: 6 })
+    const ends: { readonly at: number, readonly name: string }[] = []
+    let opened = 0
+    let most = 0
+    for (let now = 10_000; now < 40_000; now += pauseMs) {
+      while (ends[0] !== undefined && ends[0].at <= now) {
+        const { name, at } = ends.shift()!
+        get(name).running -= 1
+        upstreamList.noteHeard(get(name), at)
+      }
+      const name = choose(now)
+      if (now - get(name).heardAt > 3_500) opened += 1
+      get(name).running += 1
+      most = Math.max(most, get(name).running)
+      ends.push({ at: now + callMs, name })
+    }
+    return { opened, most }
+  }
+  const trickle = play(50, 80)
+  t.ok(trickle.opened <= 60, `${trickle.opened} of 600 calls opened a connection`)
+  const rush = play(1, 80)
+  t.ok(rush.most <= 6, `${rush.most} at once`)
+  t.end()
+})
+
 tap.test('a chain stays where it is cached until that engine is much busier than the rest', (t) => {
   const { choose, get } = fixture({ a: 12, b: 4, c: 4, d: 4 })
   t.equal(choose('a'), 'a')
@@ -42,11 +82,7 @@
 function playFirstTurns (parts: number, engines: number, turns: number) {
   const { list } = fixture(Object.fromEntries(Array.from({ length: engines }, (_, at) => [`e${at}`, 0])))
   for (const { listed } of [...list.ofService(service)]) list.put({ ...listed, slots: 8 })
-  let state = 7
-  const random = (): number => {
-    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648
-    return state / 2_147_483_648
-  }
+  const random = drawer()
   const running: upstreamList.Upstream[] = []
   const placesOf = new Map<string, Set<string>>()
   let most = 0
--- a/packages/decide/track-upstreams/src/choose-upstream.ts
+++ b/packages/decide/track-upstreams/src/choose-upstream.ts
@@ -28,6 +28,10 @@
 
 /** Upstreams drawn for one choice. What others run is known up to 800 ms late: the least used of all would get everything at once. */
 const draws = 3
+/** An upstream that was heard of within this time, in ms, has most likely a connection left: idle ones are closed after 3.5 s. */
+const connectedMs = 3_000
+/** Up to this share of its slots an upstream serves a call as fast as when idle. */
+const roomyLoad = 0.5
 /** How far above the mean load of its service an upstream may be and still be given more, as a factor. */
 const boundFactor = 1.25
 /**
@@ -40,10 +44,21 @@
 export function chooseUpstream (input: ChooseInput): list.Upstream | undefined {
   const usable = input.candidates.filter((upstream) => !upstream.listed.leaving && !input.tried.has(upstream.listed.id))
   const pool = soundest(usable, input.now)
-  if (input.affinity === undefined) return leastUsed(drawSome(pool, input.random), input)
+  if (input.affinity === undefined) return chooseForCall(pool, input)
   return chooseForPrompt(pool, input.affinity, input)
 }
 
+/**
+ * A call goes where an open connection is likely to be left, as long as that upstream has room: with many upstreams a
+ * process would otherwise come back to each of them only after it has closed its connection.
+ */
+function chooseForCall (pool: readonly list.Upstream[], input: ChooseInput): list.Upstream | undefined {
+  const connected = pool.filter((upstream) => input.now - upstream.heardAt < connectedMs)
+  const chosen = leastUsed(drawSome(connected, input.random), input)
+  if (chosen !== undefined && load(chosen, input) < roomyLoad) return chosen
+  return leastUsed(drawSome(pool, input.random), input)
+}
+
 /**
  * The holder of the chain, unless it is much busier than the rest. Otherwise the upstreams are asked in an order that
  * all processes share for the prompt's first part, and the first that is not above the mean takes it: each part lies in
