Limits: what a program takes is learnt without feeding on itself

What programs were still expected to send counted as sent, and what was expected came from that estimate: where programs take fewer requests than it began with, it grew without end. Change: programs that began lately are left out of the mean until their requests have had time to come; nothing expected is in it.

--- a/packages/decide/meter-account/src/account-meter.ts
+++ b/packages/decide/meter-account/src/account-meter.ts
@@ -30,9 +30,9 @@
   readonly level: number
   /** Requests that are left for new programs once those that have begun are paid in full. */
   readonly uncommitted: number
-  /** Requests that programs under way are still likely to send. */
-  readonly expected: number
-  /** Lately counted requests, by part: what a program takes in all. */
+  /** Programs that began so lately that most of their requests are still to come: they say nothing yet of what a program takes. */
+  readonly young: number
+  /** Lately counted programs and their requests: what a program takes in all. */
   readonly recent: PartCounts
 }
 
@@ -59,8 +59,8 @@
 const presetPerProgram = 10
 /** Programs that the preset weighs as much as. */
 const presetWeight = 1
-/** What programs were expected to send and did not is forgotten at this pace, in ms: much longer than a program takes. */
-const forgetExpectedMs = 20_000
+/** Half to two thirds of a program's time, in ms: the pace at which programs come to be counted. */
+const youngMs = 1_500
 /** Pace at which counts of requests are forgotten, in ms. */
 const recentMs = 10_000
 /** Bounds of the time to come back, in ms: a limit that is empty now is worth another question soon, and none waits for minutes. */
@@ -74,12 +74,12 @@
 
 /** A meter of which no more is known than how many requests are left. */
 export function plainState (level: number): MeterState {
-  return { level, uncommitted: level, expected: 0, recent: noRequests }
+  return { level, uncommitted: level, young: 0, recent: noRequests }
 }
 
 /** A meter that goes on from what is known; now: monotonic ms. */
-export function createMeter (limit: MeterLimit, { level, uncommitted, expected, recent }: MeterState, now: number): AccountMeter {
-  return withLimit({ limit, level, uncommitted, expected, recent, at: now }, limit)
+export function createMeter (limit: MeterLimit, { level, uncommitted, young, recent }: MeterState, now: number): AccountMeter {
+  return withLimit({ limit, level, uncommitted, young, recent, at: now }, limit)
 }
 
 /** The level that an account starts with where nobody knows what it has sent: a second's worth, as a restart takes longer. */
@@ -95,17 +95,18 @@
 
 /** Adds what has become free since. */
 export function fillMeter (meter: AccountMeter, now: number): AccountMeter {
-  const { limit, level, uncommitted, expected, recent } = meter
+  const { limit, level, uncommitted, young, recent } = meter
   const capacity = capacityOf(limit)
   const elapsedMs = Math.max(0, now - meter.at)
   const freed = limit.requestsPerSecond * elapsedMs / 1_000
   const kept = Math.exp(-elapsedMs / recentMs)
+  const stillYoung = young * Math.exp(-elapsedMs / youngMs)
   return {
     limit,
     level: Math.min(capacity, level + freed),
     uncommitted: Math.min(capacity, uncommitted + freed),
-    expected: expected * Math.exp(-elapsedMs / forgetExpectedMs),
-    recent: { first: recent.first * kept, further: recent.further * kept },
+    young: stillYoung,
+    recent: { first: recent.first * kept + young - stillYoung, further: recent.further * kept },
     at: Math.max(now, meter.at)
   }
 }
@@ -113,20 +114,19 @@
 /** Counts requests that were let through. Negative counts take some back that did not run. */
 export function spend (meter: AccountMeter, counts: PartCounts): AccountMeter {
   const { first, further } = counts
-  const charged = first * perProgram(meter)
   return {
     ...meter,
     level: meter.level - first - further,
-    uncommitted: meter.uncommitted - charged,
-    expected: Math.max(0, meter.expected + charged - first - further),
-    recent: { first: Math.max(0, meter.recent.first + first), further: Math.max(0, meter.recent.further + further) }
+    uncommitted: meter.uncommitted - first * perProgram(meter),
+    young: Math.max(0, meter.young + first),
+    recent: { first: meter.recent.first, further: Math.max(0, meter.recent.further + further) }
   }
 }
 
-/** Requests that a program takes from its first to its last, as lately seen; what those under way still need counts as sent. */
+/** Requests that a program takes from its first to its last, as lately seen. */
 function perProgram (meter: AccountMeter): number {
   const { first, further } = meter.recent
-  return (presetPerProgram * presetWeight + first + further + meter.expected) / (presetWeight + first)
+  return (presetPerProgram * presetWeight + first + further) / (presetWeight + first)
 }
 
 /**
