Limits: a belief under another limit is not compared

A host that had sent nothing reported the full new limit; the owner took the difference from the full former one for requests that others had sent, and charged them. Test first: meter-account, level -50 in place of 10. Change: the owner takes the newer limit first, and compares only what hosts of the same version believe.

--- a/packages/decide/meter-account/src/account-meter.ts
+++ b/packages/decide/meter-account/src/account-meter.ts
@@ -1,8 +1,8 @@
 /**
  * Two token buckets for the requests of one client account: one counts each request as it is sent, the other charges a
- * program with all that it is likely to send when it begins. It answers an account that sends more than its limit: without it all of its programs begin and each loses some
- * request in the middle; with it as many programs as the limit holds go through whole, and the rest are told at their
- * first request when to come back.
+ * program with all that it is likely to send when it begins. It answers an account that sends more than its limit:
+ * without it all of its programs begin and each loses some request in the middle; with it as many programs as the limit
+ * holds go through whole, and the rest are told at their first request when to come back.
  */
 
 /** A limit in force. */
--- a/packages/decide/meter-account/src/meter-account.test.ts
+++ b/packages/decide/meter-account/src/meter-account.test.ts
@@ -82,6 +82,18 @@
   t.end()
 })
 
+tap.test('a lower limit, and a host that has not sent anything, charge nobody for what the limit was before', (t) => {
+  const book = new meterBook.MeterBook()
+  levelAfter(book, 60, 0)
+  const low = { requestsPerSecond: 10, burst: 10, slack: 0 }
+  const quiet = { state: accountMeter.plainState(accountMeter.capacityOf(low)), term: -1 }
+  const { state } = book.settle(report({ limit: low, believed: quiet }), 1, 2, 0)
+  t.equal(state.level, 10)
+  t.equal(state.uncommitted, 10)
+  t.equal(book.settle(report({ believed: { state: accountMeter.plainState(2), term: 0 } }), 1, 1, 0).state.level, 10, 'a host with the former limit says nothing of this one')
+  t.end()
+})
+
 tap.test('an owner that comes back does not go by what it counted before', (t) => {
   const book = new meterBook.MeterBook()
   levelAfter(book, 500, 0, 1)
--- a/packages/decide/meter-account/src/meter-book.ts
+++ b/packages/decide/meter-account/src/meter-book.ts
@@ -80,12 +80,16 @@
   private current (report: MeterReport, term: number, version: number, now: number): Entry {
     const known = this.entries.get(report.account)
     if (known === undefined || known.term !== term) return begin(report, term, version, now)
-    const corrected = correct(known, report, now)
-    if (version <= known.version) return corrected
-    return { ...corrected, meter: accountMeter.withLimit(corrected.meter, report.limit), version }
+    const current = version > known.version ? limitTo(known, report.limit, version) : known
+    // A belief under another limit can't be compared.
+    return version === current.version ? correct(current, report, now) : current
   }
 }
 
+function limitTo (entry: Entry, limit: accountMeter.MeterLimit, version: number): Entry {
+  return { ...entry, meter: accountMeter.withLimit(entry.meter, limit), begun: accountMeter.withLimit(entry.begun, limit), version }
+}
+
 function begin ({ limit, believed }: MeterReport, term: number, version: number, now: number): Entry {
   const state = believed?.state ?? accountMeter.plainState(accountMeter.unknownLevel(limit))
   const begun = accountMeter.createMeter(limit, state, now)
