Log: the line of a request over its limit names what was left in a field of its own

Cause: its field `level` took the place of the line's level; where less than 30 requests were left the line was dropped, and on-call engineers had no reason for a 429.

--- a/packages/base/decision-log/src/decision-log.test.ts
+++ b/packages/base/decision-log/src/decision-log.test.ts
@@ -26,6 +26,13 @@
   t.end()
 })
 
+tap.test('no field of a decision takes the place of one that every line has', (t) => {
+  const { lines, log } = fixture()
+  log.note({ event: 'overLimit', request: 'r1', program: undefined, account: 'coaches' as types.AccountId, route: 'roster', part: 'first', by: 'owner', requestsLeft: -3, retryAfterMs: 200, version: 7 })
+  t.match(lines, [{ event: 'overLimit', level: 30, host: 'front-1', requestsLeft: -3, retryAfterMs: 200 }])
+  t.end()
+})
+
 tap.test('a storm of ordinary lines is bounded, counted, and costs no failure its line', (t) => {
   const { lines, counted, log } = fixture()
   for (let at = 0; at < 5_000; at += 1) log.note(sent(`r${at}`))
--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -29,8 +29,8 @@
   | OfRequest & { readonly event: 'unknownRoute', readonly host: string | undefined, readonly path: string, readonly version: number | undefined }
   /** No account of this version has the key that came, or none came. */
   | OfRequest & { readonly event: 'unknownKey', readonly route: string, readonly key: 'none' | 'key' | 'unreadable', readonly version: number, readonly routingAgeMs: number }
-  /** Level: requests that the account had left. By: who decided. */
-  | OfRequest & { readonly event: 'overLimit', readonly program: types.ProgramId | undefined, readonly account: types.AccountId, readonly route: string, readonly part: 'first' | 'further', readonly by: 'owner' | 'share', readonly level: number, readonly retryAfterMs: number, readonly version: number }
+  /** By: who decided. Requests left: of the account's limit, below 0 where it has gone beyond. */
+  | OfRequest & { readonly event: 'overLimit', readonly program: types.ProgramId | undefined, readonly account: types.AccountId, readonly route: string, readonly part: 'first' | 'further', readonly by: 'owner' | 'share', readonly requestsLeft: number, readonly retryAfterMs: number, readonly version: number }
   /** Passed to the process that owns the program. */
   | OfTurn & { readonly event: 'passedOn', readonly owner: string, readonly ownersAgeMs: number }
   | OfTurn & { readonly event: 'turnAdmitted', readonly previous: string | undefined, readonly epoch: number, readonly promptBytes: number, readonly covered: boolean, readonly budgetTokens: number | undefined, readonly maxTokens: number }
--- a/packages/programs/front/src/limit-gate.ts
+++ b/packages/programs/front/src/limit-gate.ts
@@ -21,8 +21,8 @@
   const taking = limits.take(account, part)
   const taken = taking instanceof Promise ? await taking : taking
   if (taken.type === 'limited') {
-    const { by, level, retryAfterMs } = taken
-    decisions.note({ event: 'overLimit', request: attempt.id, program: attempt.program, account, route: route.name, part, by, level: Math.round(level), retryAfterMs, version })
+    const { by, requestsLeft, retryAfterMs } = taken
+    decisions.note({ event: 'overLimit', request: attempt.id, program: attempt.program, account, route: route.name, part, by, requestsLeft: Math.round(requestsLeft), retryAfterMs, version })
     reply.refuse({ type: 'overLimit', retryAfterMs })
     return false
   }
--- a/packages/programs/front/src/meter-channel.ts
+++ b/packages/programs/front/src/meter-channel.ts
@@ -24,7 +24,7 @@
 export type Taken =
   | { readonly type: 'taken' }
   /** Decided by the owner, or by this host's own share of the limit while the owner can't be asked. */
-  | { readonly type: 'limited', readonly retryAfterMs: number, readonly by: 'owner' | 'share', readonly level: number }
+  | { readonly type: 'limited', readonly retryAfterMs: number, readonly by: 'owner' | 'share', readonly requestsLeft: number }
 
 /** What a channel needs from its process. */
 export interface MeterChannelPorts {
@@ -158,7 +158,7 @@
     const share = entry.share ?? meterAccount.createShare(limit, entry.belief, hosts, this.failingSince ?? now, now)
     const filled = meterAccount.fillMeter(meterAccount.withLimit(share, meterAccount.shareOf(limit, hosts)), now)
     entry.share = filled
-    if (meterAccount.roomFor(filled, part) < 0) return { type: 'limited', retryAfterMs: meterAccount.waitFor(filled, part), by: 'share', level: filled.level }
+    if (meterAccount.roomFor(filled, part) < 0) return { type: 'limited', retryAfterMs: meterAccount.waitFor(filled, part), by: 'share', requestsLeft: filled.level }
     entry.share = meterAccount.spend(filled, meterAccount.oneOf(part))
     if (entry.belief === undefined) entry.early = meterAccount.sum(entry.early, meterAccount.oneOf(part))
     else entry.belief = meterAccount.count(entry.belief, part, 1)
@@ -246,7 +246,7 @@
       const left = { ...answer.granted }
       for (const { part, done } of questions) {
         if (left[part] > 0) done({ type: 'taken' })
-        else done({ type: 'limited', retryAfterMs: answer.waitMs[part], by: 'owner', level: answer.state.level })
+        else done({ type: 'limited', retryAfterMs: answer.waitMs[part], by: 'owner', requestsLeft: answer.state.level })
         left[part] -= 1
       }
     }
