--- a/packages/decide/meter-account/src/account-belief.ts
+++ b/packages/decide/meter-account/src/account-belief.ts
@@ -44,17 +44,16 @@
 
 /** What the owner would have said at a time, in monotonic ms, had nobody sent anything since. */
 export function confirmedState (belief: AccountBelief, now: number): accountMeter.MeterState {
-  const { level, uncommitted, young, recent } = accountMeter.fillMeter(belief.confirmed, now)
-  return { level, uncommitted, young, recent }
+  return accountMeter.stateOf(accountMeter.fillMeter(belief.confirmed, now))
 }
 
 /** The meter of a host that counts by itself: its share of the limit, and of what was left when the owner was last heard, monotonic ms. */
 export function createShare (limit: accountMeter.MeterLimit, belief: AccountBelief | undefined, hosts: number, heardAt: number, now: number): accountMeter.AccountMeter {
   const own = shareOf(limit, hosts)
   if (belief === undefined) return accountMeter.createMeter(own, accountMeter.plainState(accountMeter.unknownLevel(own)), now)
-  const { level, uncommitted, young, recent } = confirmedState(belief, heardAt)
+  const state = confirmedState(belief, heardAt)
   const part = 1 / Math.max(1, hosts)
-  return accountMeter.createMeter(own, { level: level * part, uncommitted: uncommitted * part, young, recent }, now)
+  return accountMeter.createMeter(own, { ...state, level: state.level * part, uncommitted: state.uncommitted * part }, now)
 }
 
 /** The part of a limit that one of so many hosts may use by itself while nobody counts for all: together they stay within it. */
--- a/packages/decide/meter-account/src/account-meter.ts
+++ b/packages/decide/meter-account/src/account-meter.ts
@@ -82,6 +82,11 @@
   return withLimit({ limit, level, uncommitted, young, recent, at: now }, limit)
 }
 
+/** What hosts and owners tell one another of a meter. */
+export function stateOf ({ level, uncommitted, young, recent }: AccountMeter): MeterState {
+  return { level, uncommitted, young, recent }
+}
+
 /** The level that an account starts with where nobody knows what it has sent: a second's worth, as a restart takes longer. */
 export function unknownLevel (limit: MeterLimit): number {
   return Math.min(capacityOf(limit), limit.requestsPerSecond + limit.slack * burstSlack)
--- a/packages/decide/meter-account/src/meter-book.ts
+++ b/packages/decide/meter-account/src/meter-book.ts
@@ -65,9 +65,8 @@
       }
     }
     this.entries.set(report.account, { ...entry, meter })
-    const { level, uncommitted, young, recent } = meter
     const waitMs = { first: accountMeter.waitFor(meter, 'first'), further: accountMeter.waitFor(meter, 'further') }
-    return { account: report.account, term, state: { level, uncommitted, young, recent }, granted, waitMs }
+    return { account: report.account, term, state: accountMeter.stateOf(meter), granted, waitMs }
   }
 
   /** Forgets accounts that are quiet. */
--- a/packages/programs/front/src/program-admission.ts
+++ b/packages/programs/front/src/program-admission.ts
@@ -30,8 +30,9 @@
 
   constructor (private readonly ports: ProgramAdmissionPorts) {}
 
-  /** A turn is about to be sent: learns what the engines' memory has to hold. */
+  /** A turn is about to be sent: learns what the engines' memory has to hold. Tokens: of the whole prompt; 0 where its client does not say. */
   notePrompt (service: types.ServiceId, tokens: number): void {
+    if (tokens === 0) return
     const mean = this.promptTokens.get(service) ?? tokens
     this.promptTokens.set(service, mean + newestPart * (tokens - mean))
   }
