--- a/packages/state/append-journal/src/journal.test.ts
+++ b/packages/state/append-journal/src/journal.test.ts
@@ -155,6 +155,57 @@
   t.equal((await loaded(world, journal, p1)).turns.length, 1)
 })
 
+// Guards against a program that nobody can continue: the writer of the first record never asks for its fate again.
+for (const fault of ['stall', 'loseAnswer'] as const) {
+  tap.test(`a place whose record was given up after ${fault} is decided once another record wants it`, async (t) => {
+    const world = createWorld()
+    const journal = await world.open()
+    const term = await beginAt(world, journal, p1)
+    await loaded(world, journal, p1)
+    const givenUp = records.turn({ program: p1, n: 2, term }, 1, 'x')
+    world.log.appendFault = () => fault
+    world.log.readFails = () => true
+    t.match(await settled(world, journal.append(givenUp)), { ok: false, failure: { verdict: 'mayHaveRun' } })
+    world.log.appendFault = () => 'none'
+    world.log.readFails = () => false
+    const refused = await settled(world, journal.append(records.turn({ program: p1, n: 2, term }, 1, 'y')))
+    t.match(refused, { ok: false, failure: { tag: 'logUnavailable', verdict: 'notRun', retryAfterMs: 1000 } })
+    await world.timers.advanceAsync(1000)
+    const { n, turns } = await loaded(world, journal, p1)
+    t.same([n, turns.length], [2, 1])
+    t.match(await settled(world, journal.append(records.turn({ program: p1, n: 3, term }, 2, 'y'))), { ok: true, value: { applied: true } })
+    t.match(await settled(world, journal.append(givenUp)), { ok: true, value: { applied: true, effect: { type: 'applied' } } })
+  })
+}
+
+tap.test('a writer that asks for its record while it is being sent again hears of the copy that took effect', async (t) => {
+  const world = createWorld()
+  const journal = await world.open()
+  const term = await beginAt(world, journal, p1)
+  const givenUp = records.turn({ program: p1, n: 2, term }, 1, 'x')
+  world.log.appendFault = () => 'stall'
+  t.match(await settled(world, journal.append(givenUp)), { ok: false, failure: { verdict: 'mayHaveRun' } })
+  const faults: testLog.AppendFault[] = ['loseAnswer']
+  world.log.appendFault = () => faults.shift() ?? 'none'
+  const refused = journal.append(records.turn({ program: p1, n: 2, term }, 1, 'y'))
+  await world.timers.advanceAsync(10)
+  t.match(await settled(world, journal.append(givenUp)), { ok: true, value: { applied: true } })
+  t.match(await refused, { ok: false, failure: { verdict: 'notRun' } })
+  t.equal(world.log.recordsOf(stream).length, 2)
+})
+
+tap.test('a begin that landed too late to count does not keep the place of the next one', async (t) => {
+  const world = createWorld()
+  const journal = await world.open({ finishedMs: 400 })
+  const faults: testLog.AppendFault[] = ['lateCopy']
+  world.log.appendFault = () => faults.shift() ?? 'stall'
+  t.match(await settled(world, journal.append(records.begin(p1, homeA, world.timers.now()))), { ok: false, failure: { verdict: 'mayHaveRun' } })
+  world.log.appendFault = () => 'none'
+  await world.timers.advanceAsync(400)
+  valueOf(await settled(world, journal.catchUp(0)))
+  t.match(await settled(world, journal.append(records.begin(p1, homeA, world.timers.now()))), { ok: true, value: { applied: true } })
+})
+
 tap.test('a program loads from its own log records', async (t) => {
   const world = createWorld()
   const [a, b] = [await world.open(), await world.open()]
--- a/packages/state/append-journal/src/journal.ts
+++ b/packages/state/append-journal/src/journal.ts
@@ -48,7 +48,8 @@
   /**
    * Ok once the record is in the log; `applied` says whether it took effect. Records of one program keep their
    * order: where one fails, those appended behind it fail as well and are not sent. A failure with the verdict
-   * `mayHaveRun` is settled by appending the same record again; any other record at its place is refused until then.
+   * `mayHaveRun` is settled by appending the same record again. Any other record at its place is refused until its
+   * fate is known, and has it sent again.
    */
   append: (record: types.JournalRecord) => Promise<errors.Result<pendings.Appended>>
   /** Reads a shard up to its end. */
--- a/packages/state/append-journal/src/pending-record.ts
+++ b/packages/state/append-journal/src/pending-record.ts
@@ -17,11 +17,15 @@
   /** Bytes of the text. */
   readonly bytes: number
   /** Monotonic time after which it is given up. */
-  readonly deadline: number
+  deadline: number
   /** Whether a copy of it may be on its way to the log. */
   mayLand: boolean
   /** Whether its writer still waits; a record given up that may land is kept to be recognized. */
   open: boolean
+  /** Whether it was given up and is being sent again, so that its place is decided. */
+  resending: boolean
+  /** Whether a later append of the same record waits for its fate in its stead. */
+  replaced: boolean
   /** The copy that decides: the first one seen, or the one that took effect. */
   seen: Appended | undefined
   readonly done: Promise<errors.Result<Appended>>
@@ -38,6 +42,8 @@
     deadline,
     mayLand: false,
     open: true,
+    resending: false,
+    replaced: false,
     seen: undefined,
     done,
     settle: (result) => {
@@ -53,6 +59,11 @@
   return pending.mayLand ? 'mayHaveRun' : 'notRun'
 }
 
+/** Whether another record at the same place could still lose to it, or has. */
+export function mayHoldPlace ({ open, seen }: PendingRecord): boolean {
+  return open || seen === undefined || seen.applied
+}
+
 /** Notes a copy of the record that was read from the log. */
 export function noteCopy (pending: PendingRecord, position: types.Term, effect: programState.Effect): void {
   const applied = effect.type === 'applied'
--- a/packages/state/append-journal/src/shard-fold.ts
+++ b/packages/state/append-journal/src/shard-fold.ts
@@ -79,9 +79,14 @@
     }
   }
 
-  /** An own record at the same place in the chain whose fate is not known yet. */
-  findExpected (record: types.JournalRecord): pendings.PendingRecord | undefined {
-    return this.expected.get(record.program)?.find((pending) => pendings.samePlace(pending.record, record))
+  /** The same own record, where its writer has not heard of its fate. */
+  findCopy (record: types.JournalRecord, text: string): pendings.PendingRecord | undefined {
+    return this.expected.get(record.program)?.find((pending) => pendings.samePlace(pending.record, record) && pending.text === text)
+  }
+
+  /** Another own record that may hold the place of this one in the chain. */
+  findRival (record: types.JournalRecord, text: string): pendings.PendingRecord | undefined {
+    return this.expected.get(record.program)?.find((pending) => pendings.samePlace(pending.record, record) && pending.text !== text && pendings.mayHoldPlace(pending))
   }
 
   private foldRecord (record: types.JournalRecord, position: types.Term, reading: programState.Reading): void {
@@ -94,9 +99,8 @@
   }
 
   private matchExpected (record: types.JournalRecord): pendings.PendingRecord | undefined {
-    const pending = this.findExpected(record)
-    if (pending === undefined || pending.record === record) return pending
-    return pending.text === programState.encodeRecord(record) ? pending : undefined
+    const expected = this.expected.get(record.program)
+    return expected?.find((pending) => pending.record === record) ?? (expected && this.findCopy(record, programState.encodeRecord(record)))
   }
 
   /** The effect on a local program, which judges the content too. */
--- a/packages/state/append-journal/src/shard-writer.ts
+++ b/packages/state/append-journal/src/shard-writer.ts
@@ -57,21 +57,41 @@
 
   append (record: types.JournalRecord, text: string): Promise<Answer> {
     const { fold, timers, patienceMs } = this.options
-    const earlier = fold.findExpected(record)
-    if (earlier !== undefined && earlier.text !== text) return Promise.resolve(errors.fail(failures.placeTaken(record)))
+    const earlier = fold.findCopy(record, text)
     if (earlier?.open === true) return earlier.done
+    const rival = earlier === undefined ? fold.findRival(record, text) : undefined
+    if (rival !== undefined) return this.refusePlace(rival, record)
     const pending = pendings.createPending(record, text, timers.monotonic() + patienceMs)
     if (earlier !== undefined) {
       // A copy of the record given up may still land, or has: either copy decides.
       fold.forget(earlier)
       pending.mayLand = true
       pending.seen = earlier.seen
+      earlier.replaced = true
     }
     fold.expect(pending)
+    this.enqueue(pending)
+    return pending.done
+  }
+
+  /** Refuses a record whose place another one may hold, and has that one decided: its own writer may never ask again. */
+  private refusePlace (rival: pendings.PendingRecord, record: types.JournalRecord): Promise<Answer> {
+    if (!rival.open && !rival.resending && rival.seen === undefined) this.resend(rival)
+    return Promise.resolve(errors.fail(failures.placeTaken(record)))
+  }
+
+  /** Sends a record that was given up once more; whichever copy lands first takes effect. */
+  private resend (pending: pendings.PendingRecord): void {
+    const { timers, patienceMs } = this.options
+    pending.resending = true
+    pending.deadline = timers.monotonic() + patienceMs
+    this.enqueue(pending)
+  }
+
+  private enqueue (pending: pendings.PendingRecord): void {
     this.queue.push(pending)
     this.expireLater()
     this.kick()
-    return pending.done
   }
 
   /** Sends what is queued, for so long at most; then whatever is left fails. */
@@ -113,6 +133,7 @@
       const isFull = bytes > this.options.maxBatchBytes || batch.length === types.maxBatchRecords
       if (isFull && batch.length > 0) break
       this.queue.shift()
+      if (pending.replaced) continue
       if (pending.seen === undefined) batch.push(pending)
       else this.settleOne(pending, errors.ok(undefined))
     }
@@ -167,7 +188,7 @@
     if (!batch[0]!.mayLand) return false
     const read = await this.options.reader.catchUp()
     this.noteAttempt(read.ok)
-    return batch.every(({ seen }) => seen !== undefined)
+    return batch.every(({ seen, replaced }) => seen !== undefined || replaced)
   }
 
   private settle (batch: Batch, sent: Sent): void {
@@ -178,13 +199,16 @@
   private settleOne (pending: pendings.PendingRecord, sent: Sent): void {
     const { seen } = pending
     if (seen === undefined) return this.giveUp(pending, sent.ok ? failures.expiredUnread(pending.record) : sent.failure)
-    this.options.fold.forget(pending)
+    // The writer of a record that was given up may still ask for its fate.
+    if (pending.open) this.options.fold.forget(pending)
+    pending.resending = false
     pending.settle(errors.ok(seen))
   }
 
   /** Tells the writer; a record that may land is still expected, so that a later append of it finds out. */
   private giveUp (pending: pendings.PendingRecord, failure: errors.Failure): void {
     if (!pending.mayLand) this.options.fold.forget(pending)
+    pending.resending = false
     pending.settle(errors.fail({ ...failure, verdict: pendings.verdictOf(pending) }))
   }
 
