Home: a record of unknown fate keeps its place when it is written again

Cause: the home wrote a record whose append was not answered again at the next place of the chain. Had the first copy landed meanwhile, the second was another record with the same key: void (keyUsed, noIntent), reported as internal; after an intent the settle was not written either.

Turns and settles used the same loop.

--- a/packages/programs/program-home/src/call-runner.ts
+++ b/packages/programs/program-home/src/call-runner.ts
@@ -223,21 +223,21 @@
     const intent: journalWriter.UnplacedRecord = {
       type: 'intent', key, branch, seq, digest: running.digest, target, upstream, dispatchTo, reserved: need.usage, at
     }
-    const written = await journalWriter.writeRecord(this.deps.journal, program, intent)
-    if (written.ok || written.failure.verdict === 'notRun') return written
-    await this.abandonIntent(attempt, intent, written.failure)
-    return written
+    const { record, result } = await journalWriter.writePlaced(this.deps.journal, program, intent)
+    if (result.ok || result.failure.verdict === 'notRun') return result
+    await this.abandonIntent(attempt, record, result.failure)
+    return result
   }
 
   /**
    * An intent of unknown fate: its caller is told notRun at once, so it must never be dispatched. Its place in the
    * chain stays taken until its fate is known; where it took effect after all, it is settled.
    */
-  private async abandonIntent (attempt: attempts.Attempt, intent: journalWriter.UnplacedRecord, failure: errors.Failure): Promise<void> {
+  private async abandonIntent (attempt: attempts.Attempt, intent: types.JournalRecord, failure: errors.Failure): Promise<void> {
     const { program, running } = attempt
     running.answerForNow({ ...failure, verdict: 'notRun' })
-    const landed = await this.turns.writeUntilKnown(program, intent)
-    if (landed.ok) await this.turns.writeUntilKnown(program, { type: 'settle', key: running.call.key, verdict: 'notRun' })
+    const landed = await journalWriter.settleRecord(this.deps, program, intent)
+    if (landed.ok) await journalWriter.writeUntilKnown(this.deps, program, { type: 'settle', key: running.call.key, verdict: 'notRun' })
   }
 
   private async endOfIntent (attempt: attempts.Attempt, placed: { readonly upstream: types.UpstreamId, readonly host: types.HostId }, dispatchTo: types.ProcessRef, position: types.Term, startedAt: types.EpochMs, result: errors.Result<types.DispatchAnswer>): Promise<attempts.AttemptEnd> {
@@ -259,7 +259,7 @@
     const { program, running } = attempt
     const failure = result.ok ? failures.logUnavailable('notRun') : { ...result.failure, verdict: 'notRun' as const }
     const patience = this.deps.timers.after(turnWriter.recordPatienceMs, () => running.answerForNow(failure))
-    const written = await this.turns.writeUntilKnown(program, { type: 'settle', key: running.call.key, verdict: 'notRun' })
+    const written = await journalWriter.writeUntilKnown(this.deps, program, { type: 'settle', key: running.call.key, verdict: 'notRun' })
     patience.cancel()
     return written
   }
--- a/packages/programs/program-home/src/turn-writer.ts
+++ b/packages/programs/program-home/src/turn-writer.ts
@@ -1,7 +1,7 @@
 /** Writes how calls ended, until the fate of each record is known. */
 import type * as appendJournal from '@eelgrasswind/append-journal'
 import * as errors from '@eelgrasswind/errors'
-import * as timerService from '@eelgrasswind/timer-service'
+import type * as timerService from '@eelgrasswind/timer-service'
 import type * as tracing from '@eelgrasswind/tracing'
 import type * as types from '@eelgrasswind/types'
 import * as allowances from './allowance.js'
@@ -10,7 +10,6 @@
 import * as failures from './home-failures.js'
 import * as journalWriter from './journal-writer.js'
 import type * as learning from './learning.js'
-import type * as local from './local-program.js'
 import type * as ports from './ports.js'
 import * as reserve from './reserve-budget.js'
 import type * as runningCalls from './running-call.js'
@@ -32,15 +31,6 @@
 
   constructor (private readonly deps: TurnWriterDeps) {}
 
-  /** Writes a record until its fate is known. */
-  async writeUntilKnown (program: local.LocalProgram, record: journalWriter.UnplacedRecord): Promise<errors.Result<types.Term>> {
-    for (;;) {
-      const written = await journalWriter.writeRecord(this.deps.journal, program, record)
-      if (written.ok || written.failure.tag !== 'logUnavailable') return written
-      await timerService.sleep(this.deps.timers, failures.logRetryMs)
-    }
-  }
-
   async recordAnswer (attempt: attempts.Attempt, end: Extract<attempts.AttemptEnd, { type: 'answered' }>): Promise<runningCalls.CallResult> {
     const { program, running } = attempt
     const { tokens, outcome } = end.answer
@@ -72,7 +62,7 @@
     const span = this.deps.tracer.startSpan('log append', attempt.ctx.traceparent, { program: program.id })
     this.unconfirmed += 1
     try {
-      const written = await this.writeUntilKnown(program, { type: 'turn', turn, allowance: allowances.nextAllowance(this.deps.config(), program, attempt.need.usage, attempt.need.usage) })
+      const written = await journalWriter.writeUntilKnown(this.deps, program, { type: 'turn', turn, allowance: allowances.nextAllowance(this.deps.config(), program, attempt.need.usage, attempt.need.usage) })
       return written.ok ? errors.ok(checkCall.endOfTurn(turn, false)) : errors.fail({ ...written.failure, verdict })
     } finally {
       patience.cancel()
