Home: the verdict of a call covers all of its attempts

Cause: a home that gave a call up told the verdict of its last attempt. A first attempt whose answer broke off may have run; a second one that found no host did not.

Evidence: call-runner.test 'a call whose first attempt may have run ...' failed before: peerUnavailable, notRun, after the decisions 'transient after answerBroken (mayHaveRun)' and 'attemptsUsed after peerUnavailable (notRun)'. Ruled out: calls that must not be repeated (only tried again once sealed) and the entry, which keeps the worst verdict of all homes.

Each attempt's verdict now counts, and what it may have used is counted once where it ends. The rule stands in errors.worseVerdict for both.

--- a/packages/base/errors/src/failure.ts
+++ b/packages/base/errors/src/failure.ts
@@ -63,6 +63,12 @@
   return { tag: 'internal', verdict: 'mayHaveRun', message }
 }
 
+/** What two attempts at one request say together: the one that promises less. */
+export function worseVerdict (a: types.Verdict, b: types.Verdict): types.Verdict {
+  if (a === 'ran' || b === 'ran') return 'ran'
+  return a === 'mayHaveRun' || b === 'mayHaveRun' ? 'mayHaveRun' : 'notRun'
+}
+
 /** Time to come back in milliseconds, where the failure names one. */
 export function retryAfterMs (failure: Failure): number | undefined {
   return 'retryAfterMs' in failure ? failure.retryAfterMs : undefined
--- a/packages/programs/entry/src/forward.ts
+++ b/packages/programs/entry/src/forward.ts
@@ -43,7 +43,7 @@
       const host = this.homeOf(program, unreachable)
       const result = host === undefined ? errors.fail(noHome) : await this.askUntil(host, send, deadline)
       if (result.ok) return result
-      worst = worse(worst, result.failure.verdict)
+      worst = errors.worseVerdict(worst, result.failure.verdict)
       if (!concernsHome(result.failure)) return errors.fail(withVerdict(result.failure, worst))
       const elsewhere = this.learnHome(program, host, result.failure, unreachable)
       const wait = elsewhere && attempt <= maxDirectMoves ? 0 : this.waitBefore(result.failure, attempt, deadline)
@@ -105,11 +105,6 @@
   return failure.tag === 'notHome' || failure.tag === 'peerUnavailable' || failure.tag === 'shuttingDown'
 }
 
-function worse (a: types.Verdict, b: types.Verdict): types.Verdict {
-  if (a === 'ran' || b === 'ran') return 'ran'
-  return a === 'mayHaveRun' || b === 'mayHaveRun' ? 'mayHaveRun' : 'notRun'
-}
-
 function withVerdict (failure: errors.Failure, verdict: types.Verdict): errors.Failure {
   return { ...failure, verdict }
 }
--- a/packages/programs/program-home/src/call-runner.ts
+++ b/packages/programs/program-home/src/call-runner.ts
@@ -98,9 +98,9 @@
     } catch (err) {
       this.deps.logger.error({ err, program: program.id, call: running.call.key }, 'call failed')
       result = errors.fail(errors.failureFrom(err))
+      this.countUnrecorded(attempt, result)
     }
     program.reserved = local.lessUsage(program.reserved, need.usage)
-    if (!result.ok && result.failure.verdict !== 'notRun') this.countUnrecorded(program, need)
     program.lastEndedAt = this.deps.timers.now()
     this.deps.metrics.callEnded(running.call.target.type, result, this.deps.timers.monotonic() - attempt.startedAt)
     program.end(running.call.key)
@@ -109,19 +109,23 @@
   }
 
   /** What an attempt without a record may have used stays counted. */
-  private countUnrecorded (program: local.LocalProgram, need: reserve.CallNeed): void {
+  private countUnrecorded ({ program, need }: attempts.Attempt, result: runningCalls.CallResult): void {
+    if (result.ok || result.failure.verdict === 'notRun') return
     program.unrecorded = local.addUsage(program.unrecorded, need.usage)
   }
 
   private async runAttempts (attempt: attempts.Attempt): Promise<runningCalls.CallResult> {
     this.processRetries = limitClient.earnRetry(this.processRetries)
     attempt.program.retryBudget = limitClient.earnRetry(attempt.program.retryBudget)
+    let verdict: types.Verdict = 'notRun'
     for (let count = 1; ; count += 1) {
       const end = await this.attemptOnce(attempt)
-      if (end.type === 'answered') return await this.turns.recordAnswer(attempt, end)
-      if (end.type === 'recordFailure') return await this.turns.recordFailure(attempt, end)
+      const result = await this.recordEnd(attempt, end)
+      this.countUnrecorded(attempt, result)
+      if (end.type !== 'failed') return result
+      verdict = errors.worseVerdict(verdict, end.failure.verdict)
       const wait = this.mayRetry(attempt, end, count)
-      if (wait === undefined) return errors.fail(end.failure)
+      if (wait === undefined) return errors.fail({ ...end.failure, verdict })
       await timerService.sleep(this.deps.timers, wait)
     }
   }
@@ -143,7 +147,6 @@
     if (decision.type === 'retry') this.deps.metrics.callRetried(end.failure)
     this.note(program, 'retry', decision.type, `${decision.reason} after ${end.failure.tag} (${end.failure.verdict})`, [])
     if (decision.type === 'giveUp') return undefined
-    if (end.failure.verdict !== 'notRun') this.countUnrecorded(program, attempt.need)
     this.processRetries = limitClient.spendRetry(this.processRetries)
     program.retryBudget = limitClient.spendRetry(program.retryBudget)
     return decision.afterMs
