Home: a failure of the way to an upstream is told as one

Callers were told 503 notHome, 'engine-0 is its home', by an entry that had asked engine-0 first and got an answer from it.

Cause: the home passed on the failures of its dispatches: peerUnavailable and shuttingDown of the process beside an upstream. The entry takes these tags for failures of the home, crosses it off for the request and asks other hosts, which all name the same home.

Evidence: call-runner.test 'a model (service) call whose upstream can't be reached ...' failed before (peerUnavailable).

The home answers upstreamUnavailable with the same verdict and time; the question for the run of the upstream's process, and intents of earlier homes that did not run, do so too.

--- a/packages/programs/program-home/src/call-runner.test.ts
+++ b/packages/programs/program-home/src/call-runner.test.ts
@@ -31,6 +31,16 @@
   t.equal(world.journal.program.reserved.calls, 0)
 })
 
+// Guards against an entry that takes the failure of an upstream's host for one of the home, and asks another host.
+for (const [type, idempotent] of [['model', true], ['service', false]] as const) {
+  tap.test(`a ${type} call whose upstream can't be reached says nothing of its home`, async (t) => {
+    const world = await testRunner.createWorld()
+    const leaving: testRunner.DispatchResult = errors.fail({ tag: 'shuttingDown', verdict: 'notRun', message: 'leaving', retryAfterMs: 10 })
+    world.answers.push(leaving, ...Array.from({ length: 20 }, () => unreachable('notRun')))
+    t.match(await settled(world, world.ask(testRunner.callOf(type, idempotent))), { ok: false, failure: { tag: 'upstreamUnavailable', verdict: 'notRun' } })
+  })
+}
+
 tap.test('a call none of whose attempts ran is told so', async (t) => {
   const world = await testRunner.createWorld()
   world.answers.push(...Array.from({ length: 20 }, () => unreachable('notRun')))
--- a/packages/programs/program-home/src/call-runner.ts
+++ b/packages/programs/program-home/src/call-runner.ts
@@ -208,7 +208,7 @@
   /** Intent, confirmed; one dispatch; and where its answer is missing, the seal. */
   private async dispatchOnce (attempt: attempts.Attempt, placed: Extract<placeCall.Placement, { type: 'placed' }>, startedAt: types.EpochMs): Promise<attempts.AttemptEnd> {
     const incarnation = await this.incarnationOf(placed.host)
-    if (!incarnation.ok) return { type: 'failed', decided: 'mayRetry', failure: { ...incarnation.failure, verdict: 'notRun' } }
+    if (!incarnation.ok) return { type: 'failed', decided: 'mayRetry', failure: { ...failures.wayToUpstream(incarnation.failure), verdict: 'notRun' } }
     const dispatchTo = { host: placed.host, incarnation: incarnation.value }
     const intent = await this.writeIntent(attempt, placed.upstream, dispatchTo, startedAt)
     if (!intent.ok) return { type: 'failed', decided: 'final', failure: { ...intent.failure, verdict: 'notRun' } }
@@ -299,7 +299,7 @@
     const dispatch = this.dispatchOf(attempt, placed.upstream, intent, Math.max(1, Math.ceil(deadline - timers.monotonic())))
     const result = await dispatchPort.dispatch(placed.host, dispatch, ctx, new AbortController().signal, onDelta)
     upstreams.noteEnd(placed.upstream, result.ok ? result.value.load : null)
-    return result
+    return result.ok ? result : errors.fail(failures.wayToUpstream(result.failure))
   }
 
   private dispatchOf (attempt: attempts.Attempt, upstream: types.UpstreamId, intent: types.DispatchIntent | null, timeoutMs: number): types.Dispatch {
@@ -349,7 +349,7 @@
       const need = { promptTokens: 0, maxTokens: 0, usage: intent.reserved }
       const startedAt = this.deps.timers.monotonic()
       const attempt: attempts.Attempt = { program, running, need, ctx: { traceparent: '' }, startedAt, deadline: startedAt + running.call.timeoutMs }
-      const lost: errors.Result<types.DispatchAnswer> = errors.fail({ tag: 'peerUnavailable', verdict: 'mayHaveRun', message: 'an earlier home dispatched it', retryAfterMs: failures.logRetryMs })
+      const lost: errors.Result<types.DispatchAnswer> = errors.fail({ tag: 'upstreamUnavailable', verdict: 'mayHaveRun', message: 'an earlier home dispatched it', retryAfterMs: failures.logRetryMs })
       const end = await this.endOfIntent(attempt, { upstream: intent.upstream, host: intent.dispatchTo.host }, intent.dispatchTo, program.state.term, intent.at, lost)
       result = await this.recordEnd(attempt, end)
     }
