Home: a call whose caller was told notRun is not sent again

A call that must not be repeated, and did not run, is settled in the log and then tried again. While the log is down its caller is told notRun after 3 s; once the log was back the home sent the call all the same.

Such a call ends with its settle; the caller comes back with its key.

--- a/packages/programs/program-home/src/call-runner.test.ts
+++ b/packages/programs/program-home/src/call-runner.test.ts
@@ -41,6 +41,23 @@
   })
 }
 
+// Guards against a request that runs after its caller was told that it did not and would not.
+tap.test('a call whose caller was told notRun while the log was down is not sent again', async (t) => {
+  const world = await testRunner.createWorld()
+  world.answers.push(unreachable('notRun'))
+  world.journal.outcomes = ['ok']
+  world.journal.usual = 'refused'
+  const told = world.ask(testRunner.callOf('service', false))
+  await world.timers.advanceAsync(10_000)
+  t.match(await told, { ok: false, failure: { verdict: 'notRun' } })
+  world.journal.usual = 'ok'
+  await world.timers.advanceAsync(10_000)
+  t.equal(world.dispatched.length, 1)
+  t.equal(world.journal.program.running.size, 0)
+  t.match(await settled(world, world.ask(testRunner.callOf('service', false))), { ok: true })
+  t.equal(world.dispatched.length, 2)
+})
+
 tap.test('a call none of whose attempts ran is told so', async (t) => {
   const world = await testRunner.createWorld()
   world.answers.push(...Array.from({ length: 20 }, () => unreachable('notRun')))
--- a/packages/programs/program-home/src/call-runner.ts
+++ b/packages/programs/program-home/src/call-runner.ts
@@ -251,7 +251,7 @@
       case 'notRun': {
         const settled = await this.settleNotRun(attempt, result)
         const failure = result.ok ? failures.logUnavailable('notRun') : { ...result.failure, verdict: 'notRun' as const }
-        return { type: 'failed', decided: settled.ok ? 'mayRetry' : 'final', failure }
+        return { type: 'failed', decided: settled.ok && !attempt.running.toldNotRun ? 'mayRetry' : 'final', failure }
       }
       default: return errors.unreachable(known)
     }
--- a/packages/programs/program-home/src/running-call.ts
+++ b/packages/programs/program-home/src/running-call.ts
@@ -10,7 +10,7 @@
   private readonly sinks = new Set<types.CallSink>()
   private settle: (result: CallResult) => void = () => undefined
   private readonly done: Promise<CallResult>
-  /** Told to those who wait while the answer is whole but its record is not confirmed. */
+  /** Told to those who wait while the record of how it ended is not confirmed. */
   private interim: errors.Failure | undefined
   private readonly interimWaiters = new Set<(failure: errors.Failure) => void>()
 
@@ -61,6 +61,11 @@
     for (const wake of [...this.interimWaiters]) wake(failure)
   }
 
+  /** Whether somebody was told that it has not run: then it never may. */
+  get toldNotRun (): boolean {
+    return this.interim?.verdict === 'notRun'
+  }
+
   end (result: CallResult): void {
     this.settle(result)
   }
--- a/packages/programs/program-home/src/test-journal.ts
+++ b/packages/programs/program-home/src/test-journal.ts
@@ -17,8 +17,10 @@
 
 /** Keeps the contract of `Journal.append`: the same record appended again tells the fate of its first copy. */
 export class TestJournal {
-  /** Outcomes of the next appends; after the last one they are ok. */
+  /** Outcomes of the next appends. */
   outcomes: AppendOutcome[] = []
+  /** Outcome of the appends after those; ok where it is not set. */
+  usual: AppendOutcome = 'ok'
   readonly appended: types.JournalRecord[] = []
   readonly program: local.LocalProgram
   private readonly view: programState.ProgramView
@@ -51,7 +53,7 @@
   }
 
   private append (record: types.JournalRecord): Answer {
-    const outcome = this.outcomes.shift() ?? 'ok'
+    const outcome = this.outcomes.shift() ?? this.usual
     this.appended.push(record)
     switch (outcome) {
       case 'ok': return this.land(record)
