Entry: a host that another one names as the home is asked again

Cause: once a host can't be reached the entry crosses it off for the rest of the request. engine-0 had come back at another address; the next host knew it and named engine-0, and that hint was passed over until the retries were used up, also after the entry's own list showed the new address.

Evidence: forward.test 'a home that came back under another address ...' failed before (notHome after all retries).

--- a/packages/programs/entry/src/forward.ts
+++ b/packages/programs/entry/src/forward.ts
@@ -90,9 +90,11 @@
       return this.homeOf(program, unreachable) !== asked
     }
     if (failure.tag !== 'notHome' || failure.home === null || failure.home === asked) return false
+    const home = failure.home as types.HostId
     if (this.hints.size >= maxHints) this.hints.clear()
-    this.hints.set(program, failure.home as types.HostId)
-    return true
+    this.hints.set(program, home)
+    // Another host reaches it, so its new address is on its way here: worth another try, but not at once.
+    return !unreachable.delete(home)
   }
 }
 
