Signals: a reload does not end a process that starts, nor an entry or a sidecar

Cause: SIGHUP ends a process that has set no handler. The front set it once all modules were loaded (0.3 s, 1.2 s on a weak host); entry and sidecar never did.

Ruled out: a handler set at the top of one bundle; esbuild initializes its modules lazily and in the wrong order then ('Front is not a constructor').

The first file of front, entry and sidecar catches signals and then loads the second; a reload that came before is told once the program has started. What is left is the start of Node.js itself.

--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -81,6 +81,8 @@
   | { readonly event: 'started', readonly client: string, readonly peer: string, readonly zone: string, readonly settings: string }
   | { readonly event: 'reload', readonly settings: string, readonly outcome: string }
   | { readonly event: 'stopping', readonly underWay: number }
+  /** The process is stopping already. */
+  | { readonly event: 'signalIgnored', readonly signal: string }
   | { readonly event: 'stopped', readonly underWay: number, readonly tookMs: number }
   | { readonly event: 'failedToStop', readonly err: unknown }
   | { readonly event: 'routing', readonly version: number, readonly former: number | undefined, readonly routes: number, readonly accounts: number | undefined }
@@ -149,6 +151,7 @@
   started: { level: 'info', message: 'started' },
   reload: { level: 'info', message: 'settings read again' },
   stopping: { level: 'info', message: 'stopping' },
+  signalIgnored: { level: 'info', message: 'signal came while stopping' },
   stopped: { level: 'info', message: 'stopped' },
   failedToStop: { level: 'error', message: 'did not end cleanly' },
   routing: { level: 'info', message: 'routing in force' },
--- a/packages/programs/entry/src/main.ts
+++ b/packages/programs/entry/src/main.ts
@@ -1,12 +1,6 @@
-/** eelgrasswind-entry: reads its settings and runs until it is told to leave. */
-import * as processBase from '@eelgrasswind/process-base'
-import * as entry from './entry.js'
-import * as settings from './settings.js'
+/** eelgrasswind-entry: catches signals before the rest of the program is loaded, then runs it. */
+import * as processSignals from '@eelgrasswind/process-signals'
 
-const loaded = processBase.loadSettings('eelgrasswind-entry', process.argv.slice(2), settings.entrySettings)
-if (loaded.type === 'exit') {
-  process.stdout.write(loaded.text)
-  process.exit(loaded.code)
-}
-const running = await processBase.awaitStart(entry.startEntry(loaded.settings))
-processBase.runUntilSignal(running, loaded.settings.drainMs)
+const signals = processSignals.catchSignals()
+const program = await import('./run-entry.js')
+await program.runEntry(process.argv.slice(2), signals)
--- a/packages/programs/front/src/run-front.ts
+++ b/packages/programs/front/src/run-front.ts
@@ -3,6 +3,7 @@
 import * as decisionLog from '@eelgrasswind/decision-log'
 import * as loggers from '@eelgrasswind/logger'
 import * as parseSettings from '@eelgrasswind/parse-settings'
+import type * as processSignals from '@eelgrasswind/process-signals'
 import type * as shardLog from '@eelgrasswind/shard-log'
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as types from '@eelgrasswind/types'
@@ -23,6 +24,7 @@
   readonly metrics: decisionLog.DecisionMetrics
   readonly lines: loggers.BoundedLines
   readonly timers: timerService.TimerService
+  readonly signals: processSignals.ProcessSignals
 }
 
 const exitInvalid = 1
@@ -63,8 +65,11 @@
     await ports.lines.flush()
     process.exit(code)
   }
-  process.on('SIGTERM', () => { void end() })
-  process.on('SIGHUP', () => { reload(ports, decisions) })
+  ports.signals.handle({
+    end: () => { void end() },
+    reload: () => { reload(ports, decisions) },
+    ignored: (signal) => { decisions.note({ event: 'signalIgnored', signal }) }
+  })
   // A fault in the handling of one request must not end the others: it is told, and the process goes on.
   process.on('unhandledRejection', (err) => { decisions.note({ event: 'unexpected', err }) })
 }
--- a/packages/programs/sidecar/src/main.ts
+++ b/packages/programs/sidecar/src/main.ts
@@ -1,12 +1,6 @@
-/** eelgrasswind-sidecar: reads its settings and runs until it is told to leave. */
-import * as processBase from '@eelgrasswind/process-base'
-import * as settings from './settings.js'
-import * as sidecar from './sidecar.js'
+/** eelgrasswind-sidecar: catches signals before the rest of the program is loaded, then runs it. */
+import * as processSignals from '@eelgrasswind/process-signals'
 
-const loaded = processBase.loadSettings('eelgrasswind-sidecar', process.argv.slice(2), settings.sidecarSettings)
-if (loaded.type === 'exit') {
-  process.stdout.write(loaded.text)
-  process.exit(loaded.code)
-}
-const running = await processBase.awaitStart(sidecar.startSidecar(loaded.settings))
-processBase.runUntilSignal(running, loaded.settings.drainMs)
+const signals = processSignals.catchSignals()
+const program = await import('./run-sidecar.js')
+await program.runSidecar(process.argv.slice(2), signals)
--- a/packages/testing/test-utils/src/spawn-process.ts
+++ b/packages/testing/test-utils/src/spawn-process.ts
@@ -20,6 +20,8 @@
   readonly kill: () => Promise<void>
   /** Asks it to shut down gracefully; gives its exit code, or null where a signal ended it. */
   readonly stop: () => Promise<number | null>
+  /** Sends a signal that it handles itself. */
+  readonly signal: (name: 'SIGHUP' | 'SIGTERM' | 'SIGINT') => void
   /** Stops it from running, as a long pause of its machine does. */
   readonly pause: () => void
   readonly resume: () => void
@@ -115,6 +117,7 @@
     output: () => lines.kept,
     kill,
     stop,
+    signal: (name) => { child.kill(name) },
     pause: () => { child.kill('SIGSTOP') },
     resume: () => { child.kill('SIGCONT') },
     exited
--- a/scripts/bundle-from-sources.mjs
+++ b/scripts/bundle-from-sources.mjs
@@ -1,5 +1,6 @@
 // Bundles a program of this workspace straight from TypeScript: no compiler has to run before.
 import * as fs from 'node:fs'
+import * as path from 'node:path'
 import * as esbuild from 'esbuild'
 import { dirOf } from './packages.mjs'
 
@@ -22,8 +23,21 @@
   }
 }
 
-/** Writes the program that begins in `entryPoint` to `outfile`; executable: with a first line for the shell. */
-export async function bundleFromSources (entryPoint, outfile, { executable = false } = {}) {
+/** A program that is imported dynamically by its entry point, so that something can be done before it is loaded, gets a file of its own. */
+function programBeside (name, found) {
+  return {
+    name: 'program-beside',
+    setup (build) {
+      build.onResolve({ filter: /^\.\/run-.*\.js$/ }, ({ path: imported, importer, kind }) => {
+        if (kind !== 'dynamic-import') return undefined
+        found.push(path.join(path.dirname(importer), imported.replace(/\.js$/, '.ts')))
+        return { path: `./${name}-program.mjs`, external: true }
+      })
+    }
+  }
+}
+
+async function bundle (entryPoint, outfile, firstLines, plugins) {
   await esbuild.build({
     entryPoints: [entryPoint],
     outfile,
@@ -32,10 +46,18 @@
     format: 'esm',
     target: 'node20',
     mainFields: ['module', 'main'],
-    banner: { js: executable ? `#!/usr/bin/env node\n${requireShim}` : requireShim },
+    banner: { js: firstLines },
     external: ['dtrace-provider', 'mv', 'source-map-support', 'unix-dgram'],
-    plugins: [fromSources],
+    plugins,
     logLevel: 'warning'
   })
+}
+
+/** Writes the program that begins in `entryPoint` to `outfile`; executable: with a first line for the shell. */
+export async function bundleFromSources (entryPoint, outfile, { executable = false } = {}) {
+  const { dir, name } = path.parse(outfile)
+  const programs = []
+  await bundle(entryPoint, outfile, executable ? `#!/usr/bin/env node\n${requireShim}` : requireShim, [programBeside(name, programs), fromSources])
+  for (const program of programs) await bundle(program, path.join(dir, `${name}-program.mjs`), requireShim, [fromSources])
   if (executable) fs.chmodSync(outfile, 0o755)
 }
