Signals: a second signal to end cuts no request

Callers saw their connection broken off, their request under way, at a host that was told to end twice.

Cause: Front.stop returned at once when it had been called before, and the second handler then ended the process. Entry and sidecar ended at once by intention; but signals come in series.

Its time limits still end a process whose requests don't end.

--- a/packages/base/process-signals/src/signal-state.test.ts
+++ b/packages/base/process-signals/src/signal-state.test.ts
@@ -17,6 +17,12 @@
   t.end()
 })
 
+// Guards against requests that are cut off by the second of two signals to end.
+tap.test('signals in series end the process once', (t) => {
+  t.same(actionsOf('started', 'SIGTERM', 'SIGTERM', 'SIGINT', 'SIGHUP'), ['none', 'end', 'ignore', 'ignore', 'ignore'])
+  t.end()
+})
+
 tap.test('a process that serves nothing yet ends at once', (t) => {
   t.same(actionsOf('SIGHUP', 'SIGTERM'), ['none', 'exit'])
   t.end()
--- a/packages/base/process-signals/src/signal-state.ts
+++ b/packages/base/process-signals/src/signal-state.ts
@@ -29,7 +29,7 @@
   switch (state.type) {
     case 'starting': return whileStarting(state, signal)
     case 'running': return signal === 'SIGHUP' ? { state, action: { type: 'reload' } } : { state: { type: 'ending' }, action: { type: 'end' } }
-    case 'ending': return { state, action: { type: 'end' } }
+    case 'ending': return { state, action: { type: 'ignore' } }
   }
 }
 
--- a/packages/testing/system-tests/src/signals.test.ts
+++ b/packages/testing/system-tests/src/signals.test.ts
@@ -27,4 +27,13 @@
   t.match(await recorder.ask(recorders.modelCall('reload', 'k2', 2)), { ok: true })
 })
 
+// Guards against requests that are cut off by the second of two signals to end.
+tap.test('signals in series cut no request', async (t) => {
+  const { home, answer } = await callUnderWay('series')
+  const processes = [system.entries.get('entry-a')!.process, system.sidecars.get(home)!.process]
+  for (const process of processes) for (const signal of ['SIGTERM', 'SIGTERM', 'SIGHUP', 'SIGINT'] as const) process.signal(signal)
+  t.match(await answer, { ok: true })
+  for (const process of processes) t.equal(await process.exited, 0)
+})
+
 shared.checkAtEnd(tap, recorder)
