--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -4,11 +4,11 @@
 import * as fs from 'node:fs'
 import * as path from 'node:path'
 import { Parser } from 'tap-parser'
+import * as knownRed from '../packages/testing/test-utils/dist/src/known-red.js'
 import { packageDirs } from './packages.mjs'
 
 const filters = process.argv.slice(2)
 const knownRedFile = 'KNOWN-RED.txt'
-const mostKnownRed = 3
 const outFile = path.join('out', `tests-${process.pid}.tap`)
 
 function testFiles () {
@@ -23,16 +23,12 @@
   return files.filter((file) => filters.length === 0 || filters.some((filter) => file.includes(filter)))
 }
 
-// Each line of the file: TEST | CAUSE | ISSUE, where TEST is the full name that a failure prints.
-function knownRed () {
-  if (!fs.existsSync(knownRedFile)) return []
-  const lines = fs.readFileSync(knownRedFile, 'utf8').split('\n').filter((line) => line.trim() !== '')
-  if (lines.length > mostKnownRed) throw new Error(`${knownRedFile} lists more than ${mostKnownRed} tests`)
-  return lines.map((line) => line.split('|')[0].trim())
+function knownRedEntries () {
+  return fs.existsSync(knownRedFile) ? knownRed.parseKnownRed(fs.readFileSync(knownRedFile, 'utf8')) : []
 }
 
 function count (tap) {
-  const totals = { passed: 0, failed: [] }
+  const totals = { passed: 0, failed: [], tests: [] }
   // A test is a leaf: a test point that no subtest stands behind.
   const visit = (parser, names) => {
     let open = null
@@ -41,6 +37,7 @@
       const child = open
       open = null
       if (child !== null) {
+        totals.tests.push([...names, result.name].join(' > '))
         if (!result.ok && child.fail === 0) totals.failed.push([...names, result.name].join(' > '))
         return
       }
@@ -61,11 +58,12 @@
 const args = ['tap', 'run', '--disable-coverage', '--allow-empty-coverage', '--reporter=terse', `--output-file=${outFile}`, '--jobs=6', '--timeout=240', ...files]
 const run = childProcess.spawnSync('npx', ['--no-install', ...args], { stdio: 'inherit' })
 const totals = count(fs.readFileSync(outFile, 'utf8'))
-const known = knownRed()
-const isKnown = (name) => known.some((entry) => name.includes(entry))
-const red = totals.failed.filter((name) => !isKnown(name))
-for (const name of totals.failed) console.log(`${isKnown(name) ? 'known red' : 'FAILED'}: ${name}`)
+const { known, red, passed, absent } = knownRed.judgeRun(knownRedEntries(), { ...totals, whole: filters.length === 0 })
+for (const name of known) console.log(`known red: ${name}`)
+for (const name of red) console.log(`FAILED: ${name}`)
+for (const name of passed) console.log(`known red, passed: ${name}`)
+for (const name of absent) console.log(`known red, but there is no such test: ${name}`)
 const broken = run.status !== 0 && totals.failed.length === 0
 if (broken) console.log(`tap ended with ${run.status ?? run.signal} though no assertion failed`)
 console.log(`${totals.passed} passed, ${totals.failed.length} failed`)
-process.exitCode = red.length > 0 || broken || totals.passed === 0 ? 1 : 0
+process.exitCode = red.length > 0 || absent.length > 0 || broken || totals.passed === 0 ? 1 : 0
