Front: a process that has stopped runs nothing more

Cause, one of perhaps several: between the last look at the requests under way and the end of the process its log lines are written; open connections were still read, so a request that came then ran and was cut off.

Evidence: site.test 'a process that has stopped runs nothing more' failed before (the late request ran). Ruled out: a second SIGTERM (the soak sends one), answers that are written but not sent.

All connections of clients and peers are closed after the last look.

--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -170,6 +170,8 @@
     this.clientServer.close()
     const endAt = stopAt + this.cfg.graceMs - endMarginMs
     while (this.requests.count > 0 && timers.monotonic() < endAt) await timerService.sleep(timers, endLookMs)
+    // A request that is read from now on would run and be cut off when the process ends.
+    closeAll([this.clientServer, this.peerServer])
     decisions.note({ event: 'stopped', underWay: this.requests.count, tookMs: Math.round(timers.monotonic() - stopAt) })
   }
 
@@ -179,10 +181,7 @@
     this.upstreams.stop()
     this.shards.close()
     this.limits.close()
-    for (const server of [this.clientServer, this.peerServer, this.readyServer]) {
-      server.close()
-      server.closeAllConnections()
-    }
+    closeAll([this.clientServer, this.peerServer, this.readyServer])
     this.sender.close()
   }
 
@@ -265,6 +264,13 @@
   }
 }
 
+function closeAll (servers: readonly http.Server[]): void {
+  for (const server of servers) {
+    server.close()
+    server.closeAllConnections()
+  }
+}
+
 function shardTopics (count: number): string[] {
   return Array.from({ length: count }, (_, index) => `keyed.turns-${index}`)
 }
