Front: its end does not wait for a reader of its log lines

Cause: the end waits until the last log lines are written; with a reader that has stopped reading that never is.

Evidence: platform/signals.test 'a process whose lines nobody reads ends in time' (standard output is a full pipe): still there after 4 s before, ended with 0 now.

The last lines are given up after 200 ms.

--- a/packages/programs/front/src/run-front.ts
+++ b/packages/programs/front/src/run-front.ts
@@ -5,7 +5,7 @@
 import * as parseSettings from '@eelgrasswind/parse-settings'
 import type * as processSignals from '@eelgrasswind/process-signals'
 import type * as shardLog from '@eelgrasswind/shard-log'
-import type * as timerService from '@eelgrasswind/timer-service'
+import * as timerService from '@eelgrasswind/timer-service'
 import type * as types from '@eelgrasswind/types'
 import type * as dialects from './dialect.js'
 import * as front from './front.js'
@@ -29,6 +29,8 @@
 
 const exitInvalid = 1
 const exitFailed = 1
+/** The last log lines are given up after this, in ms, where nobody reads them. */
+const flushMs = 200
 
 /** Returns once the process takes requests; it then runs until a signal ends it. */
 export async function runFront (ports: RunFrontPorts): Promise<void> {
@@ -62,7 +64,7 @@
       decisions.note({ event: 'failedToStop', err })
       code = exitFailed
     }
-    await ports.lines.flush()
+    await timerService.within(ports.timers, ports.lines.flush(), flushMs)
     process.exit(code)
   }
   ports.signals.handle({
