--- a/packages/programs/program-home/src/program-home.ts
+++ b/packages/programs/program-home/src/program-home.ts
@@ -191,9 +191,14 @@
     if (!opened.ok) return opened
     const result = await this.runner.call(opened.value, call, ctx, sink)
     if (result.ok || !concernsPlace(result.failure)) return result
+    this.notePlaceRefused(opened.value, call, result.failure)
     const confirmed = await this.openConfirmed(call.program)
-    if (!confirmed.ok) return confirmed
-    return confirmed.value === opened.value ? result : await this.runner.call(confirmed.value, call, ctx, sink)
+    return confirmed.ok ? await this.runner.call(confirmed.value, call, ctx, sink) : confirmed
+  }
+
+  private notePlaceRefused ({ state, running }: local.LocalProgram, { program, key, branch, seq }: types.Call, { tag, message }: errors.Failure): void {
+    const { n, term, turns, intents } = state
+    this.deps.logger.info({ program, key, branch, seq, tag, n, term, turns: turns.length, intents: [...intents.keys()], running: [...running.keys()] }, message)
   }
 
   private async openForCall (call: types.Call): Promise<errors.Result<local.LocalProgram>> {
--- a/packages/programs/program-home/src/test-journal.ts
+++ b/packages/programs/program-home/src/test-journal.ts
@@ -6,8 +6,8 @@
 import type * as types from '@eelgrasswind/types'
 import * as local from './local-program.js'
 
-/** What becomes of one append: `lost` lands without an answer, `late` does not land yet, `refused` never does. */
-export type AppendOutcome = 'ok' | 'lost' | 'late' | 'refused'
+/** What becomes of one append: `lost` lands without an answer, `unread` too, but is read by `head` alone; `late` does not land yet, `refused` never does. */
+export type AppendOutcome = 'ok' | 'lost' | 'unread' | 'late' | 'refused'
 
 export const home: types.ProcessRef = { host: 'h' as types.HostId, incarnation: 'h1' as types.Incarnation }
 export const client = 'c' as types.ClientId
@@ -24,6 +24,7 @@
   readonly appended: types.JournalRecord[] = []
   readonly program: local.LocalProgram
   private readonly view: programState.ProgramView
+  private readonly unread: types.JournalRecord[] = []
   private readonly landed = new Map<string, Answer>()
   private position = 10
 
@@ -36,7 +37,15 @@
 
   /** The part of a journal that a home writes with. */
   get journal (): appendJournal.Journal {
-    const used: Pick<appendJournal.Journal, 'append' | 'available'> = { append: async (record) => this.append(record), available: () => true }
+    const used: Pick<appendJournal.Journal, 'append' | 'available' | 'head' | 'load'> = {
+      append: async (record) => this.append(record),
+      available: () => true,
+      head: async () => {
+        for (const record of this.unread.splice(0)) this.land(record)
+        return errors.ok(this.program.state)
+      },
+      load: async () => errors.ok(this.program.state)
+    }
     return used as appendJournal.Journal
   }
 
@@ -60,6 +69,9 @@
       case 'lost':
         this.land(record)
         return errors.fail(unavailable('mayHaveRun'))
+      case 'unread':
+        this.unread.push(record)
+        return errors.fail(unavailable('mayHaveRun'))
       case 'late': return errors.fail(unavailable('mayHaveRun'))
       case 'refused': return errors.fail(unavailable('notRun'))
       default: return errors.unreachable(outcome)
--- a/packages/programs/program-home/src/test-runner.ts
+++ b/packages/programs/program-home/src/test-runner.ts
@@ -11,6 +11,7 @@
 import * as homeMetrics from './home-metrics.js'
 import * as learnings from './learning.js'
 import type * as ports from './ports.js'
+import * as programHome from './program-home.js'
 import type * as runningCalls from './running-call.js'
 import * as testJournal from './test-journal.js'
 
@@ -19,6 +20,7 @@
 const engineHost = 'engine-a' as types.HostId
 const engineAddress = 'http://127.0.0.1:1'
 const random = 0.5
+const context: types.RequestContext = { traceparent: '' }
 /** Wall time at which the program began, in ms. */
 const startAt = 0
 
@@ -37,6 +39,8 @@
   readonly answers: DispatchResult[]
   readonly dispatched: types.Dispatch[]
   readonly ask: (call: types.Call) => Promise<runningCalls.CallResult>
+  /** The same through the home of the program. */
+  readonly askHome: (call: types.Call) => Promise<runningCalls.CallResult>
 }
 
 export async function createWorld (): Promise<RunnerWorld> {
@@ -54,7 +58,7 @@
     drop: async () => errors.ok(undefined)
   }
   const silent = logger.createSilentLogger()
-  const runner = new callRunner.CallRunner({
+  const deps = {
     self: testJournal.home,
     journal: journal.journal,
     timers,
@@ -63,22 +67,32 @@
     hosts: hosts(),
     upstreams: upstreams(),
     dispatchPort,
-    learning: new learnings.Learning({ timers, logger: silent, dispatchPort, holdRule: () => ({ type: 'never' }), cacheUsed: () => 0 }),
     tracer: await tracing.createTracing({ serviceName: 'test', exporterUrl: null }),
-    metrics: new homeMetrics.HomeMetrics(metrics.createMetrics('off'), timers.now),
     placeRule: placeCall.defaultPlaceRule,
-    random: () => random
-  })
-  const ask: RunnerWorld['ask'] = (call) => runner.call(journal.program, call, { traceparent: '' }, { onPlaced: () => {}, onDelta: () => {} })
-  return { timers, journal, answers, dispatched, ask }
+    random: () => random,
+    holdRule: () => ({ type: 'never' as const }),
+    cacheUsed: () => 0
+  }
+  const off = metrics.createMetrics('off')
+  const runner = new callRunner.CallRunner({ ...deps, learning: new learnings.Learning(deps), metrics: new homeMetrics.HomeMetrics(off, timers.now) })
+  const home = new programHome.ProgramHome({ ...deps, metrics: off, admissionRule: () => ({ type: 'none' }), ownSlots: () => ({ slots: 4, waiting: 0 }) })
+  const sink: types.CallSink = { onPlaced: () => {}, onDelta: () => {} }
+  return {
+    timers,
+    journal,
+    answers,
+    dispatched,
+    ask: (call) => runner.call(journal.program, call, context, sink),
+    askHome: (call) => home.call(call, context, sink)
+  }
 }
 
-/** The first call of the program. */
-export function callOf (type: 'model' | 'service', idempotent: boolean): types.Call {
+/** A call of the program, the first one where nothing else is said. */
+export function callOf (type: 'model' | 'service', idempotent: boolean, seq = 1): types.Call {
   const target: types.CallTarget = type === 'model'
     ? { type, model: 'm' as types.ModelId, messages: [], maxTokens: 20, options: {} }
     : { type, service: 'kit' as types.ServiceId, path: '/print', body: null }
-  return { program: 'p1' as types.ProgramId, client: testJournal.client, key: 'k1' as types.RequestKey, branch: testJournal.mainBranch, seq: 1, idempotent, timeoutMs: 20_000, target }
+  return { program: 'p1' as types.ProgramId, client: testJournal.client, key: `k${seq}` as types.RequestKey, branch: testJournal.mainBranch, seq, idempotent, timeoutMs: 20_000, target }
 }
 
 function hosts (): ports.HostsPort {
--- a/packages/testing/test-utils/src/start-system.ts
+++ b/packages/testing/test-utils/src/start-system.ts
@@ -47,6 +47,8 @@
   readonly services: ReadonlyMap<string, standIns.ServiceStandIn>
   readonly sidecars: Map<string, SystemProcess>
   readonly entries: Map<string, SystemProcess>
+  /** Every process of the system that was ever started, in order. */
+  readonly started: readonly SystemProcess[]
   readonly document: configState.ConfigDocumentInput
   /** A client of an entry, by its place in the plan. */
   readonly caller: (entry?: number) => callerClient.CallerClient
@@ -86,6 +88,7 @@
   await publish(log.address, document)
   const sidecars = new Map<string, SystemProcess>()
   const entries = new Map<string, SystemProcess>()
+  const started: SystemProcess[] = []
 
   async function start (role: types.HostRole, host: string, availabilityZone: string, extra: Readonly<Record<string, unknown>>): Promise<SystemProcess> {
     const file = path.join(folder, `${host}.jsonc`)
@@ -103,20 +106,22 @@
     const spawned = await spawning.spawnProcess(scope, binary(role), undefined, { args: ['--settings', file] })
     const peerAddress = String(spawned.ready['peerAddress'])
     hostList.setHost({ host, role, region: plan.region, availabilityZone, address: peerAddress, state: 'live' } as types.HostEntry)
-    return { host, process: spawned, address: String(spawned.ready['callerAddress'] ?? peerAddress) }
+    const one = { host, process: spawned, address: String(spawned.ready['callerAddress'] ?? peerAddress) }
+    started.push(one)
+    return one
   }
 
   async function startSidecar (host: string): Promise<SystemProcess> {
     const { availabilityZone } = plan.hosts.find((one) => one.host === host)!
-    const started = await start('sidecar', host, availabilityZone, plan.sidecarSettings ?? {})
-    sidecars.set(host, started)
-    return started
+    const one = await start('sidecar', host, availabilityZone, plan.sidecarSettings ?? {})
+    sidecars.set(host, one)
+    return one
   }
 
   async function startEntry (host: string, availabilityZone: string): Promise<SystemProcess> {
-    const started = await start('entry', host, availabilityZone, plan.entrySettings ?? {})
-    entries.set(host, started)
-    return started
+    const one = await start('entry', host, availabilityZone, plan.entrySettings ?? {})
+    entries.set(host, one)
+    return one
   }
 
   function caller (entry = 0): callerClient.CallerClient {
@@ -128,7 +133,7 @@
 
   await Promise.all(plan.hosts.map(({ host }) => startSidecar(host)))
   await Promise.all(plan.entries.map(({ host, availabilityZone }) => startEntry(host, availabilityZone)))
-  const system: System = { plan, log, hostList, ...upstreams, sidecars, entries, document, caller, restartSidecar: startSidecar, startEntry }
+  const system: System = { plan, log, hostList, ...upstreams, sidecars, entries, started, document, caller, restartSidecar: startSidecar, startEntry }
   await untilServing(system)
   return system
 }
