Peers: a stream that a peer does not open in time is given up

Evidence: channel.test 'a peer that does not open the stream in time ...' failed before (nothing within 2 s).

The stream is given up after the limit for short requests. Nothing is sent before a stream is open, so the verdict is notRun and the entry goes on to the next host.

--- a/packages/peers/sidecar-client/src/channel-client.ts
+++ b/packages/peers/sidecar-client/src/channel-client.ts
@@ -9,6 +9,8 @@
 export interface ChannelClientSettings {
   readonly transport: connect.Transport
   readonly timers: timerService.TimerService
+  /** A peer that has not opened the stream after this time is given up, in milliseconds: nothing was sent to it. */
+  readonly openTimeoutMs: number
   readonly noteSender: (sender: gen.Sender | undefined) => void
   readonly onBroken: (failure: errors.Failure) => void
 }
@@ -66,8 +68,14 @@
   private async run (requests: channelRequests.ChannelRequests): Promise<void> {
     let opened: () => void = () => undefined
     const open = new Promise<void>((resolve) => { opened = resolve })
+    const late = new AbortController()
+    const limit = this.settings.timers.after(this.settings.openTimeoutMs, () => {
+      requests.fail('the peer does not open the stream')
+      late.abort()
+    })
     try {
-      for await (const message of this.client.open(outgoing(requests, open))) {
+      for await (const message of this.client.open(outgoing(requests, open), { signal: late.signal })) {
+        limit.cancel()
         opened()
         this.settings.noteSender(message.sender)
         requests.receive(message)
@@ -80,6 +88,7 @@
       requests.fail(message)
       this.noteBroken(transportFailures.transportFailure(err))
     } finally {
+      limit.cancel()
       opened()
     }
   }
--- a/packages/peers/sidecar-client/src/channel.test.ts
+++ b/packages/peers/sidecar-client/src/channel.test.ts
@@ -301,3 +301,27 @@
   t.match(await client.read('never' as types.ProgramId, true), { ok: false, failure: { tag: 'peerUnavailable', verdict: 'mayHaveRun' } })
   t.equal(broken.length, 1)
 })
+
+// Guards against requests that wait for the caller's whole time: a stream that a peer does not open was kept for all later ones.
+tap.test('a peer that does not open the stream in time is given up, and nothing ran', async (t) => {
+  const way = net.createServer((socket) => {
+    socket.on('error', () => undefined)
+    socket.resume()
+  })
+  await new Promise<void>((resolve) => { way.listen(0, '127.0.0.1', resolve) })
+  const broken: errors.Failure[] = []
+  const client = peerClient.createPeerClient({
+    address: `http://127.0.0.1:${(way.address() as net.AddressInfo).port}`,
+    timeoutMs: 200,
+    pingIntervalMs: 60_000,
+    pingTimeoutMs: 60_000,
+    onSender: () => undefined,
+    onBroken: (failure) => broken.push(failure)
+  })
+  t.teardown(() => { client.close(); way.close() })
+  const receiver: types.CallSink = { onPlaced: () => undefined, onDelta: () => undefined }
+  const limit = new Promise<string>((resolve) => { setTimeout(resolve, 2_000, 'late').unref() })
+  t.match(await Promise.race([client.call({ key: 'a' } as unknown as types.Call, { traceparent: '' }, receiver), limit]), { ok: false, failure: { tag: 'peerUnavailable', verdict: 'notRun' } })
+  while (broken.length < 1) await turn()
+  t.equal(broken.length, 1)
+})
--- a/packages/peers/sidecar-client/src/peer-client.ts
+++ b/packages/peers/sidecar-client/src/peer-client.ts
@@ -60,7 +60,7 @@
   const upstream = connect.createClient(gen.UpstreamService, transport)
   const peer = connect.createClient(gen.PeerService, transport)
   const timers = settings.timers ?? timerService.createRealTimers()
-  const channel = new channels.ChannelClient({ transport, timers, noteSender, onBroken: settings.onBroken })
+  const channel = new channels.ChannelClient({ transport, timers, openTimeoutMs: settings.timeoutMs, noteSender, onBroken: settings.onBroken })
   const short = { timeoutMs: settings.timeoutMs }
 
   function noteSender (sender: gen.Sender | undefined): void {
