Front: no new connections in the last half of the time until its end

Cause: a front that stops takes new connections for 3 s and ends 0.7 s before its grace time.

Connections come for 3 s, but for half of the time until the end at most; nothing changes with the grace time of 8 s of the deployments.

--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -56,6 +56,8 @@
 const ownersMs = 1_000
 /** After the signal to stop, new connections still come for this long, in ms: the balancer needs two questions to notice. */
 const lingerMs = 3_000
+/** The part of the time until its end that a process lets new connections come; the rest is for the last requests to end. */
+const lingerShare = 0.5
 /** The process ends this long before it would be ended by force, in ms. */
 const endMarginMs = 700
 /** Pause between two looks at the requests under way while stopping, in ms: well below the time that ending takes. */
@@ -165,10 +167,11 @@
     const stopAt = timers.monotonic()
     decisions.note({ event: 'stopping', underWay: this.requests.count })
     await this.shards.leave()
-    const lingerLeft = lingerMs - (timers.monotonic() - stopAt)
-    await timerService.sleep(timers, Math.max(0, lingerLeft))
+    const servingMs = this.cfg.graceMs - endMarginMs
+    const endAt = stopAt + servingMs
+    const lingerAt = stopAt + Math.min(lingerMs, servingMs * lingerShare)
+    await timerService.sleep(timers, Math.max(0, lingerAt - timers.monotonic()))
     this.clientServer.close()
-    const endAt = stopAt + this.cfg.graceMs - endMarginMs
     while (this.requests.count > 0 && timers.monotonic() < endAt) await timerService.sleep(timers, endLookMs)
     // A request that is read from now on would run and be cut off when the process ends.
     closeAll([this.clientServer, this.peerServer])
