Hosts: a process logs the hosts whose state changed; tests begin once all know all

Cause: the fixture waits until the entries know a home, but the home's own host list may not show the service's host yet (each process polls for itself).

Entry and sidecar log 'hosts changed' with the states and addresses that changed, which also tells whether a list lagged ('home killed'); the fixture waits for these lines. No check of a test changes.

--- a/packages/programs/process-base/src/host-directory.ts
+++ b/packages/programs/process-base/src/host-directory.ts
@@ -26,6 +26,8 @@
 }
 
 const unknownHostRetryMs = 500
+/** Hosts that one log line names. */
+const mostNamed = 20
 
 export class HostDirectory {
   private readonly table: membership.Membership
@@ -35,6 +37,8 @@
   private homeSelectorConfig: configState.Config | undefined
   private members = new Map<types.HostId, membership.MemberHost>()
   private membersVersion = -1
+  private readonly noted = new Map<types.HostId, membership.HostState>()
+  private notedVersion = -1
 
   constructor (private readonly deps: HostDirectoryDeps) {
     const { settings, timers } = deps
@@ -65,14 +69,27 @@
   /** Puts what is known into force now, as at the start of a process. */
   settle (): void {
     this.table.tick(this.deps.timers.monotonic())
+    this.noteChanges()
   }
 
   private tick (): void {
     const { timers } = this.deps
     if (this.table.tick(timers.monotonic())) this.pool.retain(new Set(this.memberMap().keys()))
+    this.noteChanges()
     for (const host of this.table.takeProbes(timers.monotonic())) void this.peer(host)?.status()
   }
 
+  /** Logs the hosts whose state differs from what was logged last. */
+  private noteChanges (): void {
+    const { version, hosts } = this.table.view()
+    if (version === this.notedVersion) return
+    this.notedVersion = version
+    const changed = hosts.flatMap(({ entry, state }) => this.noted.get(entry.host) === state ? [] : [{ host: entry.host, state, address: entry.address }])
+    this.noted.clear()
+    for (const { entry, state } of hosts) this.noted.set(entry.host, state)
+    if (changed.length > 0) this.deps.logger.info({ version, count: changed.length, changed: changed.slice(0, mostNamed) }, 'hosts changed')
+  }
+
   private noteSender (sender: types.Sender): void {
     const now = this.deps.timers.monotonic()
     this.table.noteAnswer(sender.host, sender.incarnation, sender.leaving, now)
--- a/packages/testing/test-utils/src/start-system.ts
+++ b/packages/testing/test-utils/src/start-system.ts
@@ -195,8 +195,15 @@
   if (res.status !== 201) throw new Error(`the configuration was not appended: ${res.status}`)
 }
 
-/** Until every entry knows a home for programs. */
+/** Whether a process has logged that it holds a host for live. */
+function knowsLive (lines: readonly string[], host: string): boolean {
+  return lines.some((line) => line.includes('hosts changed') && line.includes(`{"host":"${host}","state":"live"`))
+}
+
+/** Until every process knows every host, and every entry a home for programs. */
 async function untilServing (system: System): Promise<void> {
+  const hosts = system.started.map(({ host }) => host)
+  await waiting.eventually(() => system.started.every(({ process }) => hosts.every((host) => knowsLive(process.output(), host))))
   for (let entry = 0; entry < system.plan.entries.length; entry += 1) {
     const caller = system.caller(entry)
     await waiting.eventually(async () => {
