front: lines that tell who admitted requests of an account, and whose answer takes one back

Cause: the lines could not tell two owners of an account group, hosts without an owner, and takings-back of requests that ran apart. Change: accountUsage (once a second and host, for accounts near their limit or without an owner: admitted by owner, estimate, estimate without owner, share; refused, refunded; term, age of the owner's answer, hosts), meterOwnerChanged, requestRefunded with the source of the answer; meterOwnerAway names term, age and hosts. No decision changes. Measured: front tests pass; the fixture of forward-turn.test gains the facts of an answer, its checks are as before.

--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -31,6 +31,8 @@
   | RequestFields & { readonly event: 'unknownKey', readonly route: string, readonly key: 'none' | 'key' | 'unreadable', readonly version: number, readonly routingAgeMs: number }
   /** `by`: who decided. `requestsLeft`: what remains of the account's limit, below 0 if it is exceeded. */
   | RequestFields & { readonly event: 'overLimit', readonly program: types.ProgramId | undefined, readonly account: types.AccountId, readonly route: string, readonly part: 'first' | 'further', readonly by: 'owner' | 'share', readonly requestsLeft: number, readonly retryAfterMs: number, readonly version: number }
+  /** Taken back from the usage of its account as not run. `source`: who made the answer. */
+  | RequestFields & { readonly event: 'requestRefunded', readonly account: types.AccountId, readonly status: number, readonly source: 'front' | 'upstream' }
   /** Forwarded to the process that owns the program. */
   | TurnFields & { readonly event: 'passedOn', readonly owner: string, readonly ownersAgeMs: number }
   | TurnFields & { readonly event: 'turnAdmitted', readonly previous: string | undefined, readonly epoch: number, readonly promptBytes: number, readonly covered: boolean, readonly budgetTokens: number | undefined, readonly maxTokens: number }
@@ -97,7 +99,26 @@
   | { readonly event: 'assignment', readonly generation: number, readonly owned: number, readonly handedOver: number }
   | { readonly event: 'leaseNotRenewed', readonly failure: FailureField }
   /** The process that counts the requests of the group's accounts can't be reached. */
-  | { readonly event: 'meterOwnerAway', readonly group: number, readonly why: string }
+  | { readonly event: 'meterOwnerAway', readonly group: number, readonly why: string, readonly term: number, readonly answerAgeMs: number, readonly hosts: number }
+  /** An owner with another term answers. Terms rise with each owner; `former` is -1 before the first answer. */
+  | { readonly event: 'meterOwnerChanged', readonly group: number, readonly term: number, readonly former: number, readonly answerAgeMs: number }
+  /** Requests of an account near its limit, or without an owner, since the last such line: admitted by the owner, by this host's estimate (`estimateAlone`: while the owner was away) and by its share. */
+  | {
+    readonly event: 'accountUsage'
+    readonly account: types.AccountId
+    readonly group: number
+    readonly term: number
+    /** Age of the owner's last answer, in ms. */
+    readonly answerAgeMs: number
+    /** Number of hosts that the share is computed from. */
+    readonly hosts: number
+    readonly owner: number
+    readonly estimate: number
+    readonly estimateAlone: number
+    readonly share: number
+    readonly refused: number
+    readonly refunded: number
+  }
   | { readonly event: 'groupLeft', readonly outcome: string }
   | { readonly event: 'memberEvicted', readonly member: string, readonly why: 'ended' | 'silent', readonly outcome: string }
   | { readonly event: 'ownersNotRead', readonly failure: FailureField }
@@ -135,6 +156,7 @@
   unknownRoute: { level: 'info', message: 'no route matches' },
   unknownKey: { level: 'info', message: 'no client account has the key of the request' },
   overLimit: { level: 'info', message: 'the client account has used up its limit' },
+  requestRefunded: { level: 'info', message: 'not run; no longer counted for its client account' },
   passedOn: { level: 'info', message: 'forwarded to the owner of the program' },
   turnAdmitted: { level: 'info', message: 'turn admitted; reserving its tokens' },
   tokensReserved: { level: 'info', message: 'tokens of a turn reserved' },
@@ -165,6 +187,8 @@
   assignment: { level: 'info', message: 'shards reassigned' },
   leaseNotRenewed: { level: 'warn', message: 'lease not renewed' },
   meterOwnerAway: { level: 'warn', message: 'no answer from the process that counts requests of client accounts; this host applies its share of the limits' },
+  meterOwnerChanged: { level: 'info', message: 'another process counts the requests of client accounts' },
+  accountUsage: { level: 'info', message: 'requests of a client account near its limit, or while nobody counts them' },
   groupLeft: { level: 'info', message: 'left the group of shard owners' },
   memberEvicted: { level: 'warn', message: 'member evicted; its lease was released' },
   ownersNotRead: { level: 'warn', message: 'could not read the owners of the shards' },
--- a/packages/programs/front/src/answer-stream.ts
+++ b/packages/programs/front/src/answer-stream.ts
@@ -129,7 +129,7 @@
   private flush (): void {
     if (this.answerHead === undefined || !this.isRelaying || this.isFinished) return
     const { reply } = this.req
-    if (!reply.headSent) reply.head(this.answerHead.status, this.ports.dialect.answerHeaders(this.answerHead.rawHeaders))
+    if (!reply.headSent) reply.head(this.answerHead.status, this.ports.dialect.answerHeaders(this.answerHead.rawHeaders), 'upstream')
     for (const raw of this.pendingChunks.splice(0)) this.write(raw)
     if (this.hasAnswerEnded) this.completeAnswer(this.answerHead)
   }
--- a/packages/programs/front/src/forward-turn.test.ts
+++ b/packages/programs/front/src/forward-turn.test.ts
@@ -29,7 +29,7 @@
   const req = { attempt: { id: 'r1' }, method: 'POST', path: '/', rawHeaders: [], body: Buffer.alloc(0), deadlineAt: timers.monotonic() + 4_000, reply } as unknown as inbound.InboundRequest
   const ports = {
     sender: { send, close: () => {} },
-    dialect: { peerHeaders: () => [], answerHeaders: () => [] } as unknown as dialects.Dialect,
+    dialect: { peerHeaders: () => [], answerHeaders: () => [], answerFacts: () => ({ requestId: 'r', signed: true, notRun: false, wrongIncarnation: false }) } as unknown as dialects.Dialect,
     timers,
     decisions: decisionLog.createSilentDecisionLog(),
     peerProbe: new peerProbe.PeerProbe({ ping: async () => { pingCount += 1; return ownerAnswers } })
--- a/packages/programs/front/src/forward-turn.ts
+++ b/packages/programs/front/src/forward-turn.ts
@@ -62,7 +62,8 @@
           return
         }
         isRelaying = true
-        reply.head(head.status, dialect.answerHeaders(head.rawHeaders))
+        // Only an upstream signs its answers; one without a signature is the owner's own.
+        reply.head(head.status, dialect.answerHeaders(head.rawHeaders), dialect.answerFacts(head).signed ? 'upstream' : 'front')
       },
       onData: (chunk) => {
         lastReceivedAt = timers.monotonic()
--- a/packages/programs/front/src/inbound.ts
+++ b/packages/programs/front/src/inbound.ts
@@ -69,10 +69,14 @@
   }
 }
 
+/** Who made an answer: a front process, which has not run the request, or an upstream, which has. */
+export type AnswerSource = 'front' | 'upstream'
+
 /** How a reply ended. */
 export interface ReplyEnd {
   readonly outcome: decisionLog.RequestOutcome
   readonly status: number
+  readonly source: AnswerSource
   /** Type of the refusal, if it was refused. */
   readonly reason?: string
 }
@@ -83,6 +87,7 @@
   private readonly endListeners: ((end: ReplyEnd) => void)[] = []
   private headListener: (() => void) | undefined
   private isFinished = false
+  private source: AnswerSource = 'front'
 
   constructor (private readonly res: http.ServerResponse) {
     res.on('close', () => {
@@ -129,17 +134,20 @@
     this.res.end(body)
   }
 
-  /** Sends an answer whose complete body is available. */
+  /** Sends an answer of an upstream whose complete body is available. */
   send (status: number, headers: readonly string[], body: Buffer): void {
     if (this.isFinished) return
+    this.source = 'upstream'
     this.headListener?.()
     this.finish({ outcome: 'whole', status })
     this.res.writeHead(status, [...headers, 'Content-Length', String(body.length)])
     this.res.end(body)
   }
 
-  head (status: number, headers: readonly string[]): void {
+  /** Begins an answer whose body follows. */
+  head (status: number, headers: readonly string[], source: AnswerSource): void {
     if (this.isFinished) return
+    this.source = source
     this.headListener?.()
     this.res.writeHead(status, [...headers])
     this.res.flushHeaders()
@@ -167,8 +175,8 @@
     this.res.destroy()
   }
 
-  private finish (end: ReplyEnd): void {
+  private finish (end: Omit<ReplyEnd, 'source'>): void {
     this.isFinished = true
-    for (const listener of this.endListeners) listener(end)
+    for (const listener of this.endListeners) listener({ ...end, source: this.source })
   }
 }
--- a/packages/programs/front/src/limit-gate.ts
+++ b/packages/programs/front/src/limit-gate.ts
@@ -30,7 +30,11 @@
     limits.refund(account, position)
     return false
   }
-  reply.onEnd((end) => { if (hasNotRun(end, kind)) limits.refund(account, position) })
+  reply.onEnd((end) => {
+    if (!hasNotRun(end, kind)) return
+    decisions.record({ event: 'requestRefunded', request: attempt.id, account, status: end.status, source: end.source })
+    limits.refund(account, position)
+  })
   return true
 }
 
--- a/packages/programs/front/src/meter-channel.ts
+++ b/packages/programs/front/src/meter-channel.ts
@@ -3,6 +3,7 @@
 import * as meterAccount from '@eelgrasswind/meter-account'
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as types from '@eelgrasswind/types'
+import * as accountUsage from './account-usage.js'
 
 /** A batch of account reports from one host. */
 export interface MeterCall {
@@ -54,6 +55,7 @@
   pending: PendingRequest[]
   /** Meter of this host's share of the limit, used while the owner is unreachable. */
   fallbackMeter: meterAccount.AccountMeter | undefined
+  readonly usage: accountUsage.AccountUsage
   lastUsedAt: number
 }
 
@@ -72,6 +74,8 @@
 const fallbackDivisor = 2
 /** An account without requests for this long, in ms, is removed. */
 const accountIdleMs = 10_000
+/** Interval between two log lines about the usage of an account, in ms. */
+const usageLineIntervalMs = 1_000
 /** Term of a state that doesn't come from an owner. */
 const noTerm = -1
 
@@ -79,7 +83,11 @@
 export class MeterChannel {
   private readonly entries = new Map<types.AccountId, AccountEntry>()
   private reportTimer: timerService.Subscription | undefined
+  private usageTimer: timerService.Subscription | undefined
   private isCallInFlight = false
+  /** Ownership term of the last answer, and when it arrived, monotonic ms. */
+  private term = noTerm
+  private answeredAt: number
   /** Monotonic ms. */
   private readonly startedAt: number
   /** When the owner became unreachable, monotonic ms; `undefined` while it is reachable. */
@@ -87,6 +95,7 @@
 
   constructor (private readonly group: number, private readonly ports: MeterChannelPorts) {
     this.startedAt = ports.timers.monotonic()
+    this.answeredAt = this.startedAt
   }
 
   /** Admits or refuses a request. Near the limit it waits for the owner's answer. */
@@ -100,6 +109,7 @@
     if (this.unreachableMs >= fallbackAfterMs) return this.acquireFromFallback(entry, limit, position)
     if (estimate !== undefined && meterAccount.canSendUnasked(estimate, position)) {
       entry.estimate = meterAccount.countRequest(estimate, position, 1)
+      this.countUsage(entry, this.unreachableSince === undefined ? 'estimate' : 'estimateAlone')
       this.scheduleReport()
       return { type: 'admitted' }
     }
@@ -116,6 +126,7 @@
     const entry = this.entries.get(account)
     if (entry?.estimate === undefined) return
     entry.estimate = meterAccount.countRequest(entry.estimate, position, -1)
+    this.countUsage(entry, 'refunded')
     this.scheduleReport()
   }
 
@@ -130,6 +141,7 @@
   /** Stops reporting. */
   close (): void {
     this.reportTimer?.cancel()
+    this.usageTimer?.cancel()
   }
 
   /** How long the owner has been unreachable, in ms; 0 while it is reachable. */
@@ -140,7 +152,7 @@
   private getOrCreateEntry (account: types.AccountId): AccountEntry {
     const existing = this.entries.get(account)
     if (existing !== undefined) return existing
-    const created: AccountEntry = { estimate: undefined, admittedEarly: meterAccount.noRequests, pending: [], fallbackMeter: undefined, lastUsedAt: 0 }
+    const created: AccountEntry = { estimate: undefined, admittedEarly: meterAccount.noRequests, pending: [], fallbackMeter: undefined, usage: new accountUsage.AccountUsage(), lastUsedAt: 0 }
     this.entries.set(account, created)
     return created
   }
@@ -163,10 +175,14 @@
     const fallbackMeter = entry.fallbackMeter ?? meterAccount.createFallbackMeter(limit, entry.estimate, divisor, this.unreachableSince ?? now, now)
     const refilled = meterAccount.refillMeter(meterAccount.applyLimit(fallbackMeter, meterAccount.divideLimit(limit, divisor)), now)
     entry.fallbackMeter = refilled
-    if (meterAccount.computeHeadroom(refilled, position) < 0) return { type: 'limited', retryAfterMs: meterAccount.computeWaitMs(refilled, position), by: 'share', requestsLeft: refilled.level }
+    if (meterAccount.computeHeadroom(refilled, position) < 0) {
+      this.countUsage(entry, 'refused')
+      return { type: 'limited', retryAfterMs: meterAccount.computeWaitMs(refilled, position), by: 'share', requestsLeft: refilled.level }
+    }
     entry.fallbackMeter = meterAccount.spend(refilled, meterAccount.createSingleCount(position))
     if (entry.estimate === undefined) entry.admittedEarly = meterAccount.addCounts(entry.admittedEarly, meterAccount.createSingleCount(position))
     else entry.estimate = meterAccount.countRequest(entry.estimate, position, 1)
+    this.countUsage(entry, 'share')
     this.scheduleReport()
     return { type: 'admitted' }
   }
@@ -236,6 +252,7 @@
 
   private applyAnswers (batch: readonly BatchItem[], answers: readonly meterAccount.MeterAnswer[]): void {
     const now = this.ports.timers.monotonic()
+    this.noteAnswer(answers, now)
     this.unreachableSince = undefined
     const byAccount = new Map(answers.map((answer) => [answer.account, answer]))
     for (const { entry, pending, limit, report } of batch) {
@@ -250,7 +267,9 @@
       entry.admittedEarly = meterAccount.noRequests
       const remaining = { ...answer.granted }
       for (const { position, onDecided } of pending) {
-        if (remaining[position] > 0) onDecided({ type: 'admitted' })
+        const isGranted = remaining[position] > 0
+        this.countUsage(entry, isGranted ? 'owner' : 'refused')
+        if (isGranted) onDecided({ type: 'admitted' })
         else onDecided({ type: 'limited', retryAfterMs: answer.waitMs[position], by: 'owner', requestsLeft: answer.state.level })
         remaining[position] -= 1
       }
@@ -259,7 +278,7 @@
 
   private noteFailure (batch: readonly BatchItem[], why: string): void {
     const now = this.ports.timers.monotonic()
-    if (this.unreachableSince === undefined) this.ports.decisions.record({ event: 'meterOwnerAway', group: this.group, why })
+    if (this.unreachableSince === undefined) this.ports.decisions.record({ event: 'meterOwnerAway', group: this.group, why, term: this.term, answerAgeMs: Math.round(now - this.answeredAt), hosts: this.ports.countHosts() })
     this.unreachableSince ??= now
     for (const { entry, pending, limit, report } of batch) {
       this.restoreUnreported(entry, report)
@@ -267,6 +286,30 @@
     }
   }
 
+  /** Logs a change of owner. */
+  private noteAnswer (answers: readonly meterAccount.MeterAnswer[], now: number): void {
+    const term = answers[0]?.term ?? this.term
+    if (term !== this.term) this.ports.decisions.record({ event: 'meterOwnerChanged', group: this.group, term, former: this.term, answerAgeMs: Math.round(now - this.answeredAt) })
+    this.term = term
+    this.answeredAt = now
+  }
+
+  private countUsage (entry: AccountEntry, decision: keyof accountUsage.UsageCounts): void {
+    entry.usage.count(decision)
+    this.usageTimer ??= this.ports.timers.after(usageLineIntervalMs, () => {
+      this.usageTimer = undefined
+      this.logUsage()
+    })
+  }
+
+  private logUsage (): void {
+    const answerAgeMs = Math.round(this.ports.timers.monotonic() - this.answeredAt)
+    for (const [account, { usage }] of this.entries) {
+      const counts = usage.takeNotable()
+      if (counts !== undefined) this.ports.decisions.record({ event: 'accountUsage', account, group: this.group, term: this.term, answerAgeMs, hosts: this.ports.countHosts(), ...counts })
+    }
+  }
+
   private restoreUnreported (entry: AccountEntry, report: meterAccount.MeterReport): void {
     if (entry.estimate === undefined) entry.admittedEarly = meterAccount.addCounts(entry.admittedEarly, report.spent)
     else entry.estimate = { ...entry.estimate, unreported: meterAccount.addCounts(entry.estimate.unreported, report.spent) }
