--- a/packages/programs/front/src/account-limits.ts
+++ b/packages/programs/front/src/account-limits.ts
@@ -8,10 +8,11 @@
 import type * as types from '@eelgrasswind/types'
 import * as memberName from './member-name.js'
 import * as meterChannel from './meter-channel.js'
-import * as peerCalls from './peer-calls.js'
 
 /** Dependencies for account limits. */
-export interface AccountLimitsPorts extends peerCalls.PeerCallPorts {
+export interface AccountLimitsPorts {
+  /** Calls another process as the owner of an account group; `undefined` if it does not answer within the timeout, in ms. */
+  readonly callPeer: (address: string, call: meterChannel.MeterCall, timeoutMs: number) => Promise<meterChannel.MeterCallAnswer | undefined>
   readonly shards: Pick<ownShards.ShardOwner, 'locate' | 'getPartition' | 'listMembers' | 'refreshOwners'>
   readonly routing: { readonly accounts: identifyClient.AccountDirectory, readonly version: number }
   /** Number of other hosts that report their load. With more hosts than shards, not all hosts are members of the group. */
@@ -29,6 +30,19 @@
 /** Interval for removing idle accounts, in ms. */
 const pruneIntervalMs = 5_000
 
+/** The name whose shard's owner counts the account. */
+export function getGroupName (account: types.AccountId): types.ProgramId {
+  return formatGroupName(getGroup(account))
+}
+
+function getGroup (account: types.AccountId): number {
+  return hashText.hashText(account) % accountGroupCount
+}
+
+function formatGroupName (group: number): types.ProgramId {
+  return `accounts ${group}` as types.ProgramId
+}
+
 /** Admits requests of accounts for the clients of this host, and meters accounts for all hosts as the owner of their group. */
 export class AccountLimits {
   private readonly registry = new meterAccount.MeterRegistry()
@@ -74,7 +88,7 @@
   }
 
   private getChannel (account: types.AccountId): meterChannel.MeterChannel {
-    return this.channels[hashText.hashText(account) % accountGroupCount]!
+    return this.channels[getGroup(account)]!
   }
 
   private getLimit (account: types.AccountId): meterAccount.MeterLimit | undefined {
@@ -85,14 +99,14 @@
   /** Locates the owner of a group: the owner of the shard that the group's name hashes to. */
   private locateGroup (group: number): ownShards.ShardLocation {
     const { shards } = this.ports
-    return shards.locate(shards.getPartition(`accounts ${group}` as types.ProgramId))
+    return shards.locate(shards.getPartition(formatGroupName(group)))
   }
 
   private async callOwner (call: meterChannel.MeterCall): Promise<meterChannel.MeterCallAnswer | undefined> {
     const location = this.locateGroup(call.group)
     if (location.type === 'here') return this.countReports(call)
     const answer = location.type === 'member'
-      ? await peerCalls.callPeer<meterChannel.MeterCallAnswer>(this.ports, memberName.parsePeerAddress(location.member), call, ownerTimeoutMs)
+      ? await this.ports.callPeer(memberName.parsePeerAddress(location.member), call, ownerTimeoutMs)
       : undefined
     if (answer?.type !== 'metered') void this.ports.shards.refreshOwners()
     return answer
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -109,7 +109,14 @@
       peerAddress: cfg.peerAddress,
       peers: () => this.listPeerAddresses()
     })
-    this.limits = new accountLimits.AccountLimits({ ...this.peerCallPorts, shards: this.shards, routing: this.routing, peerCount: () => this.upstreams.peerLoads.peerCount, slack: cfg.limitSlack })
+    this.limits = new accountLimits.AccountLimits({
+      ...ports,
+      callPeer: (address, call, timeoutMs) => peerCalls.callPeer(this.peerCallPorts, address, call, timeoutMs),
+      shards: this.shards,
+      routing: this.routing,
+      peerCount: () => this.upstreams.peerLoads.peerCount,
+      slack: cfg.limitSlack
+    })
     const turnPorts = this.createTurnPorts()
     this.clientServer = clientListener.createClientServer({
       ...turnPorts,
--- /dev/null
+++ b/packages/programs/front/src/test-cluster.ts
@@ -0,0 +1,338 @@
+/** Hosts with their account limits on simulated links, for tests. */
+import * as decisionLog from '@eelgrasswind/decision-log'
+import * as identifyClient from '@eelgrasswind/identify-client'
+import type * as meterAccount from '@eelgrasswind/meter-account'
+import * as ownShards from '@eelgrasswind/own-shards'
+import * as relayStore from '@eelgrasswind/relay-store'
+import * as shardLog from '@eelgrasswind/shard-log'
+import * as timerService from '@eelgrasswind/timer-service'
+import type * as types from '@eelgrasswind/types'
+import * as accountLimits from './account-limits.js'
+import * as memberName from './member-name.js'
+import * as peerFailureDetector from './peer-failure-detector.js'
+
+/** What the store does to the calls of one host. */
+export type StoreFault = 'refuse' | 'silent' | 'loseAnswers'
+
+/** The store as the hosts see it. */
+export interface SimulatedStore {
+  readonly connect: (host: number) => shardLog.ShardLog
+  readonly setFault: (host: number, fault: StoreFault, isBroken: boolean) => void
+}
+
+/** Number of hosts. */
+export const hostCount = 31
+/** The account that all requests belong to. */
+export const account = 'coaches' as types.AccountId
+/** Requests by which the limit may be exceeded. */
+export const slack = 20
+/** Partitions of each topic of shards. */
+export const partitionsPerTopic = 16
+/** One way between two hosts, in ms. */
+const linkMs = 1
+/** Timeouts of calls between hosts, in ms. */
+const relayTimeoutMs = 1_600
+const pingTimeoutMs = 200
+const announceTimeoutMs = 500
+/** Interval between two load reports, and for how long one is remembered, in ms. */
+const loadReportMs = 400
+const loadReportTtlMs = 3_000
+/** Time until all processes have joined, in ms. */
+const settleMs = 3_000
+
+/** The account's limit. */
+export type Limit = Pick<meterAccount.MeterLimit, 'requestsPerSecond' | 'burst'>
+
+/** A fault of a set of hosts; times are ms since the start of traffic. */
+export type Fault =
+  /** Each host is partitioned from all others and from the store. */
+  | { readonly type: 'isolate', readonly hosts: readonly number[], readonly at: number, readonly forMs: number }
+  /** The hosts are partitioned from the others but reach each other; `store`: whether they reach the store. */
+  | { readonly type: 'split', readonly hosts: readonly number[], readonly store: boolean, readonly at: number, readonly forMs: number }
+  /** The store refuses the hosts, or does not answer them. */
+  | { readonly type: 'store', readonly hosts: readonly number[], readonly how: StoreFault, readonly at: number, readonly forMs: number }
+  /** The processes are killed; new ones start after `forMs`. */
+  | { readonly type: 'kill', readonly hosts: readonly number[], readonly at: number, readonly forMs: number }
+  /** The processes stand still and then go on. */
+  | { readonly type: 'freeze', readonly hosts: readonly number[], readonly at: number, readonly forMs: number }
+  /** The process that counts the account is killed, frozen or isolated at that moment. */
+  | { readonly type: 'owner', readonly how: 'kill' | 'freeze' | 'isolate', readonly at: number, readonly forMs: number }
+
+/** The timers of one process: they wait while it stands still and stop when it is killed. */
+class ProcessTimers implements timerService.TimerService {
+  isDead = false
+  frozenUntil = -Infinity
+
+  constructor (private readonly timers: timerService.TimerService) {}
+
+  now (): number {
+    return this.timers.now()
+  }
+
+  monotonic (): number {
+    return this.timers.monotonic()
+  }
+
+  get isFrozen (): boolean {
+    return this.monotonic() < this.frozenUntil
+  }
+
+  after (delayMs: number, run: () => void): timerService.Subscription {
+    let isCancelled = false
+    const fire = (): void => {
+      if (isCancelled || this.isDead) return
+      if (this.isFrozen) this.timers.after(this.frozenUntil - this.monotonic(), fire)
+      else run()
+    }
+    const subscription = this.timers.after(delayMs, fire)
+    return {
+      cancel: () => {
+        isCancelled = true
+        subscription.cancel()
+      }
+    }
+  }
+
+  every (periodMs: number, run: () => void): timerService.Subscription {
+    let isCancelled = false
+    let subscription = this.after(periodMs, fire.bind(this))
+    function fire (this: ProcessTimers): void {
+      if (isCancelled) return
+      subscription = this.after(periodMs, fire.bind(this))
+      run()
+    }
+    return {
+      cancel: () => {
+        isCancelled = true
+        subscription.cancel()
+      }
+    }
+  }
+}
+
+/** One front process, as far as account limits need it. */
+interface Process {
+  readonly timers: ProcessTimers
+  readonly shards: ownShards.ShardOwner
+  readonly limits: accountLimits.AccountLimits
+  readonly detector: peerFailureDetector.PeerFailureDetector
+  readonly directLog: shardLog.ShardLog
+}
+
+/** Hosts with their processes, the links between them and the store. */
+export class Cluster {
+  private readonly processes: (Process | undefined)[] = []
+  /** Hosts with the same number reach each other. */
+  private readonly side: number[] = Array.from({ length: hostCount }, () => 0)
+  /** When each host last heard each other one, monotonic ms. */
+  private readonly heardAt = new Map<string, number>()
+  private nextSide = 1
+
+  constructor (private readonly limit: Limit, private readonly store: SimulatedStore, private readonly timers: timerService.ManualTimers, private readonly decisions: (host: number) => decisionLog.DecisionLog = () => decisionLog.createSilentDecisionLog()) {}
+
+  async start (): Promise<void> {
+    for (let host = 0; host < hostCount; host += 1) this.processes[host] = this.startProcess(host)
+    this.timers.every(loadReportMs, () => { this.shareLoads() })
+    await this.timers.advanceAsync(settleMs)
+  }
+
+  get (host: number): Process | undefined {
+    return this.processes[host]
+  }
+
+  /** Whether clients can use the host. */
+  isServing (host: number): boolean {
+    const process = this.processes[host]
+    return process !== undefined && !process.timers.isFrozen
+  }
+
+  /** The host whose process counts the account, as the majority of hosts sees it. */
+  findOwner (): number {
+    const votes = new Map<number, number>()
+    for (const process of this.processes) {
+      const location = process?.shards.locate(process.shards.getPartition(this.groupName))
+      const owner = location?.type === 'here' ? this.processes.indexOf(process) : location?.type === 'member' ? hostOf(memberName.parsePeerAddress(location.member)) : undefined
+      if (owner !== undefined) votes.set(owner, (votes.get(owner) ?? 0) + 1)
+    }
+    return [...votes].sort(([, a], [, b]) => b - a)[0]?.[0] ?? 0
+  }
+
+  apply (fault: Fault): void {
+    switch (fault.type) {
+      case 'isolate':
+        for (const host of fault.hosts) this.partition([host], false, fault.forMs)
+        return
+      case 'split':
+        this.partition(fault.hosts, fault.store, fault.forMs)
+        return
+      case 'store':
+        for (const host of fault.hosts) this.breakStore(host, fault.how, fault.forMs)
+        return
+      case 'kill':
+        for (const host of fault.hosts) this.kill(host, fault.forMs)
+        return
+      case 'freeze':
+        for (const host of fault.hosts) this.freeze(host, fault.forMs)
+        return
+      case 'owner':
+        this.applyToOwner(fault.how, fault.forMs)
+    }
+  }
+
+  private applyToOwner (how: 'kill' | 'freeze' | 'isolate', forMs: number): void {
+    const owner = this.findOwner()
+    switch (how) {
+      case 'kill':
+        this.kill(owner, forMs)
+        return
+      case 'freeze':
+        this.freeze(owner, forMs)
+        return
+      case 'isolate':
+        this.partition([owner], false, forMs)
+    }
+  }
+
+  private get groupName (): types.ProgramId {
+    return accountLimits.getGroupName(account)
+  }
+
+  private partition (hosts: readonly number[], store: boolean, forMs: number): void {
+    const side = this.nextSide++
+    for (const host of hosts) this.side[host] = side
+    if (!store) for (const host of hosts) this.breakStore(host, 'silent', forMs)
+    this.timers.after(forMs, () => { for (const host of hosts) if (this.side[host] === side) this.side[host] = 0 })
+  }
+
+  private breakStore (host: number, how: StoreFault, forMs: number): void {
+    this.store.setFault(host, how, true)
+    this.timers.after(forMs, () => { this.store.setFault(host, how, false) })
+  }
+
+  private kill (host: number, forMs: number): void {
+    const process = this.processes[host]
+    if (process === undefined) return
+    process.timers.isDead = true
+    process.shards.close()
+    process.limits.close()
+    this.processes[host] = undefined
+    this.timers.after(forMs, () => { this.processes[host] = this.startProcess(host) })
+  }
+
+  private freeze (host: number, forMs: number): void {
+    const process = this.processes[host]
+    if (process !== undefined) process.timers.frozenUntil = this.timers.monotonic() + forMs
+  }
+
+  private startProcess (host: number): Process {
+    const timers = new ProcessTimers(this.timers)
+    const decisions = this.decisions(host)
+    const directLog = connectStore(this.store.connect(host), timers)
+    const listPeers = (): string[] => shards.listMembers().filter((member) => !shards.isSelf(member)).map(memberName.parsePeerAddress)
+    const { log } = new relayStore.RelayedLog({
+      directLog,
+      peers: listPeers,
+      callPeer: (address, call) => this.call(host, address, timers, relayTimeoutMs, (peer) => shardLog.runStoreCall(peer.directLog, call)),
+      timers,
+      decisions
+    })
+    const shards = new ownShards.ShardOwner({ group: 'homes', member: memberName.formatMemberName(`host-${host}`, addressOf(host)), topics: ['keyed.turns-0', 'keyed.turns-1'], partitionsPerTopic, leaseMs: 1_100, heartbeatMs: 300, ownersPollMs: 1_000, handoverTimeoutMs: 900 }, {
+      log,
+      timers,
+      decisions,
+      onShardsReleased: () => { for (const address of listPeers()) void this.call(host, address, timers, announceTimeoutMs, async (peer) => { peer.shards.joinNow() }) }
+    })
+    const detector = new peerFailureDetector.PeerFailureDetector({
+      peers: listPeers,
+      ping: async (address) => await this.call(host, address, timers, pingTimeoutMs, async () => true) === true,
+      onPeerSilent: (address) => {
+        const member = shards.listMembers().find((name) => memberName.parsePeerAddress(name) === address)
+        if (member !== undefined) void shards.evict(member, 'silent')
+      },
+      onIsolationChanged: (isIsolated) => {
+        if (isIsolated) void shards.suspend(600)
+        else shards.resume()
+      },
+      timers,
+      decisions
+    })
+    const limits = new accountLimits.AccountLimits({
+      callPeer: async (address, call, timeoutMs) => {
+        const answer = await this.call(host, address, timers, timeoutMs, async (peer) => peer.limits.countReports(call))
+        if (answer === undefined) this.suspect(host, address)
+        return answer
+      },
+      shards,
+      routing: { accounts: identifyClient.createAccountDirectory([{ name: account, keys: ['key'], limit: this.limit }]), version: 1 },
+      peerCount: () => this.countHeard(host),
+      slack,
+      timers,
+      decisions
+    })
+    shards.start()
+    return { timers, shards, limits, detector, directLog }
+  }
+
+  /** What the routing of turns does with a process that does not answer: an ended one is evicted, a silent one is examined. */
+  private suspect (host: number, address: string): void {
+    const process = this.processes[host]
+    const member = process?.shards.listMembers().find((name) => memberName.parsePeerAddress(name) === address)
+    if (process === undefined || member === undefined) return
+    if (this.processes[hostOf(address)] === undefined && this.side[host] === this.side[hostOf(address)]) void process.shards.evict(member, 'ended')
+    else process.detector.suspect(address)
+  }
+
+  /** Calls a process of another host; `undefined` if there is no answer within the timeout, in ms. */
+  private async call<Answer> (from: number, address: string, timers: timerService.TimerService, timeoutMs: number, run: (peer: Process) => Promise<Answer>): Promise<Answer | undefined> {
+    const to = hostOf(address)
+    const answer = this.exchange(from, to, run)
+    return timerService.withTimeout(timers, answer, timeoutMs)
+  }
+
+  private async exchange<Answer> (from: number, to: number, run: (peer: Process) => Promise<Answer>): Promise<Answer | undefined> {
+    await timerService.sleep(this.timers, linkMs)
+    if (this.side[from] !== this.side[to]) return this.hang()
+    const peer = this.processes[to]
+    if (peer === undefined) return undefined
+    // A process that stands still answers once it goes on.
+    await timerService.sleep(peer.timers, 0)
+    const answer = await run(peer)
+    await timerService.sleep(this.timers, linkMs)
+    return this.side[from] === this.side[to] ? answer : this.hang()
+  }
+
+  private hang (): Promise<undefined> {
+    return new Promise(() => {})
+  }
+
+  private shareLoads (): void {
+    for (let from = 0; from < hostCount; from += 1) {
+      if (!this.isServing(from)) continue
+      for (let to = 0; to < hostCount; to += 1) {
+        if (to !== from && this.side[from] === this.side[to]) this.heardAt.set(`${to} ${from}`, this.timers.monotonic())
+      }
+    }
+  }
+
+  private countHeard (host: number): number {
+    const since = this.timers.monotonic() - loadReportTtlMs
+    return Array.from({ length: hostCount }, (_, from) => this.heardAt.get(`${host} ${from}`) ?? -Infinity).filter((at) => at >= since).length
+  }
+}
+
+/** A process that stands still gets the answers of the store once it goes on. */
+function connectStore (log: shardLog.ShardLog, timers: timerService.TimerService): shardLog.ShardLog {
+  return shardLog.createShardLog(async (call) => {
+    const answer = await shardLog.runStoreCall(log, call)
+    await timerService.sleep(timers, 0)
+    return answer
+  })
+}
+
+function addressOf (host: number): string {
+  return `10.0.0.${host}:7000`
+}
+
+function hostOf (address: string): number {
+  return Number(address.split(':')[0]!.split('.')[3])
+}
