An owner of account counts stops once another process may count them

Cause: AccountLimits.countReports asked only whether this process believes that it owns the shard, and nothing bounds that belief in time. Turns are fenced by their appends, counts are appended nowhere. A process cut off from the store, frozen or evicted went on granting beside its successor. Fix: an owner counts while the lease that it renewed last can not have expired. Without a lease (the store answers nobody) it counts only while more than half of the hosts report to it: those know no other owner. A host tells the newest term it has heard, and an owner with an older one stops. Hosts report at least every second interval, also when they have nothing to report, so that the owner knows them; while the owner is away they go on asking. Ruled out: waiting at the successor instead (an eviction moves shards at once, and all callers would wait for the lease at each change of owner).

--- a/packages/decide/identify-client/src/account-directory.ts
+++ b/packages/decide/identify-client/src/account-directory.ts
@@ -7,6 +7,8 @@
 export interface AccountDirectory {
   /** False if the configuration has no list of accounts: requests then need no key. */
   readonly isEnabled: boolean
+  /** Whether any account has a limit. */
+  readonly hasLimits: boolean
   readonly findByKey: (key: string) => routeRequest.ClientAccount | undefined
   readonly findByName: (name: types.AccountId) => routeRequest.ClientAccount | undefined
 }
@@ -32,6 +34,7 @@
   }
   return {
     isEnabled: accounts !== undefined,
+    hasLimits: accounts?.some(({ limit }) => limit !== undefined) ?? false,
     findByKey: (key) => byDigest.get(computeDigest(key)),
     findByName: (name) => byName.get(name)
   }
--- a/packages/decide/meter-account/src/index.ts
+++ b/packages/decide/meter-account/src/index.ts
@@ -2,3 +2,4 @@
 export * from './account-meter.js'
 export * from './meter-registry.js'
 export * from './account-estimate.js'
+export * from './meter-tenure.js'
--- a/packages/decide/meter-account/src/meter-account.test.ts
+++ b/packages/decide/meter-account/src/meter-account.test.ts
@@ -3,6 +3,7 @@
 import * as accountEstimate from './account-estimate.js'
 import * as accountMeter from './account-meter.js'
 import * as meterRegistry from './meter-registry.js'
+import * as meterTenure from './meter-tenure.js'
 
 const limit: accountMeter.MeterLimit = { requestsPerSecond: 100, burst: 100, slack: 20 }
 const account = 'coaches' as types.AccountId
@@ -130,3 +131,28 @@
   t.same(share, { requestsPerSecond: 25, burst: 25, slack: 5 })
   t.end()
 })
+
+const ownedFacts: meterTenure.TenureFacts = { term: 7, newestTerm: 7, leaseAgeMs: 100, leaseMs: 1_000, reporterCount: 1, hostCount: 9 }
+
+tap.test('an owner counts while its lease can not have expired', (t) => {
+  t.equal(meterTenure.decideTenure(ownedFacts), 'leased')
+  t.equal(meterTenure.decideTenure({ ...ownedFacts, leaseAgeMs: 1_000 }), 'unconfirmed')
+  t.equal(meterTenure.decideTenure({ ...ownedFacts, leaseAgeMs: Infinity }), 'unconfirmed')
+  t.end()
+})
+
+tap.test('an owner without a lease counts while more than half of the hosts report to it', (t) => {
+  const unleased = { ...ownedFacts, leaseAgeMs: 5_000 }
+  t.equal(meterTenure.decideTenure({ ...unleased, reporterCount: 5 }), 'reportedTo')
+  t.equal(meterTenure.decideTenure({ ...unleased, reporterCount: 4 }), 'unconfirmed')
+  t.equal(meterTenure.decideTenure({ ...unleased, reporterCount: 5, hostCount: 10 }), 'unconfirmed', 'of two halves neither counts')
+  t.end()
+})
+
+// Guards against a former owner that counts beside its successor.
+tap.test('an owner stops counting once a host knows a later one', (t) => {
+  t.equal(meterTenure.decideTenure({ ...ownedFacts, newestTerm: 8 }), 'superseded')
+  t.notOk(meterTenure.isOwner('superseded') || meterTenure.isOwner('unconfirmed'))
+  t.ok(meterTenure.isOwner('leased') && meterTenure.isOwner('reportedTo'))
+  t.end()
+})
--- /dev/null
+++ b/packages/decide/meter-account/src/meter-tenure.ts
@@ -0,0 +1,47 @@
+/**
+ * Whether a process may count the requests of an account group as its owner. Counts are not appended to the store, so
+ * no fenced append stops a former owner: it has to find out by itself that another process may have taken over.
+ */
+
+/** What a process knows about its ownership of a group. */
+export interface TenureFacts {
+  /** Its ownership term. */
+  readonly term: number
+  /** The highest term that a reporting host has heard of. */
+  readonly newestTerm: number
+  /** Time since the process asked for its lease in the last call that the store answered, in ms. */
+  readonly leaseAgeMs: number
+  /** Time after which the store may give the lease to another process, in ms. */
+  readonly leaseMs: number
+  /** Hosts that reported to this process recently, including its own. */
+  readonly reporterCount: number
+  readonly hostCount: number
+}
+
+/** The decision, with its reason. */
+export type Tenure =
+  /** No other process can be the owner: the lease has not expired. */
+  | 'leased'
+  /** The store does not answer, but most hosts report to this process, so they know no other owner. */
+  | 'reportedTo'
+  /** A host has heard of a later owner. */
+  | 'superseded'
+  /** Another process may have taken over. */
+  | 'unconfirmed'
+
+/** Decides from the facts. */
+export function decideTenure ({ term, newestTerm, leaseAgeMs, leaseMs, reporterCount, hostCount }: TenureFacts): Tenure {
+  if (newestTerm > term) return 'superseded'
+  if (leaseAgeMs < leaseMs) return 'leased'
+  return reporterCount > hostCount / 2 ? 'reportedTo' : 'unconfirmed'
+}
+
+/** Whether the owner may count and grant requests. */
+export function isOwner (tenure: Tenure): boolean {
+  switch (tenure) {
+    case 'leased':
+    case 'reportedTo': return true
+    case 'superseded':
+    case 'unconfirmed': return false
+  }
+}
--- a/packages/programs/front/src/account-limits.ts
+++ b/packages/programs/front/src/account-limits.ts
@@ -6,6 +6,7 @@
 import type * as ownShards from '@eelgrasswind/own-shards'
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as types from '@eelgrasswind/types'
+import * as groupTenure from './group-tenure.js'
 import * as memberName from './member-name.js'
 import * as meterChannel from './meter-channel.js'
 
@@ -13,7 +14,9 @@
 export interface AccountLimitsPorts {
   /** Calls another process as the owner of an account group; `undefined` if it does not answer within the timeout, in ms. */
   readonly callPeer: (address: string, call: meterChannel.MeterCall, timeoutMs: number) => Promise<meterChannel.MeterCallAnswer | undefined>
-  readonly shards: Pick<ownShards.ShardOwner, 'locate' | 'getPartition' | 'listMembers' | 'refreshOwners'>
+  readonly shards: Pick<ownShards.ShardOwner, 'locate' | 'getPartition' | 'listMembers' | 'refreshOwners' | 'leaseAgeMs' | 'leaseMs'>
+  /** Name of this host. */
+  readonly host: string
   readonly routing: { readonly accounts: identifyClient.AccountDirectory, readonly version: number }
   /** Number of other hosts that report their load. With more hosts than shards, not all hosts are members of the group. */
   readonly peerCount: () => number
@@ -47,17 +50,20 @@
 export class AccountLimits {
   private readonly registry = new meterAccount.MeterRegistry()
   private readonly channels: readonly meterChannel.MeterChannel[]
+  private readonly tenures = Array.from({ length: accountGroupCount }, () => new groupTenure.GroupTenure())
   private readonly pruneTimer: timerService.Subscription
 
   constructor (private readonly ports: AccountLimitsPorts) {
-    const { timers, decisions, shards } = ports
+    const { timers, decisions, host } = ports
     const channelPorts: meterChannel.MeterChannelPorts = {
       timers,
       decisions,
+      host,
       callOwner: (call) => this.callOwner(call),
       getLimit: (account) => this.getLimit(account),
       getVersion: () => ports.routing.version,
-      countHosts: () => Math.max(shards.listMembers().length, ports.peerCount() + 1)
+      isLimiting: () => ports.routing.accounts.hasLimits,
+      countHosts: () => this.countHosts()
     }
     this.channels = Array.from({ length: accountGroupCount }, (_, group) => new meterChannel.MeterChannel(group, channelPorts))
     this.pruneTimer = timers.every(pruneIntervalMs, () => { this.prune() })
@@ -76,9 +82,12 @@
   /** Applies the reports of another host or of this one, as the owner of the account group. */
   countReports (call: meterChannel.MeterCall): meterChannel.MeterCallAnswer {
     const location = this.locateGroup(call.group)
-    if (location.type !== 'here') return { type: 'notOwner' }
+    if (location.type !== 'here') return { type: 'notOwner', reason: 'elsewhere' }
     const now = this.ports.timers.monotonic()
-    return { type: 'metered', answers: call.reports.map((report) => this.registry.applyReport(report, location.shard.epoch, call.version, now)) }
+    this.tenures[call.group]!.noteReport(call, now)
+    const tenure = this.decideTenure(call.group, location.shard.epoch, now)
+    if (!meterAccount.isOwner(tenure)) return { type: 'notOwner', reason: tenure }
+    return { type: 'metered', term: location.shard.epoch, answers: call.reports.map((report) => this.registry.applyReport(report, location.shard.epoch, call.version, now)) }
   }
 
   /** Stops reporting and pruning. */
@@ -96,6 +105,24 @@
     return limit === undefined ? undefined : { ...limit, slack: this.ports.slack }
   }
 
+  private decideTenure (group: number, term: number, now: number): meterAccount.Tenure {
+    const { shards } = this.ports
+    const hostCount = this.countHosts()
+    const reports = this.tenures[group]!
+    return meterAccount.decideTenure({
+      term,
+      newestTerm: reports.newestTerm,
+      leaseAgeMs: shards.leaseAgeMs,
+      leaseMs: shards.leaseMs,
+      reporterCount: reports.countReporters(meterChannel.computeReportTtlMs(hostCount), now),
+      hostCount
+    })
+  }
+
+  private countHosts (): number {
+    return Math.max(this.ports.shards.listMembers().length, this.ports.peerCount() + 1)
+  }
+
   /** Locates the owner of a group: the owner of the shard that the group's name hashes to. */
   private locateGroup (group: number): ownShards.ShardLocation {
     const { shards } = this.ports
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -114,6 +114,7 @@
       callPeer: (address, call, timeoutMs) => peerCalls.callPeer(this.peerCallPorts, address, call, timeoutMs),
       shards: this.shards,
       routing: this.routing,
+      host: cfg.host,
       peerCount: () => this.upstreams.peerLoads.peerCount,
       slack: cfg.limitSlack
     })
--- /dev/null
+++ b/packages/programs/front/src/group-tenure.ts
@@ -0,0 +1,27 @@
+/** Tracks which hosts report to this process as the owner of an account group, and the newest owner that they know. */
+import type * as meterChannel from './meter-channel.js'
+
+/** Reports that this process has received for one group. */
+export class GroupTenure {
+  /** When each host reported last, in monotonic ms. */
+  private readonly reportedAt = new Map<string, number>()
+  private newestKnownTerm = -1
+
+  noteReport ({ host, knownTerm }: Pick<meterChannel.MeterCall, 'host' | 'knownTerm'>, now: number): void {
+    this.reportedAt.set(host, now)
+    this.newestKnownTerm = Math.max(this.newestKnownTerm, knownTerm)
+  }
+
+  /** The highest ownership term that a host has heard of; -1 if none has. */
+  get newestTerm (): number {
+    return this.newestKnownTerm
+  }
+
+  /** Number of hosts that reported within the last `ttlMs`. Forgets the others. */
+  countReporters (ttlMs: number, now: number): number {
+    for (const [host, at] of this.reportedAt) {
+      if (now - at > ttlMs) this.reportedAt.delete(host)
+    }
+    return this.reportedAt.size
+  }
+}
--- a/packages/programs/front/src/meter-channel.test.ts
+++ b/packages/programs/front/src/meter-channel.test.ts
@@ -66,11 +66,13 @@
     if (owner === undefined) return undefined
     if (owner !== from && (scenario.isPartitioned(owner, elapsed()) || scenario.isPartitioned(from, elapsed()))) return undefined
     const answers = call.reports.map((report) => registries[owner!]!.applyReport(report, term, call.version, timers.monotonic()))
-    return { type: 'metered', answers }
+    return { type: 'metered', term, answers }
   }
   const channels = Array.from({ length: scenario.hosts }, (_, host) => new meterChannel.MeterChannel(0, {
     timers,
     decisions: decisionLog.createSilentDecisionLog(),
+    host: `host-${host}`,
+    isLimiting: () => true,
     callOwner: async (call) => {
       await timerService.sleep(timers, roundTripMs / 2)
       const answer = answerCall(host, call)
--- a/packages/programs/front/src/meter-channel.ts
+++ b/packages/programs/front/src/meter-channel.ts
@@ -12,14 +12,18 @@
   readonly group: number
   /** Configuration version of the limits. */
   readonly version: number
+  /** Name of the reporting host. */
+  readonly host: string
+  /** The ownership term of the newest owner that has answered the host; -1 if none has. */
+  readonly knownTerm: number
   readonly reports: readonly meterAccount.MeterReport[]
 }
 
 /** Answer to a batch of reports. */
 export type MeterCallAnswer =
-  | { readonly type: 'metered', readonly answers: readonly meterAccount.MeterAnswer[] }
-  /** The called process does not own the account group. */
-  | { readonly type: 'notOwner' }
+  | { readonly type: 'metered', readonly term: number, readonly answers: readonly meterAccount.MeterAnswer[] }
+  /** The called process does not own the account group, or can't be certain that it still does. */
+  | { readonly type: 'notOwner', readonly reason: 'elsewhere' | meterAccount.Tenure }
 
 /** Whether a request is admitted. */
 export type AcquireResult =
@@ -31,12 +35,16 @@
 export interface MeterChannelPorts {
   readonly timers: timerService.TimerService
   readonly decisions: decisionLog.DecisionLog
+  /** Name of this host. */
+  readonly host: string
   /** Calls the current owner of the group; `undefined` if there is no answer. */
   readonly callOwner: (call: MeterCall) => Promise<MeterCallAnswer | undefined>
   /** Returns the limit of an account; `undefined` if it has none. */
   readonly getLimit: (account: types.AccountId) => meterAccount.MeterLimit | undefined
   /** Returns the configuration version in force. */
   readonly getVersion: () => number
+  /** Whether any account has a limit: without one, nothing is reported. */
+  readonly isLimiting: () => boolean
   /** Number of hosts that admit requests of accounts, including this one. */
   readonly countHosts: () => number
 }
@@ -62,6 +70,10 @@
 /** Minimum interval between reports, in ms, and the interval per reporting host, in ms per host, which bounds the load of the owner. */
 const reportIntervalMs = 300
 const reportIntervalMsPerHost = 3
+/** A host reports at least once in this many intervals, so that the owner knows which hosts report to it. */
+const keepAliveIntervals = 2
+/** An owner counts a host as reporting for this many intervals: two reports and the timeout of one may be lost. */
+const reportTtlIntervals = 5
 /** Retry interval for an unreachable owner, in ms. */
 const ownerRetryMs = 150
 /**
@@ -79,12 +91,24 @@
 /** Term of a state that doesn't come from an owner. */
 const noTerm = -1
 
+function computeReportIntervalMs (hostCount: number): number {
+  return Math.max(reportIntervalMs, reportIntervalMsPerHost * hostCount)
+}
+
+/** How long a report shows that its host knows no other owner, in ms. */
+export function computeReportTtlMs (hostCount: number): number {
+  return reportTtlIntervals * computeReportIntervalMs(hostCount)
+}
+
 /** The accounts of one group at this host. At most one call is in flight; whatever arrives meanwhile is sent with the next one. */
 export class MeterChannel {
   private readonly entries = new Map<types.AccountId, AccountEntry>()
   private reportTimer: timerService.Subscription | undefined
+  /** When the next report is due, monotonic ms. */
+  private reportDueAt = Infinity
   private usageTimer: timerService.Subscription | undefined
   private isCallInFlight = false
+  private isClosed = false
   /** Ownership term of the last answer, and when it arrived, monotonic ms. */
   private term = noTerm
   private answeredAt: number
@@ -96,6 +120,7 @@
   constructor (private readonly group: number, private readonly ports: MeterChannelPorts) {
     this.startedAt = ports.timers.monotonic()
     this.answeredAt = this.startedAt
+    this.scheduleReport(this.keepAliveMs)
   }
 
   /** Admits or refuses a request. Near the limit it waits for the owner's answer. */
@@ -140,7 +165,8 @@
 
   /** Stops reporting. */
   close (): void {
-    this.reportTimer?.cancel()
+    this.isClosed = true
+    this.cancelReport()
     this.usageTimer?.cancel()
   }
 
@@ -187,34 +213,47 @@
     return { type: 'admitted' }
   }
 
-  /** Schedules the next report unless one is scheduled. */
-  private scheduleReport (): void {
-    if (this.reportTimer !== undefined) return
-    const pauseMs = this.unreachableSince === undefined ? Math.max(reportIntervalMs, reportIntervalMsPerHost * this.ports.countHosts()) : ownerRetryMs
-    this.reportTimer = this.ports.timers.after(pauseMs, () => {
-      this.reportTimer = undefined
+  private get keepAliveMs (): number {
+    return keepAliveIntervals * computeReportIntervalMs(this.ports.countHosts())
+  }
+
+  /** Schedules the next report unless an earlier one is scheduled. */
+  private scheduleReport (delayMs = this.unreachableSince === undefined ? computeReportIntervalMs(this.ports.countHosts()) : ownerRetryMs): void {
+    const dueAt = this.ports.timers.monotonic() + delayMs
+    if (this.isClosed || this.reportDueAt <= dueAt) return
+    this.cancelReport()
+    this.reportDueAt = dueAt
+    this.reportTimer = this.ports.timers.after(delayMs, () => {
+      this.cancelReport()
       void this.sendReports()
     })
   }
 
-  private async sendReports (): Promise<void> {
-    if (this.isCallInFlight) return
+  private cancelReport (): void {
     this.reportTimer?.cancel()
     this.reportTimer = undefined
+    this.reportDueAt = Infinity
+  }
+
+  private async sendReports (): Promise<void> {
+    if (this.isCallInFlight) return
+    this.cancelReport()
     const batch = this.collectBatch()
-    if (batch.length === 0) {
-      // There is nothing to retry; the next request shows whether the owner is reachable again.
+    if (batch.length === 0 && !this.ports.isLimiting()) {
       this.unreachableSince = undefined
+      this.scheduleReport(this.keepAliveMs)
       return
     }
     this.isCallInFlight = true
-    const answer = await this.ports.callOwner({ type: 'meter', group: this.group, version: this.ports.getVersion(), reports: batch.map(({ report }) => report) })
+    const { host } = this.ports
+    const answer = await this.ports.callOwner({ type: 'meter', group: this.group, version: this.ports.getVersion(), host, knownTerm: this.term, reports: batch.map(({ report }) => report) })
     this.isCallInFlight = false
-    if (answer?.type === 'metered') this.applyAnswers(batch, answer.answers)
-    else this.noteFailure(batch, answer?.type ?? 'noAnswer')
+    if (answer?.type === 'metered') this.applyAnswers(batch, answer)
+    else this.noteFailure(batch, answer?.reason ?? 'noAnswer')
     const hasPending = [...this.entries.values()].some(({ pending }) => pending.length > 0)
     if (hasPending && this.unreachableSince === undefined) void this.sendReports()
     else if (hasPending || this.hasUnreported() || this.unreachableSince !== undefined) this.scheduleReport()
+    else this.scheduleReport(this.keepAliveMs)
   }
 
   private hasUnreported (): boolean {
@@ -250,9 +289,9 @@
     return { state: meterAccount.createState(meterAccount.computeCapacity(limit)), term: noTerm }
   }
 
-  private applyAnswers (batch: readonly BatchItem[], answers: readonly meterAccount.MeterAnswer[]): void {
+  private applyAnswers (batch: readonly BatchItem[], { term, answers }: Extract<MeterCallAnswer, { type: 'metered' }>): void {
     const now = this.ports.timers.monotonic()
-    this.noteAnswer(answers, now)
+    this.noteAnswer(term, now)
     this.unreachableSince = undefined
     const byAccount = new Map(answers.map((answer) => [answer.account, answer]))
     for (const { entry, pending, limit, report } of batch) {
@@ -287,8 +326,7 @@
   }
 
   /** Logs a change of owner. */
-  private noteAnswer (answers: readonly meterAccount.MeterAnswer[], now: number): void {
-    const term = answers[0]?.term ?? this.term
+  private noteAnswer (term: number, now: number): void {
     if (term !== this.term) this.ports.decisions.record({ event: 'meterOwnerChanged', group: this.group, term, former: this.term, answerAgeMs: Math.round(now - this.answeredAt) })
     this.term = term
     this.answeredAt = now
--- a/packages/programs/front/src/test-cluster.ts
+++ b/packages/programs/front/src/test-cluster.ts
@@ -264,6 +264,7 @@
       },
       shards,
       routing: { accounts: identifyClient.createAccountDirectory([{ name: account, keys: ['key'], limit: this.limit }]), version: 1 },
+      host: `host-${host}`,
       peerCount: () => this.countHeard(host),
       slack,
       timers,
--- a/packages/state/own-shards/src/shard-owner.ts
+++ b/packages/state/own-shards/src/shard-owner.ts
@@ -79,6 +79,8 @@
   private subscriptions: readonly timerService.Subscription[] = []
   /** A join or a handover is in progress; no further join is sent meanwhile. */
   private isJoining = false
+  /** When the last answered join was sent, in ms of the monotonic clock: the lease lasts at least from then on. */
+  private leaseRenewedAtMs = -Infinity
   /** Shards were handed over; the next successful join releases them to the group, and `onShardsReleased` is called then. */
   private hasUnannouncedRelease = false
 
@@ -133,6 +135,11 @@
     return this.settings.leaseMs
   }
 
+  /** Time since the lease was last renewed, in ms; from `leaseMs` on another process may own the shards. Infinite before the first renewal. */
+  get leaseAgeMs (): number {
+    return this.ports.timers.monotonic() - this.leaseRenewedAtMs
+  }
+
   get shardCount (): number {
     return this.settings.topics.length * this.settings.partitionsPerTopic
   }
@@ -235,6 +242,7 @@
     if (this.isStopped || this.isSuspended || this.isJoining) return
     this.isJoining = true
     const { group, member, topics, leaseMs } = this.settings
+    const sentAtMs = this.ports.timers.monotonic()
     const answer = await this.ports.log.join({ group, member, topics, ttlMs: leaseMs, generation: this.generation })
     this.isJoining = false
     if (this.isStopped || this.isSuspended) return
@@ -246,6 +254,7 @@
       this.ports.decisions.record({ event: 'leaseNotRenewed', failure: answer })
       return
     }
+    this.leaseRenewedAtMs = sentAtMs
     await this.applyAssignment(answer)
   }
 
