Hosts without an owner use no more of a limit than the owner keeps back for them

Cause: what hosts without an owner admit was bounded nowhere else. In the first second each went on with its own copy of what was left, so it added up with the number of hosts; an answer in between set the second back, one without reports too; afterwards each used half of its share on top of the whole limit that the owner granted to the others; the number of hosts fell as hosts were cut off, so the shares of the others grew; a process that no owner ever answered took the hosts it knew for all; a new owner began with all that was left although hosts might still use it elsewhere. Fix: without an owner a host uses half of its share of what was left and of the rate, from the first moment, and other requests wait for the next owner as before. An owner keeps the same half back for each host that does not report to it, from the level as well as from the rate, and gives it out as they report again; so all together stay within the limit wherever the hosts are. Hosts are counted by the most of the last 15 to 30 s. An estimate from before an absence is not used until the owner has answered.

--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -102,7 +102,7 @@
   | { readonly event: 'meterOwnerAway', readonly group: number, readonly why: string, readonly term: number, readonly answerAgeMs: number, readonly hosts: number }
   /** An owner with another term answers. Terms rise with each owner; `former` is -1 before the first answer. */
   | { readonly event: 'meterOwnerChanged', readonly group: number, readonly term: number, readonly former: number, readonly answerAgeMs: number }
-  /** Requests of an account near its limit, or without an owner, since the last such line: admitted by the owner, by this host's estimate (`estimateAlone`: while the owner was away) and by its share. */
+  /** Requests of an account near its limit, or without an owner, since the last such line: admitted by the owner, by this host's estimate and, while the owner was away, by its share. */
   | {
     readonly event: 'accountUsage'
     readonly account: types.AccountId
@@ -114,7 +114,6 @@
     readonly hosts: number
     readonly owner: number
     readonly estimate: number
-    readonly estimateAlone: number
     readonly share: number
     readonly refused: number
     readonly refunded: number
--- a/packages/decide/meter-account/src/account-estimate.ts
+++ b/packages/decide/meter-account/src/account-estimate.ts
@@ -48,15 +48,28 @@
 }
 
 /**
- * Creates the meter that a host uses while the owner is unreachable: its share of the limit and of what was left when
- * the owner last answered (`lastAnswerAt`, monotonic ms).
+ * Hosts without an owner use this part of their share of the limit and of what was left. An owner keeps as much back for
+ * the hosts that do not report to it, so that all together stay within the limit.
  */
-export function createFallbackMeter (limit: accountMeter.MeterLimit, estimate: AccountEstimate | undefined, hostCount: number, lastAnswerAt: number, now: number): accountMeter.AccountMeter {
-  const ownLimit = divideLimit(limit, hostCount)
-  if (estimate === undefined) return accountMeter.createMeter(ownLimit, accountMeter.createState(accountMeter.computeInitialLevel(ownLimit)), now)
-  const state = computeConfirmedState(estimate, lastAnswerAt)
-  const share = 1 / Math.max(1, hostCount)
-  return accountMeter.createMeter(ownLimit, { ...state, level: state.level * share, uncommitted: state.uncommitted * share }, now)
+export const fallbackShare = 0.5
+
+/** The limit of one host while the owner is unreachable. */
+export function computeFallbackLimit (limit: accountMeter.MeterLimit, hostCount: number): accountMeter.MeterLimit {
+  return divideLimit(limit, hostCount / fallbackShare)
+}
+
+/**
+ * Creates the meter that a host uses while the owner is unreachable: its share of the limit and of what was left in its
+ * estimate. Without an estimate nothing is known to be left. `roundUp`: uniform in [0, 1); of a share below one request,
+ * so many hosts may send one that together they use about the whole.
+ */
+export function createFallbackMeter (limit: accountMeter.MeterLimit, estimate: AccountEstimate | undefined, hostCount: number, roundUp: number, now: number): accountMeter.AccountMeter {
+  const ownLimit = computeFallbackLimit(limit, hostCount)
+  const state = estimate === undefined ? accountMeter.createState(0) : accountMeter.toState(estimate.meter)
+  const share = fallbackShare / Math.max(1, hostCount)
+  const level = Math.floor(Math.max(0, state.level) * share + roundUp)
+  const uncommitted = Math.max(0, state.uncommitted) * share
+  return { ...state, limit: ownLimit, level, uncommitted, updatedAt: now }
 }
 
 /** Divides a limit evenly among hosts, so that together they stay within it while there is no owner. */
--- a/packages/decide/meter-account/src/meter-account.test.ts
+++ b/packages/decide/meter-account/src/meter-account.test.ts
@@ -15,9 +15,14 @@
   return { account, limit, spent: none, asked: none, ...overrides }
 }
 
+/** The context of a report in a term, under a version, at a time; all hosts report. */
+function within (term: number, configVersion: number, now: number): meterRegistry.ReportContext {
+  return { term, configVersion, missingShare: 0, now }
+}
+
 /** The level of an account after it sent a number of requests. */
 function spendAndGetLevel (registry: meterRegistry.MeterRegistry, count: number, now: number, term = 1): number {
-  return registry.applyReport(createReport({ spent: further(count) }), term, 1, now).state.level
+  return registry.applyReport(createReport({ spent: further(count) }), within(term, 1, now)).state.level
 }
 
 tap.test('a meter refills at its rate up to its burst', (t) => {
@@ -43,21 +48,21 @@
 
 tap.test('running programs continue while new ones are refused', (t) => {
   const registry = new meterRegistry.MeterRegistry()
-  const answer = registry.applyReport(createReport({ asked: { first: 100, further: 40 } }), 1, 1, 0)
+  const answer = registry.applyReport(createReport({ asked: { first: 100, further: 40 } }), within(1, 1, 0))
   t.equal(answer.granted.further, 40)
   t.ok(answer.granted.first > 0 && answer.granted.first < 20, `${answer.granted.first} programs admitted`)
   t.ok(answer.waitMs.first > 0)
-  const next = registry.applyReport(createReport({ asked: { first: 5, further: 20 } }), 1, 1, 10)
+  const next = registry.applyReport(createReport({ asked: { first: 5, further: 20 } }), within(1, 1, 10))
   t.same(next.granted, { first: 0, further: 20 })
   t.end()
 })
 
 tap.test('a retry after the given time is granted if nothing else was sent', (t) => {
   const registry = new meterRegistry.MeterRegistry()
-  const { waitMs } = registry.applyReport(createReport({ spent: further(400) }), 1, 1, 0)
-  const tooEarly = registry.applyReport(createReport({ asked: further(1) }), 1, 1, waitMs.further - 20)
+  const { waitMs } = registry.applyReport(createReport({ spent: further(400) }), within(1, 1, 0))
+  const tooEarly = registry.applyReport(createReport({ asked: further(1) }), within(1, 1, waitMs.further - 20))
   t.equal(tooEarly.granted.further, 0)
-  const retried = registry.applyReport(createReport({ asked: further(1) }), 1, 1, waitMs.further + 20)
+  const retried = registry.applyReport(createReport({ asked: further(1) }), within(1, 1, waitMs.further + 20))
   t.equal(retried.granted.further, 1)
   t.end()
 })
@@ -66,20 +71,20 @@
   const registry = new meterRegistry.MeterRegistry()
   const lowerLimit = { requestsPerSecond: 2, burst: 2, slack: 0 }
   t.equal(spendAndGetLevel(registry, 0, 0), accountMeter.computeCapacity(limit))
-  t.equal(registry.applyReport(createReport({ limit: lowerLimit }), 1, 2, 0).state.level, 2)
-  t.equal(registry.applyReport(createReport({ limit }), 1, 1, 1_000).state.level, 2)
+  t.equal(registry.applyReport(createReport({ limit: lowerLimit }), within(1, 2, 0)).state.level, 2)
+  t.equal(registry.applyReport(createReport({ limit }), within(1, 1, 1_000)).state.level, 2)
   t.end()
 })
 
 tap.test('a new owner continues from the lowest state that hosts report', (t) => {
   const previous = new meterRegistry.MeterRegistry()
-  const first = previous.applyReport(createReport(), 1, 1, 0)
-  const second = previous.applyReport(createReport({ spent: further(90) }), 1, 1, 0)
+  const first = previous.applyReport(createReport(), within(1, 1, 0))
+  const second = previous.applyReport(createReport({ spent: further(90) }), within(1, 1, 0))
   const next = new meterRegistry.MeterRegistry()
   const reportKnowing = (answer: meterRegistry.MeterAnswer): meterRegistry.MeterReport => createReport({ believed: { state: answer.state, term: answer.term } })
-  t.equal(next.applyReport(reportKnowing(first), 2, 1, 0).state.level, first.state.level)
-  t.equal(next.applyReport(reportKnowing(second), 2, 1, 0).state.level, second.state.level)
-  t.equal(next.applyReport(reportKnowing(first), 2, 1, 0).state.level, second.state.level)
+  t.equal(next.applyReport(reportKnowing(first), within(2, 1, 0)).state.level, first.state.level)
+  t.equal(next.applyReport(reportKnowing(second), within(2, 1, 0)).state.level, second.state.level)
+  t.equal(next.applyReport(reportKnowing(first), within(2, 1, 0)).state.level, second.state.level)
   t.end()
 })
 
@@ -88,10 +93,10 @@
   spendAndGetLevel(registry, 60, 0)
   const lowerLimit = { requestsPerSecond: 10, burst: 10, slack: 0 }
   const idleHostState = { state: accountMeter.createState(accountMeter.computeCapacity(lowerLimit)), term: -1 }
-  const { state } = registry.applyReport(createReport({ limit: lowerLimit, believed: idleHostState }), 1, 2, 0)
+  const { state } = registry.applyReport(createReport({ limit: lowerLimit, believed: idleHostState }), within(1, 2, 0))
   t.equal(state.level, 10)
   t.equal(state.uncommitted, 10)
-  t.equal(registry.applyReport(createReport({ believed: { state: accountMeter.createState(2), term: 0 } }), 1, 1, 0).state.level, 10, 'a state under the former limit is ignored')
+  t.equal(registry.applyReport(createReport({ believed: { state: accountMeter.createState(2), term: 0 } }), within(1, 1, 0)).state.level, 10, 'a state under the former limit is ignored')
   t.end()
 })
 
@@ -113,7 +118,7 @@
 })
 
 tap.test('a host asks the owner only before a program begins and near the limit', (t) => {
-  const answer = new meterRegistry.MeterRegistry().applyReport(createReport(), 1, 1, 0)
+  const answer = new meterRegistry.MeterRegistry().applyReport(createReport(), within(1, 1, 0))
   let estimate = accountEstimate.createEstimate(limit, answer, none, 0)
   t.notOk(accountEstimate.canSendUnasked(estimate, 'first'))
   t.ok(accountEstimate.canSendUnasked(estimate, 'further'))
@@ -156,3 +161,32 @@
   t.ok(meterTenure.isOwner('leased') && meterTenure.isOwner('reportedTo'))
   t.end()
 })
+
+// Guards against hosts without an owner that use their share on top of a limit that the owner grants to the others.
+tap.test('an owner keeps back what the hosts that do not report may use', (t) => {
+  const registry = new meterRegistry.MeterRegistry()
+  const report = (missingShare: number, now: number, spent = none): accountMeter.MeterState => registry.applyReport(createReport({ spent }), { ...within(1, 1, now), missingShare }).state
+  const whole = report(0, 0).level
+  t.equal(report(0.5, 0).level, whole * 0.75)
+  t.equal(report(0.5, 100).level, whole * 0.75 + 7.5, 'it also refills more slowly')
+  t.equal(report(0, 100).level, Math.min(accountMeter.computeCapacity(limit), whole + 7.5), 'hosts that are back bring their part')
+  report(0, 100, further(1_000))
+  const overdrawn = report(0, 100).level
+  t.equal(report(0.5, 100).level, overdrawn, 'nothing is kept back of what is not there')
+  t.end()
+})
+
+tap.test('the shares of hosts without an owner and what the owner keeps back for them are the same', (t) => {
+  const answer = new meterRegistry.MeterRegistry().applyReport(createReport(), within(1, 1, 0))
+  const estimate = accountEstimate.createEstimate(limit, answer, none, 0)
+  const hosts = 20
+  const fallback = accountEstimate.createFallbackMeter(limit, estimate, hosts, 0.5, 0)
+  t.ok(Math.abs(fallback.level * hosts - answer.state.level * accountEstimate.fallbackShare) <= hosts / 2, `${fallback.level} at each host`)
+  t.equal(fallback.limit.requestsPerSecond * hosts, limit.requestsPerSecond * accountEstimate.fallbackShare)
+  t.end()
+})
+
+tap.test('a host that knows nothing of an account has nothing left without an owner', (t) => {
+  t.equal(accountEstimate.createFallbackMeter(limit, undefined, 20, 0, 0).level, 0)
+  t.end()
+})
--- a/packages/decide/meter-account/src/meter-registry.ts
+++ b/packages/decide/meter-account/src/meter-registry.ts
@@ -1,5 +1,6 @@
 /** The owner's side: the meters of the accounts that this process owns, and its answers to the reports of hosts. */
 import type * as types from '@eelgrasswind/types'
+import * as accountEstimate from './account-estimate.js'
 import * as accountMeter from './account-meter.js'
 
 /** A host's report for one account, with the requests for which it needs permission. */
@@ -40,6 +41,28 @@
   readonly configVersion: number
   /** The meter as at the beginning of the term, refilled but without the requests since. */
   readonly baseline: accountMeter.AccountMeter
+  /** Kept back for the hosts that do not report, and not in `meter`. */
+  readonly reserve: Reserve
+}
+
+/** Requests that hosts without an owner may use by themselves. */
+interface Reserve {
+  /** Part of all hosts that do not report. */
+  readonly missingShare: number
+  readonly level: number
+  readonly uncommitted: number
+}
+
+/** Who reports, and to whom. */
+export interface ReportContext {
+  /** Term of the ownership of this process. */
+  readonly term: number
+  /** Configuration version of the reporter. */
+  readonly configVersion: number
+  /** Part of all hosts that do not report to this process. */
+  readonly missingShare: number
+  /** Monotonic ms. */
+  readonly now: number
 }
 
 /** A meter without a report for this long, in ms, is practically full again and is removed. */
@@ -53,10 +76,11 @@
     return this.accounts.size
   }
 
-  /** Applies a report and decides on the requests asked for. `term`: of this process's ownership; `configVersion`: of the reporter; `now`: monotonic ms. */
-  applyReport (report: MeterReport, term: number, configVersion: number, now: number): MeterAnswer {
-    const entry = this.getCurrentEntry(report, term, configVersion, now)
-    let meter = accountMeter.spend(accountMeter.refillMeter(entry.meter, now), report.spent)
+  /** Applies a report and decides on the requests asked for. */
+  applyReport (report: MeterReport, context: ReportContext): MeterAnswer {
+    const { term, now } = context
+    const entry = adjustReserve(refillEntry(this.getCurrentEntry(report, context), now), context.missingShare)
+    let meter = accountMeter.spend(entry.meter, report.spent)
     const granted = { first: 0, further: 0 }
     // Requests of running programs have priority over new programs.
     for (const position of ['further', 'first'] as const) {
@@ -77,9 +101,10 @@
     }
   }
 
-  private getCurrentEntry (report: MeterReport, term: number, configVersion: number, now: number): AccountEntry {
+  private getCurrentEntry (report: MeterReport, context: ReportContext): AccountEntry {
+    const { term, configVersion, now } = context
     const known = this.accounts.get(report.account)
-    if (known === undefined || known.term !== term) return createEntry(report, term, configVersion, now)
+    if (known === undefined || known.term !== term) return createEntry(report, context)
     const current = configVersion > known.configVersion ? applyNewLimit(known, report.limit, configVersion) : known
     // A state under another limit can't be compared.
     return configVersion === current.configVersion ? lowerBaseline(current, report, now) : current
@@ -90,10 +115,38 @@
   return { ...entry, meter: accountMeter.applyLimit(entry.meter, limit), baseline: accountMeter.applyLimit(entry.baseline, limit), configVersion }
 }
 
-function createEntry ({ limit, believed }: MeterReport, term: number, configVersion: number, now: number): AccountEntry {
+function createEntry ({ limit, believed }: MeterReport, { term, configVersion, now }: ReportContext): AccountEntry {
   const state = believed?.state ?? accountMeter.createState(accountMeter.computeInitialLevel(limit))
   const baseline = accountMeter.createMeter(limit, state, now)
-  return { meter: baseline, baseline, term, configVersion }
+  return { meter: baseline, baseline, reserve: { missingShare: 0, level: 0, uncommitted: 0 }, term, configVersion }
+}
+
+/** Refills the meter at the rate that the missing hosts leave to the others. */
+function refillEntry (entry: AccountEntry, now: number): AccountEntry {
+  const { meter, reserve } = entry
+  const ownShare = 1 - accountEstimate.fallbackShare * reserve.missingShare
+  const { limit } = meter
+  const refilled = accountMeter.refillMeter({ ...meter, limit: { ...limit, requestsPerSecond: limit.requestsPerSecond * ownShare } }, now)
+  return { ...entry, meter: { ...refilled, limit } }
+}
+
+/** Moves requests between the meter and the reserve when the part of the missing hosts has changed. */
+function adjustReserve (entry: AccountEntry, missingShare: number): AccountEntry {
+  const { meter, reserve } = entry
+  const moved = missingShare > reserve.missingShare
+    ? scaleBuckets(meter, accountEstimate.fallbackShare * (missingShare - reserve.missingShare) / (1 - accountEstimate.fallbackShare * reserve.missingShare))
+    : scaleBuckets(reserve, reserve.missingShare === 0 ? 0 : missingShare / reserve.missingShare - 1)
+  const capacity = accountMeter.computeCapacity(meter.limit)
+  return {
+    ...entry,
+    reserve: { missingShare, level: reserve.level + moved.level, uncommitted: reserve.uncommitted + moved.uncommitted },
+    meter: { ...meter, level: Math.min(capacity, meter.level - moved.level), uncommitted: Math.min(capacity, meter.uncommitted - moved.uncommitted) }
+  }
+}
+
+/** A part of what is left in both buckets; nothing of a bucket that is overdrawn. */
+function scaleBuckets ({ level, uncommitted }: Pick<accountMeter.MeterState, 'level' | 'uncommitted'>, part: number): Pick<accountMeter.MeterState, 'level' | 'uncommitted'> {
+  return { level: Math.max(0, level) * part, uncommitted: Math.max(0, uncommitted) * part }
 }
 
 /**
@@ -103,12 +156,11 @@
 function lowerBaseline (entry: AccountEntry, { believed }: MeterReport, now: number): AccountEntry {
   if (believed === undefined || believed.term === entry.term) return entry
   const baseline = accountMeter.refillMeter(entry.baseline, now)
-  const level = Math.min(baseline.level, believed.state.level)
-  const uncommitted = Math.min(baseline.uncommitted, believed.state.uncommitted)
+  const lowered = { level: Math.min(0, believed.state.level - baseline.level), uncommitted: Math.min(0, believed.state.uncommitted - baseline.uncommitted) }
   const { meter } = entry
   return {
     ...entry,
-    baseline: { ...baseline, level, uncommitted },
-    meter: { ...meter, level: meter.level + level - baseline.level, uncommitted: meter.uncommitted + uncommitted - baseline.uncommitted }
+    baseline: { ...baseline, level: baseline.level + lowered.level, uncommitted: baseline.uncommitted + lowered.uncommitted },
+    meter: { ...meter, level: meter.level + lowered.level, uncommitted: meter.uncommitted + lowered.uncommitted }
   }
 }
--- a/packages/programs/front/src/account-limits.test.ts
+++ b/packages/programs/front/src/account-limits.test.ts
@@ -51,7 +51,7 @@
 async function simulate (scenario: Scenario, seed: number): Promise<Result> {
   const random = createRandom(seed)
   const timers = timerService.createManualTimers()
-  const cluster = new testCluster.Cluster(scenario.limit, createStore(timers), timers)
+  const cluster = new testCluster.Cluster(scenario.limit, { store: createStore(timers), timers, random: createRandom(seed) })
   await cluster.start()
   const start = timers.monotonic()
   const elapsed = (): number => timers.monotonic() - start
--- a/packages/programs/front/src/account-limits.ts
+++ b/packages/programs/front/src/account-limits.ts
@@ -9,6 +9,7 @@
 import * as groupTenure from './group-tenure.js'
 import * as memberName from './member-name.js'
 import * as meterChannel from './meter-channel.js'
+import * as recentMaximum from './recent-maximum.js'
 
 /** Dependencies for account limits. */
 export interface AccountLimitsPorts {
@@ -20,6 +21,8 @@
   readonly routing: { readonly accounts: identifyClient.AccountDirectory, readonly version: number }
   /** Number of other hosts that report their load. With more hosts than shards, not all hosts are members of the group. */
   readonly peerCount: () => number
+  /** Uniform in [0, 1). */
+  readonly random: () => number
   /** Requests by which the operator allows an account to briefly exceed its limit. */
   readonly slack: number
   readonly timers: timerService.TimerService
@@ -30,6 +33,8 @@
 const accountGroupCount = 8
 /** Timeout for the owner's answer, in ms; the owner makes no further calls. */
 const ownerTimeoutMs = 250
+/** Hosts that are cut off still use their share of the limits: they are counted for at least this long, in ms. */
+const hostMemoryMs = 15_000
 /** Interval for removing idle accounts, in ms. */
 const pruneIntervalMs = 5_000
 
@@ -51,10 +56,12 @@
   private readonly registry = new meterAccount.MeterRegistry()
   private readonly channels: readonly meterChannel.MeterChannel[]
   private readonly tenures = Array.from({ length: accountGroupCount }, () => new groupTenure.GroupTenure())
+  private readonly recentHostCount: recentMaximum.RecentMaximum
   private readonly pruneTimer: timerService.Subscription
 
   constructor (private readonly ports: AccountLimitsPorts) {
     const { timers, decisions, host } = ports
+    this.recentHostCount = new recentMaximum.RecentMaximum(hostMemoryMs, timers)
     const channelPorts: meterChannel.MeterChannelPorts = {
       timers,
       decisions,
@@ -63,7 +70,8 @@
       getLimit: (account) => this.getLimit(account),
       getVersion: () => ports.routing.version,
       isLimiting: () => ports.routing.accounts.hasLimits,
-      countHosts: () => this.countHosts()
+      countHosts: () => this.countHosts(),
+      random: ports.random
     }
     this.channels = Array.from({ length: accountGroupCount }, (_, group) => new meterChannel.MeterChannel(group, channelPorts))
     this.pruneTimer = timers.every(pruneIntervalMs, () => { this.prune() })
@@ -87,7 +95,13 @@
     this.tenures[call.group]!.noteReport(call, now)
     const tenure = this.decideTenure(call.group, location.shard.epoch, now)
     if (!meterAccount.isOwner(tenure)) return { type: 'notOwner', reason: tenure }
-    return { type: 'metered', term: location.shard.epoch, answers: call.reports.map((report) => this.registry.applyReport(report, location.shard.epoch, call.version, now)) }
+    const context: meterAccount.ReportContext = {
+      term: location.shard.epoch,
+      configVersion: call.version,
+      missingShare: Math.max(0, 1 - this.countReporters(call.group, now) / this.countHosts()),
+      now
+    }
+    return { type: 'metered', term: location.shard.epoch, hosts: this.countHosts(), answers: call.reports.map((report) => this.registry.applyReport(report, context)) }
   }
 
   /** Stops reporting and pruning. */
@@ -107,20 +121,22 @@
 
   private decideTenure (group: number, term: number, now: number): meterAccount.Tenure {
     const { shards } = this.ports
-    const hostCount = this.countHosts()
-    const reports = this.tenures[group]!
     return meterAccount.decideTenure({
       term,
-      newestTerm: reports.newestTerm,
+      newestTerm: this.tenures[group]!.newestTerm,
       leaseAgeMs: shards.leaseAgeMs,
       leaseMs: shards.leaseMs,
-      reporterCount: reports.countReporters(meterChannel.computeReportTtlMs(hostCount), now),
-      hostCount
+      reporterCount: this.countReporters(group, now),
+      hostCount: this.countHosts()
     })
   }
 
+  private countReporters (group: number, now: number): number {
+    return this.tenures[group]!.countReporters(meterChannel.computeReportTtlMs(this.countHosts()), now)
+  }
+
   private countHosts (): number {
-    return Math.max(this.ports.shards.listMembers().length, this.ports.peerCount() + 1)
+    return this.recentHostCount.update(Math.max(this.ports.shards.listMembers().length, this.ports.peerCount() + 1))
   }
 
   /** Locates the owner of a group: the owner of the shard that the group's name hashes to. */
--- a/packages/programs/front/src/account-usage.ts
+++ b/packages/programs/front/src/account-usage.ts
@@ -4,11 +4,9 @@
 export type AdmissionBasis =
   /** The owner granted it. */
   | 'owner'
-  /** This host's estimate of what is left, while the owner answers. */
+  /** This host's estimate of what is left. */
   | 'estimate'
-  /** The same estimate, while the owner does not answer. */
-  | 'estimateAlone'
-  /** This host's share of the limit, used without an owner. */
+  /** This host's share of the limit, used while the owner does not answer. */
   | 'share'
 
 /** Numbers of requests of one account. */
@@ -18,7 +16,7 @@
   readonly refunded: number
 }
 
-const noUsage: UsageCounts = { owner: 0, estimate: 0, estimateAlone: 0, share: 0, refused: 0, refunded: 0 }
+const noUsage: UsageCounts = { owner: 0, estimate: 0, share: 0, refused: 0, refunded: 0 }
 
 /** Counts by decision. */
 export class AccountUsage {
@@ -32,7 +30,7 @@
   takeNotable (): UsageCounts | undefined {
     const { counts } = this
     this.counts = noUsage
-    const isNotable = counts.refused > 0 || counts.estimateAlone > 0 || counts.share > 0
+    const isNotable = counts.refused > 0 || counts.share > 0
     return isNotable ? counts : undefined
   }
 }
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -115,6 +115,7 @@
       shards: this.shards,
       routing: this.routing,
       host: cfg.host,
+      random: Math.random,
       peerCount: () => this.upstreams.peerLoads.peerCount,
       slack: cfg.limitSlack
     })
--- a/packages/programs/front/src/meter-channel.test.ts
+++ b/packages/programs/front/src/meter-channel.test.ts
@@ -58,15 +58,20 @@
   const elapsed = (): number => timers.monotonic() - start
   const registries = Array.from({ length: scenario.hosts }, () => new meterAccount.MeterRegistry())
   let term = 0
+  const reporters = new Set<number>()
   let owner: number | undefined
   const answerCall = (from: number, call: meterChannel.MeterCall): meterChannel.MeterCallAnswer | undefined => {
     const currentOwner = scenario.getOwner(elapsed())
-    if (currentOwner !== owner) term += 1
+    if (currentOwner !== owner) {
+      term += 1
+      reporters.clear()
+    }
     owner = currentOwner
     if (owner === undefined) return undefined
     if (owner !== from && (scenario.isPartitioned(owner, elapsed()) || scenario.isPartitioned(from, elapsed()))) return undefined
-    const answers = call.reports.map((report) => registries[owner!]!.applyReport(report, term, call.version, timers.monotonic()))
-    return { type: 'metered', term, answers }
+    reporters.add(from)
+    const answers = call.reports.map((report) => registries[owner!]!.applyReport(report, { term, configVersion: call.version, missingShare: 1 - reporters.size / scenario.hosts, now: timers.monotonic() }))
+    return { type: 'metered', term, hosts: scenario.hosts, answers }
   }
   const channels = Array.from({ length: scenario.hosts }, (_, host) => new meterChannel.MeterChannel(0, {
     timers,
@@ -81,7 +86,8 @@
     },
     getLimit: () => limit,
     getVersion: () => 1,
-    countHosts: () => scenario.hosts
+    countHosts: () => scenario.hosts,
+    random
   }))
   const result: SimulationResult = { sentAt: [], started: 0, admitted: 0, completed: 0, refused: { first: 0, further: 0 } }
   const send = async (position: meterAccount.RequestPosition): Promise<boolean> => {
@@ -205,3 +211,16 @@
     }
   }
 })
+
+/** The owner is away for more than half of the time. */
+const oftenAway = (now: number): number | undefined => now % 1_500 < 900 ? undefined : Math.floor(now / 1_500) % 5
+
+// Guards against hosts that each use up their estimate of what is left whenever the owner is away, which adds up with their number.
+tap.test('hosts that are often without an owner do not let an account exceed its limit', async (t) => {
+  for (const limit of burstLimits) {
+    for (const hosts of [31, 100]) {
+      const result = await simulate({ ...steadyScenario, getOwner: oftenAway, limit, hosts, further: 8, programsPerSecond: () => programsWithin(limit.requestsPerSecond, 8) * 5 }, 1)
+      t.ok(computeMaxWindowLoad(result.sentAt, limit) <= 1, `${limit.requestsPerSecond} requests/s, ${hosts} hosts: ${computeMaxWindowLoad(result.sentAt, limit).toFixed(2)} of the allowed window`)
+    }
+  }
+})
--- a/packages/programs/front/src/meter-channel.ts
+++ b/packages/programs/front/src/meter-channel.ts
@@ -21,7 +21,13 @@
 
 /** Answer to a batch of reports. */
 export type MeterCallAnswer =
-  | { readonly type: 'metered', readonly term: number, readonly answers: readonly meterAccount.MeterAnswer[] }
+  | {
+    readonly type: 'metered'
+    readonly term: number
+    /** Number of hosts that the owner knows. */
+    readonly hosts: number
+    readonly answers: readonly meterAccount.MeterAnswer[]
+  }
   /** The called process does not own the account group, or can't be certain that it still does. */
   | { readonly type: 'notOwner', readonly reason: 'elsewhere' | meterAccount.Tenure }
 
@@ -29,7 +35,15 @@
 export type AcquireResult =
   | { readonly type: 'admitted' }
   /** Refused by the owner, or by this host's own share of the limit while the owner is unreachable. */
-  | { readonly type: 'limited', readonly retryAfterMs: number, readonly by: 'owner' | 'share', readonly requestsLeft: number }
+  | LimitedResult
+
+/** A request beyond the limit. */
+export interface LimitedResult {
+  readonly type: 'limited'
+  readonly retryAfterMs: number
+  readonly by: 'owner' | 'share'
+  readonly requestsLeft: number
+}
 
 /** Dependencies of a channel. */
 export interface MeterChannelPorts {
@@ -47,6 +61,8 @@
   readonly isLimiting: () => boolean
   /** Number of hosts that admit requests of accounts, including this one. */
   readonly countHosts: () => number
+  /** Uniform in [0, 1). */
+  readonly random: () => number
 }
 
 /** A request that waits for the owner's answer. */
@@ -63,6 +79,8 @@
   pending: PendingRequest[]
   /** Meter of this host's share of the limit, used while the owner is unreachable. */
   fallbackMeter: meterAccount.AccountMeter | undefined
+  /** The owner was unreachable after the estimate was made: others may have used what it says is left. */
+  isOutdated: boolean
   readonly usage: accountUsage.AccountUsage
   lastUsedAt: number
 }
@@ -72,18 +90,17 @@
 const reportIntervalMsPerHost = 3
 /** A host reports at least once in this many intervals, so that the owner knows which hosts report to it. */
 const keepAliveIntervals = 2
-/** An owner counts a host as reporting for this many intervals: two reports and the timeout of one may be lost. */
-const reportTtlIntervals = 5
+/** An owner counts a host as reporting for this many intervals: one report may be lost. */
+const reportTtlIntervals = 4
 /** Retry interval for an unreachable owner, in ms. */
 const ownerRetryMs = 150
 /**
- * During a change of owner, hosts continue with their estimates, and requests that need the owner's answer wait. After
- * this time, in ms, each host falls back to its share of the limit. It is longer than the takeover from an owner that
- * has exited.
+ * While the owner is unreachable, each host admits what its share of the limit allows, and other requests wait for the
+ * next owner. After this time, in ms, they are refused. It is longer than the takeover from an owner that has exited.
  */
-const fallbackAfterMs = 1_000
-/** In fallback mode a host uses its share divided by this: beyond a network partition, others may still use the full limit. */
-const fallbackDivisor = 2
+const maxOwnerWaitMs = 1_000
+/** Retry-after time of a process that no owner has answered yet, in ms. */
+const noOwnerRetryMs = 500
 /** An account without requests for this long, in ms, is removed. */
 const accountIdleMs = 10_000
 /** Interval between two log lines about the usage of an account, in ms. */
@@ -114,6 +131,8 @@
   private answeredAt: number
   /** Monotonic ms. */
   private readonly startedAt: number
+  /** Number of hosts that the last answer named. */
+  private hostsAtOwner = 0
   /** When the owner became unreachable, monotonic ms; `undefined` while it is reachable. */
   private unreachableSince: number | undefined
 
@@ -131,10 +150,13 @@
     const entry = this.getOrCreateEntry(account)
     entry.lastUsedAt = now
     const estimate = this.refreshEstimate(entry, limit, now)
-    if (this.unreachableMs >= fallbackAfterMs) return this.acquireFromFallback(entry, limit, position)
-    if (estimate !== undefined && meterAccount.canSendUnasked(estimate, position)) {
+    if (this.unreachableSince !== undefined) {
+      const result = this.acquireFromShare(entry, limit, position)
+      if (result.type === 'admitted') return result
+      if (this.unreachableMs >= maxOwnerWaitMs) return this.refuse(entry, result)
+    } else if (!entry.isOutdated && estimate !== undefined && meterAccount.canSendUnasked(estimate, position)) {
       entry.estimate = meterAccount.countRequest(estimate, position, 1)
-      this.countUsage(entry, this.unreachableSince === undefined ? 'estimate' : 'estimateAlone')
+      this.countUsage(entry, 'estimate')
       this.scheduleReport()
       return { type: 'admitted' }
     }
@@ -178,7 +200,7 @@
   private getOrCreateEntry (account: types.AccountId): AccountEntry {
     const existing = this.entries.get(account)
     if (existing !== undefined) return existing
-    const created: AccountEntry = { estimate: undefined, admittedEarly: meterAccount.noRequests, pending: [], fallbackMeter: undefined, usage: new accountUsage.AccountUsage(), lastUsedAt: 0 }
+    const created: AccountEntry = { estimate: undefined, admittedEarly: meterAccount.noRequests, pending: [], fallbackMeter: undefined, isOutdated: false, usage: new accountUsage.AccountUsage(), lastUsedAt: 0 }
     this.entries.set(account, created)
     return created
   }
@@ -195,14 +217,20 @@
     return entry.estimate
   }
 
-  private acquireFromFallback (entry: AccountEntry, limit: meterAccount.MeterLimit, position: meterAccount.RequestPosition): AcquireResult {
+  private refuse (entry: AccountEntry, result: LimitedResult): LimitedResult {
+    this.countUsage(entry, 'refused')
+    return result
+  }
+
+  private acquireFromShare (entry: AccountEntry, limit: meterAccount.MeterLimit, position: meterAccount.RequestPosition): AcquireResult {
+    // A process that has never heard an owner can't know how many hosts share the limit.
+    if (this.term === noTerm) return { type: 'limited', retryAfterMs: noOwnerRetryMs, by: 'share', requestsLeft: 0 }
     const now = this.ports.timers.monotonic()
-    const divisor = this.ports.countHosts() * fallbackDivisor
-    const fallbackMeter = entry.fallbackMeter ?? meterAccount.createFallbackMeter(limit, entry.estimate, divisor, this.unreachableSince ?? now, now)
-    const refilled = meterAccount.refillMeter(meterAccount.applyLimit(fallbackMeter, meterAccount.divideLimit(limit, divisor)), now)
+    const hostCount = Math.max(this.ports.countHosts(), this.hostsAtOwner)
+    const fallbackMeter = entry.fallbackMeter ?? meterAccount.createFallbackMeter(limit, entry.estimate, hostCount, this.ports.random(), now)
+    const refilled = meterAccount.refillMeter({ ...fallbackMeter, limit: meterAccount.computeFallbackLimit(limit, hostCount) }, now)
     entry.fallbackMeter = refilled
     if (meterAccount.computeHeadroom(refilled, position) < 0) {
-      this.countUsage(entry, 'refused')
       return { type: 'limited', retryAfterMs: meterAccount.computeWaitMs(refilled, position), by: 'share', requestsLeft: refilled.level }
     }
     entry.fallbackMeter = meterAccount.spend(refilled, meterAccount.createSingleCount(position))
@@ -289,9 +317,9 @@
     return { state: meterAccount.createState(meterAccount.computeCapacity(limit)), term: noTerm }
   }
 
-  private applyAnswers (batch: readonly BatchItem[], { term, answers }: Extract<MeterCallAnswer, { type: 'metered' }>): void {
+  private applyAnswers (batch: readonly BatchItem[], { term, hosts, answers }: Extract<MeterCallAnswer, { type: 'metered' }>): void {
     const now = this.ports.timers.monotonic()
-    this.noteAnswer(term, now)
+    this.noteAnswer(term, hosts, now)
     this.unreachableSince = undefined
     const byAccount = new Map(answers.map((answer) => [answer.account, answer]))
     for (const { entry, pending, limit, report } of batch) {
@@ -301,7 +329,7 @@
         this.requeueOrDecide(entry, pending, limit)
         continue
       }
-      entry.fallbackMeter = undefined
+      entry.isOutdated = false
       entry.estimate = meterAccount.createEstimate(limit, answer, countUnreported(entry), now)
       entry.admittedEarly = meterAccount.noRequests
       const remaining = { ...answer.granted }
@@ -317,18 +345,27 @@
 
   private noteFailure (batch: readonly BatchItem[], why: string): void {
     const now = this.ports.timers.monotonic()
-    if (this.unreachableSince === undefined) this.ports.decisions.record({ event: 'meterOwnerAway', group: this.group, why, term: this.term, answerAgeMs: Math.round(now - this.answeredAt), hosts: this.ports.countHosts() })
-    this.unreachableSince ??= now
+    if (this.unreachableSince === undefined) this.startAbsence(why, now)
     for (const { entry, pending, limit, report } of batch) {
       this.restoreUnreported(entry, report)
       this.requeueOrDecide(entry, pending, limit)
     }
   }
 
+  private startAbsence (why: string, now: number): void {
+    this.unreachableSince = now
+    this.ports.decisions.record({ event: 'meterOwnerAway', group: this.group, why, term: this.term, answerAgeMs: Math.round(now - this.answeredAt), hosts: this.ports.countHosts() })
+    for (const entry of this.entries.values()) {
+      entry.isOutdated = true
+      entry.fallbackMeter = undefined
+    }
+  }
+
   /** Logs a change of owner. */
-  private noteAnswer (term: number, now: number): void {
+  private noteAnswer (term: number, hosts: number, now: number): void {
     if (term !== this.term) this.ports.decisions.record({ event: 'meterOwnerChanged', group: this.group, term, former: this.term, answerAgeMs: Math.round(now - this.answeredAt) })
     this.term = term
+    this.hostsAtOwner = hosts
     this.answeredAt = now
   }
 
@@ -353,13 +390,16 @@
     else entry.estimate = { ...entry.estimate, unreported: meterAccount.addCounts(entry.estimate.unreported, report.spent) }
   }
 
-  /** Requeues pending requests for the next owner, or decides them by the fallback share if the owner has been unreachable for too long. */
+  /** Requeues pending requests for the next owner, or decides them by the host's share if the owner has been unreachable for too long. */
   private requeueOrDecide (entry: AccountEntry, pending: readonly PendingRequest[], limit: meterAccount.MeterLimit): void {
-    if (this.unreachableMs < fallbackAfterMs) {
+    if (this.unreachableMs < maxOwnerWaitMs) {
       entry.pending.unshift(...pending)
       return
     }
-    for (const { position, onDecided } of pending) onDecided(this.acquireFromFallback(entry, limit, position))
+    for (const { position, onDecided } of pending) {
+      const result = this.acquireFromShare(entry, limit, position)
+      onDecided(result.type === 'admitted' ? result : this.refuse(entry, result))
+    }
   }
 }
 
--- a/packages/programs/front/src/test-cluster.ts
+++ b/packages/programs/front/src/test-cluster.ts
@@ -119,6 +119,14 @@
   readonly directLog: shardLog.ShardLog
 }
 
+/** Dependencies of a cluster. */
+export interface ClusterPorts {
+  readonly store: SimulatedStore
+  readonly timers: timerService.ManualTimers
+  /** Uniform in [0, 1). */
+  readonly random: () => number
+}
+
 /** Hosts with their processes, the links between them and the store. */
 export class Cluster {
   private readonly processes: (Process | undefined)[] = []
@@ -128,12 +136,12 @@
   private readonly heardAt = new Map<string, number>()
   private nextSide = 1
 
-  constructor (private readonly limit: Limit, private readonly store: SimulatedStore, private readonly timers: timerService.ManualTimers, private readonly decisions: (host: number) => decisionLog.DecisionLog = () => decisionLog.createSilentDecisionLog()) {}
+  constructor (private readonly limit: Limit, private readonly ports: ClusterPorts) {}
 
   async start (): Promise<void> {
     for (let host = 0; host < hostCount; host += 1) this.processes[host] = this.startProcess(host)
-    this.timers.every(loadReportMs, () => { this.shareLoads() })
-    await this.timers.advanceAsync(settleMs)
+    this.ports.timers.every(loadReportMs, () => { this.shareLoads() })
+    await this.ports.timers.advanceAsync(settleMs)
   }
 
   get (host: number): Process | undefined {
@@ -201,12 +209,12 @@
     const side = this.nextSide++
     for (const host of hosts) this.side[host] = side
     if (!store) for (const host of hosts) this.breakStore(host, 'silent', forMs)
-    this.timers.after(forMs, () => { for (const host of hosts) if (this.side[host] === side) this.side[host] = 0 })
+    this.ports.timers.after(forMs, () => { for (const host of hosts) if (this.side[host] === side) this.side[host] = 0 })
   }
 
   private breakStore (host: number, how: StoreFault, forMs: number): void {
-    this.store.setFault(host, how, true)
-    this.timers.after(forMs, () => { this.store.setFault(host, how, false) })
+    this.ports.store.setFault(host, how, true)
+    this.ports.timers.after(forMs, () => { this.ports.store.setFault(host, how, false) })
   }
 
   private kill (host: number, forMs: number): void {
@@ -216,18 +224,18 @@
     process.shards.close()
     process.limits.close()
     this.processes[host] = undefined
-    this.timers.after(forMs, () => { this.processes[host] = this.startProcess(host) })
+    this.ports.timers.after(forMs, () => { this.processes[host] = this.startProcess(host) })
   }
 
   private freeze (host: number, forMs: number): void {
     const process = this.processes[host]
-    if (process !== undefined) process.timers.frozenUntil = this.timers.monotonic() + forMs
+    if (process !== undefined) process.timers.frozenUntil = this.ports.timers.monotonic() + forMs
   }
 
   private startProcess (host: number): Process {
-    const timers = new ProcessTimers(this.timers)
-    const decisions = this.decisions(host)
-    const directLog = connectStore(this.store.connect(host), timers)
+    const timers = new ProcessTimers(this.ports.timers)
+    const decisions = decisionLog.createSilentDecisionLog()
+    const directLog = connectStore(this.ports.store.connect(host), timers)
     const listPeers = (): string[] => shards.listMembers().filter((member) => !shards.isSelf(member)).map(memberName.parsePeerAddress)
     const { log } = new relayStore.RelayedLog({
       directLog,
@@ -265,6 +273,7 @@
       shards,
       routing: { accounts: identifyClient.createAccountDirectory([{ name: account, keys: ['key'], limit: this.limit }]), version: 1 },
       host: `host-${host}`,
+      random: this.ports.random,
       peerCount: () => this.countHeard(host),
       slack,
       timers,
@@ -291,14 +300,14 @@
   }
 
   private async exchange<Answer> (from: number, to: number, run: (peer: Process) => Promise<Answer>): Promise<Answer | undefined> {
-    await timerService.sleep(this.timers, linkMs)
+    await timerService.sleep(this.ports.timers, linkMs)
     if (this.side[from] !== this.side[to]) return this.hang()
     const peer = this.processes[to]
     if (peer === undefined) return undefined
     // A process that stands still answers once it goes on.
-    await timerService.sleep(peer.timers, 0)
+    if (peer.timers.isFrozen) await timerService.sleep(peer.timers, 0)
     const answer = await run(peer)
-    await timerService.sleep(this.timers, linkMs)
+    await timerService.sleep(this.ports.timers, linkMs)
     return this.side[from] === this.side[to] ? answer : this.hang()
   }
 
@@ -310,22 +319,22 @@
     for (let from = 0; from < hostCount; from += 1) {
       if (!this.isServing(from)) continue
       for (let to = 0; to < hostCount; to += 1) {
-        if (to !== from && this.side[from] === this.side[to]) this.heardAt.set(`${to} ${from}`, this.timers.monotonic())
+        if (to !== from && this.side[from] === this.side[to]) this.heardAt.set(`${to} ${from}`, this.ports.timers.monotonic())
       }
     }
   }
 
   private countHeard (host: number): number {
-    const since = this.timers.monotonic() - loadReportTtlMs
+    const since = this.ports.timers.monotonic() - loadReportTtlMs
     return Array.from({ length: hostCount }, (_, from) => this.heardAt.get(`${host} ${from}`) ?? -Infinity).filter((at) => at >= since).length
   }
 }
 
 /** A process that stands still gets the answers of the store once it goes on. */
-function connectStore (log: shardLog.ShardLog, timers: timerService.TimerService): shardLog.ShardLog {
+function connectStore (log: shardLog.ShardLog, timers: ProcessTimers): shardLog.ShardLog {
   return shardLog.createShardLog(async (call) => {
     const answer = await shardLog.runStoreCall(log, call)
-    await timerService.sleep(timers, 0)
+    if (timers.isFrozen || timers.isDead) await timerService.sleep(timers, 0)
     return answer
   })
 }
