A request that an upstream answered stays counted, whatever the status

Callers saw nothing; an account may get more than its limit while upstreams fail. Cause: a turn that ended with 402, 404, 429 or 503 was taken back from its account's usage as not run, also when an upstream that ran it gave that status: the status was taken for the verdict. Evidence: limit-gate.test 'a request that an upstream answered stays counted', red before for turns answered 404, 429 and 503, green now. Fix: a reply knows who made the answer; only an answer of a front process says that nothing ran.

--- a/packages/programs/front/src/limit-gate.ts
+++ b/packages/programs/front/src/limit-gate.ts
@@ -14,7 +14,7 @@
 /** Counts a request against the limit of its account and returns true, or refuses it. A request that turns out not to have run is refunded. */
 export async function enforceAccountLimit (ports: LimitGatePorts, head: checkHead.CheckedHead, reply: inbound.Reply): Promise<boolean> {
   const { decisions, limits } = ports
-  const { attempt, caller, kind, route, version } = head
+  const { attempt, caller, route, version } = head
   if (caller.type !== 'account') return true
   const { account } = caller
   const position = getRequestPosition(head)
@@ -31,7 +31,7 @@
     return false
   }
   reply.onEnd((end) => {
-    if (!hasNotRun(end, kind)) return
+    if (!hasNotRun(end)) return
     decisions.record({ event: 'requestRefunded', request: attempt.id, account, status: end.status, source: end.source })
     limits.refund(account, position)
   })
@@ -43,10 +43,10 @@
   return head.route.retain?.keepsTurns === true && head.attempt.turn !== undefined && head.attempt.turn.previous === undefined ? 'first' : 'further'
 }
 
-/** Statuses that state that a request has not run. */
+/** Statuses with which a front process states that a request has not run. An upstream may use them for a request that it ran. */
 const notRunStatuses: ReadonlySet<number> = new Set([402, 404, 429, 503])
 
-/** Whether a completed request never ran because this process or the owner of its program refused it. */
-function hasNotRun (end: inbound.ReplyEnd, kind: checkHead.CheckedHead['kind']): boolean {
-  return notRunStatuses.has(end.status) && (end.outcome === 'refused' || kind === 'turn')
+/** Whether a request never ran because this process or the owner of its program refused it. */
+function hasNotRun ({ source, status }: inbound.ReplyEnd): boolean {
+  return source === 'front' && notRunStatuses.has(status)
 }
