--- a/packages/programs/front/src/account-limits.test.ts
+++ b/packages/programs/front/src/account-limits.test.ts
@@ -1,7 +1,12 @@
 import tap from 'tap'
+import * as decisionLog from '@eelgrasswind/decision-log'
+import * as identifyClient from '@eelgrasswind/identify-client'
 import type * as meterAccount from '@eelgrasswind/meter-account'
+import type * as ownShards from '@eelgrasswind/own-shards'
 import * as standIns from '@eelgrasswind/stand-ins'
 import * as timerService from '@eelgrasswind/timer-service'
+import * as accountLimits from './account-limits.js'
+import type * as meterChannel from './meter-channel.js'
 import * as testCluster from './test-cluster.js'
 
 /** Window of the limit, in ms, and the part by which it may be exceeded within one. */
@@ -171,6 +176,35 @@
 
 tap.setTimeout(240_000)
 
+// Guards against shares that are too large in fleets in which a process hears the load of some hosts only.
+tap.test('an owner knows every host that reports to it', (t) => {
+  const timers = timerService.createManualTimers()
+  const limits = new accountLimits.AccountLimits({
+    callPeer: () => Promise.resolve(undefined),
+    shards: {
+      getPartition: () => ({ topic: 'keyed.turns-0', part: 0 }),
+      locate: () => ({ type: 'here', shard: { epoch: 1 } as ownShards.OwnedShard }),
+      listMembers: () => ['host-0'],
+      refreshOwners: () => Promise.resolve(),
+      leaseAgeMs: 0,
+      leaseMs: 1_000
+    },
+    host: 'host-0',
+    routing: { accounts: identifyClient.createAccountDirectory([]), version: 1 },
+    peerCount: () => 4,
+    random: () => 0,
+    slack: 0,
+    timers,
+    decisions: decisionLog.createSilentDecisionLog()
+  })
+  t.teardown(() => { limits.close() })
+  const report = (host: number): meterChannel.MeterCallAnswer => limits.countReports({ type: 'meter', group: 0, version: 1, host: `host-${host}`, knownTerm: -1, reports: [] })
+  t.match(report(0), { type: 'metered', hosts: 5 })
+  for (let host = 0; host < 20; host += 1) report(host)
+  t.match(report(0), { type: 'metered', hosts: 20 })
+  t.end()
+})
+
 tap.test('without faults an account is held to its limit', async (t) => {
   await checkFaults(t, [])
 })
--- a/packages/programs/front/src/account-limits.ts
+++ b/packages/programs/front/src/account-limits.ts
@@ -93,6 +93,8 @@
     if (location.type !== 'here') return { type: 'notOwner', reason: 'elsewhere' }
     const now = this.ports.timers.monotonic()
     this.tenures[call.group]!.noteReport(call, now)
+    // In a large fleet a process hears the load of some hosts only, but each host reports here.
+    this.recentHostCount.update(this.countReporters(call.group, now))
     const tenure = this.decideTenure(call.group, location.shard.epoch, now)
     if (!meterAccount.isOwner(tenure)) return { type: 'notOwner', reason: tenure }
     const context: meterAccount.ReportContext = {
