--- a/packages/programs/front/src/account-limits.test.ts
+++ b/packages/programs/front/src/account-limits.test.ts
@@ -6,7 +6,7 @@
 import * as standIns from '@eelgrasswind/stand-ins'
 import * as timerService from '@eelgrasswind/timer-service'
 import * as accountLimits from './account-limits.js'
-import type * as meterChannel from './meter-channel.js'
+import type * as meterCall from './meter-call.js'
 import * as testCluster from './test-cluster.js'
 
 /** Window of the limit, in ms, and the part by which it may be exceeded within one. */
@@ -198,7 +198,7 @@
     decisions: decisionLog.createSilentDecisionLog()
   })
   t.teardown(() => { limits.close() })
-  const report = (host: number): meterChannel.MeterCallAnswer => limits.countReports({ type: 'meter', group: 0, version: 1, host: `host-${host}`, knownTerm: -1, reports: [] })
+  const report = (host: number): meterCall.MeterCallAnswer => limits.countReports({ type: 'meter', group: 0, version: 1, host: `host-${host}`, knownTerm: -1, reports: [] })
   t.match(report(0), { type: 'metered', hosts: 5 })
   for (let host = 0; host < 20; host += 1) report(host)
   t.match(report(0), { type: 'metered', hosts: 20 })
--- a/packages/programs/front/src/account-limits.ts
+++ b/packages/programs/front/src/account-limits.ts
@@ -8,13 +8,14 @@
 import type * as types from '@eelgrasswind/types'
 import * as groupTenure from './group-tenure.js'
 import * as memberName from './member-name.js'
+import type * as meterCall from './meter-call.js'
 import * as meterChannel from './meter-channel.js'
 import * as recentMaximum from './recent-maximum.js'
 
 /** Dependencies for account limits. */
 export interface AccountLimitsPorts {
   /** Calls another process as the owner of an account group; `undefined` if it does not answer within the timeout, in ms. */
-  readonly callPeer: (address: string, call: meterChannel.MeterCall, timeoutMs: number) => Promise<meterChannel.MeterCallAnswer | undefined>
+  readonly callPeer: (address: string, call: meterCall.MeterCall, timeoutMs: number) => Promise<meterCall.MeterCallAnswer | undefined>
   readonly shards: Pick<ownShards.ShardOwner, 'locate' | 'getPartition' | 'listMembers' | 'refreshOwners' | 'leaseAgeMs' | 'leaseMs'>
   /** Name of this host. */
   readonly host: string
@@ -88,7 +89,7 @@
   }
 
   /** Applies the reports of another host or of this one, as the owner of the account group. */
-  countReports (call: meterChannel.MeterCall): meterChannel.MeterCallAnswer {
+  countReports (call: meterCall.MeterCall): meterCall.MeterCallAnswer {
     const location = this.locateGroup(call.group)
     if (location.type !== 'here') return { type: 'notOwner', reason: 'elsewhere' }
     const now = this.ports.timers.monotonic()
@@ -147,7 +148,7 @@
     return shards.locate(shards.getPartition(formatGroupName(group)))
   }
 
-  private async callOwner (call: meterChannel.MeterCall): Promise<meterChannel.MeterCallAnswer | undefined> {
+  private async callOwner (call: meterCall.MeterCall): Promise<meterCall.MeterCallAnswer | undefined> {
     const location = this.locateGroup(call.group)
     if (location.type === 'here') return this.countReports(call)
     const answer = location.type === 'member'
--- a/packages/programs/front/src/group-tenure.ts
+++ b/packages/programs/front/src/group-tenure.ts
@@ -1,5 +1,5 @@
 /** Tracks which hosts report to this process as the owner of an account group, and the newest owner that they know. */
-import type * as meterChannel from './meter-channel.js'
+import type * as meterCall from './meter-call.js'
 
 /** Reports that this process has received for one group. */
 export class GroupTenure {
@@ -7,7 +7,7 @@
   private readonly reportedAt = new Map<string, number>()
   private newestKnownTerm = -1
 
-  noteReport ({ host, knownTerm }: Pick<meterChannel.MeterCall, 'host' | 'knownTerm'>, now: number): void {
+  noteReport ({ host, knownTerm }: Pick<meterCall.MeterCall, 'host' | 'knownTerm'>, now: number): void {
     this.reportedAt.set(host, now)
     this.newestKnownTerm = Math.max(this.newestKnownTerm, knownTerm)
   }
--- a/packages/programs/front/src/meter-channel.test.ts
+++ b/packages/programs/front/src/meter-channel.test.ts
@@ -3,6 +3,7 @@
 import * as meterAccount from '@eelgrasswind/meter-account'
 import * as timerService from '@eelgrasswind/timer-service'
 import type * as types from '@eelgrasswind/types'
+import type * as meterCall from './meter-call.js'
 import * as meterChannel from './meter-channel.js'
 
 const account = 'coaches' as types.AccountId
@@ -60,7 +61,7 @@
   let term = 0
   const reporters = new Set<number>()
   let owner: number | undefined
-  const answerCall = (from: number, call: meterChannel.MeterCall): meterChannel.MeterCallAnswer | undefined => {
+  const answerCall = (from: number, call: meterCall.MeterCall): meterCall.MeterCallAnswer | undefined => {
     const currentOwner = scenario.getOwner(elapsed())
     if (currentOwner !== owner) {
       term += 1
--- a/packages/programs/front/src/meter-channel.ts
+++ b/packages/programs/front/src/meter-channel.ts
@@ -4,32 +4,7 @@
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as types from '@eelgrasswind/types'
 import * as accountUsage from './account-usage.js'
-
-/** A batch of account reports from one host. */
-export interface MeterCall {
-  readonly type: 'meter'
-  /** Index of the account group that the call is for. */
-  readonly group: number
-  /** Configuration version of the limits. */
-  readonly version: number
-  /** Name of the reporting host. */
-  readonly host: string
-  /** The ownership term of the newest owner that has answered the host; -1 if none has. */
-  readonly knownTerm: number
-  readonly reports: readonly meterAccount.MeterReport[]
-}
-
-/** Answer to a batch of reports. */
-export type MeterCallAnswer =
-  | {
-    readonly type: 'metered'
-    readonly term: number
-    /** Number of hosts that the owner knows. */
-    readonly hosts: number
-    readonly answers: readonly meterAccount.MeterAnswer[]
-  }
-  /** The called process does not own the account group, or can't be certain that it still does. */
-  | { readonly type: 'notOwner', readonly reason: 'elsewhere' | meterAccount.Tenure }
+import type * as meterCall from './meter-call.js'
 
 /** Whether a request is admitted. */
 export type AcquireResult =
@@ -52,7 +27,7 @@
   /** Name of this host. */
   readonly host: string
   /** Calls the current owner of the group; `undefined` if there is no answer. */
-  readonly callOwner: (call: MeterCall) => Promise<MeterCallAnswer | undefined>
+  readonly callOwner: (call: meterCall.MeterCall) => Promise<meterCall.MeterCallAnswer | undefined>
   /** Returns the limit of an account; `undefined` if it has none. */
   readonly getLimit: (account: types.AccountId) => meterAccount.MeterLimit | undefined
   /** Returns the configuration version in force. */
@@ -317,7 +292,7 @@
     return { state: meterAccount.createState(meterAccount.computeCapacity(limit)), term: noTerm }
   }
 
-  private applyAnswers (batch: readonly BatchItem[], { term, hosts, answers }: Extract<MeterCallAnswer, { type: 'metered' }>): void {
+  private applyAnswers (batch: readonly BatchItem[], { term, hosts, answers }: Extract<meterCall.MeterCallAnswer, { type: 'metered' }>): void {
     const now = this.ports.timers.monotonic()
     this.noteAnswer(term, hosts, now)
     this.unreachableSince = undefined
