A process that loses a shard twice in a generation joins its group anew

Callers would see: programs of a shard refused (503, shard moving) from its restart until some other host joins or leaves, first on 15 January 2027. Cause: epochs rise within a generation by steps of 100 ms modulo 1e9, and that number begins again every 3.2 years. A process that was killed and started again within its lease, across that moment, keeps its generation and gets a lower epoch than its former instance, which the store fences; each new attempt raises it by a minute only. Evidence: shard-owner.test 'a process that restarts when the time part of epochs wraps around': serves 0 of 8 shards after 3 s before, all now. Fix: a shard lost for the second time in the same generation shows that its epochs are too low; leaving and joining raises the generation, and with it every epoch. It holds for any cause of too low an epoch, such as a clock that was set back.

--- a/packages/state/own-shards/src/shard-owner.test.ts
+++ b/packages/state/own-shards/src/shard-owner.test.ts
@@ -9,8 +9,8 @@
 const parts = 8
 const now = 1_000_000 as types.EpochMs
 
-function fixture () {
-  const timers = timerService.createManualTimers()
+function fixture (startMs?: number) {
+  const timers = timerService.createManualTimers(startMs)
   const store = new standIns.MemoryShardLog(timers, parts)
   const owners: shardOwner.ShardOwner[] = []
   const start = (member: string, faults = standIns.noFaults()): shardOwner.ShardOwner => {
@@ -110,3 +110,18 @@
   t.equal(countServing(a), 0)
   t.equal(countServing(b), parts)
 })
+
+// Guards against a restarted process that is fenced by its former instance for good, since the time part of its epoch has begun again.
+tap.test('a process that restarts when the time part of epochs wraps around serves its shards', async (t) => {
+  const wrapsAtMs = 18 * 1e11
+  const { timers, start } = fixture(wrapsAtMs - 4_000)
+  const former = start('a')
+  await timers.advanceAsync(3_500)
+  t.equal(countServing(former), parts)
+  former.close()
+  await timers.advanceAsync(600)
+  const restarted = start('a')
+  await timers.advanceAsync(3_000)
+  t.equal(countServing(restarted), parts)
+  t.equal(await runTurn(timers, restarted, 'program-1' as types.ProgramId, 'turn-1'), 'committed')
+})
--- a/packages/state/own-shards/src/shard-owner.ts
+++ b/packages/state/own-shards/src/shard-owner.ts
@@ -70,6 +70,8 @@
   private generation = 0
   /** Steps added to every new epoch; raised whenever a shard is lost. */
   private epochOffset = 0
+  /** The generation in which each shard was last lost. */
+  private readonly lostInGeneration = new Map<shardLog.PartitionName, number>()
   /** When the owners were last requested and last received, in ms of the monotonic clock. */
   private ownersRequestedAtMs = -Infinity
   private ownersReadAtMs = -Infinity
@@ -310,8 +312,20 @@
     this.ports.decisions.record({ event: 'shardLost', partition: shard.partition, epoch: shard.epoch, reason })
     if (this.ownedShards.get(name) === shard) this.ownedShards.delete(name)
     this.epochOffset += epochBumpSteps
+    const isLostAgain = this.lostInGeneration.get(name) === this.generation
+    this.lostInGeneration.set(name, this.generation)
     void this.refreshOwners()
-    void this.join()
+    if (isLostAgain) void this.startGeneration()
+    else void this.join()
+  }
+
+  /** Leaves the group and joins again: epochs of the new generation are higher, whatever the clock or the wrap of their time part. */
+  private async startGeneration (): Promise<void> {
+    if (this.isStopped || this.isSuspended) return
+    this.lostInGeneration.clear()
+    const leaveOutcome = await this.ports.log.leave(this.settings.group, this.settings.member)
+    this.ports.decisions.record({ event: 'groupLeft', outcome: leaveOutcome.type })
+    await this.join()
   }
 
   private removeExpiredRecords (): void {
