Retry-After of an account's limit counts what is kept back for missing hosts

Cause: the time to come back was computed from the whole rate while a part of it is kept back for hosts that do not report, so it was too short. Evidence: meter-account.test 'a retry after the given time is granted also while hosts are missing', red before, green now.

--- a/packages/decide/meter-account/src/meter-account.test.ts
+++ b/packages/decide/meter-account/src/meter-account.test.ts
@@ -190,3 +190,12 @@
   t.equal(accountEstimate.createFallbackMeter(limit, undefined, 20, 0, 0).level, 0)
   t.end()
 })
+
+tap.test('a retry after the given time is granted also while hosts are missing', (t) => {
+  const registry = new meterRegistry.MeterRegistry()
+  const report = (overrides: Partial<meterRegistry.MeterReport>, now: number): meterRegistry.MeterAnswer => registry.applyReport(createReport(overrides), { ...within(1, 1, now), missingShare: 0.5 })
+  const { waitMs } = report({ spent: further(400) }, 0)
+  t.equal(report({ asked: further(1) }, waitMs.further - 20).granted.further, 0)
+  t.equal(report({ asked: further(1) }, waitMs.further + 20).granted.further, 1)
+  t.end()
+})
--- a/packages/decide/meter-account/src/meter-registry.ts
+++ b/packages/decide/meter-account/src/meter-registry.ts
@@ -90,7 +90,8 @@
       }
     }
     this.accounts.set(report.account, { ...entry, meter })
-    const waitMs = { first: accountMeter.computeWaitMs(meter, 'first'), further: accountMeter.computeWaitMs(meter, 'further') }
+    const pacedMeter = { ...meter, limit: computeOwnLimit(meter.limit, context.missingShare) }
+    const waitMs = { first: accountMeter.computeWaitMs(pacedMeter, 'first'), further: accountMeter.computeWaitMs(pacedMeter, 'further') }
     return { account: report.account, term, state: accountMeter.toState(meter), granted, waitMs }
   }
 
@@ -121,13 +122,15 @@
   return { meter: baseline, baseline, reserve: { missingShare: 0, level: 0, uncommitted: 0 }, term, configVersion }
 }
 
-/** Refills the meter at the rate that the missing hosts leave to the others. */
+/** The limit at the rate that the missing hosts leave to the others. */
+function computeOwnLimit (limit: accountMeter.MeterLimit, missingShare: number): accountMeter.MeterLimit {
+  return { ...limit, requestsPerSecond: limit.requestsPerSecond * (1 - accountEstimate.fallbackShare * missingShare) }
+}
+
 function refillEntry (entry: AccountEntry, now: number): AccountEntry {
   const { meter, reserve } = entry
-  const ownShare = 1 - accountEstimate.fallbackShare * reserve.missingShare
-  const { limit } = meter
-  const refilled = accountMeter.refillMeter({ ...meter, limit: { ...limit, requestsPerSecond: limit.requestsPerSecond * ownShare } }, now)
-  return { ...entry, meter: { ...refilled, limit } }
+  const refilled = accountMeter.refillMeter({ ...meter, limit: computeOwnLimit(meter.limit, reserve.missingShare) }, now)
+  return { ...entry, meter: { ...refilled, limit: meter.limit } }
 }
 
 /** Moves requests between the meter and the reserve when the part of the missing hosts has changed. */
