--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -13,6 +13,7 @@
 import * as currentRouting from './current-routing.js'
 import type * as dialects from './dialect.js'
 import * as memberName from './member-name.js'
+import * as meterCall from './meter-call.js'
 import * as peerCalls from './peer-calls.js'
 import * as peerListener from './peer-listener.js'
 import * as peerProbe from './peer-probe.js'
@@ -111,7 +112,10 @@
     })
     this.limits = new accountLimits.AccountLimits({
       ...ports,
-      callPeer: (address, call, timeoutMs) => peerCalls.callPeer(this.peerCallPorts, address, call, timeoutMs),
+      callPeer: async (address, call, timeoutMs) => {
+        const answer = await peerCalls.callPeer<meterCall.EarlierMeterCallAnswer>(this.peerCallPorts, address, call, timeoutMs)
+        return answer === undefined ? undefined : meterCall.completeAnswer(answer)
+      },
       shards: this.shards,
       routing: this.routing,
       host: cfg.host,
--- a/packages/programs/front/src/meter-call.ts
+++ b/packages/programs/front/src/meter-call.ts
@@ -26,3 +26,23 @@
   }
   /** The called process does not own the account group, or can't be certain that it still does. */
   | { readonly type: 'notOwner', readonly reason: 'elsewhere' | meterAccount.Tenure }
+
+const unknownTerm = -1
+
+/** Adds what calls of processes of an earlier release lack, while both releases run side by side. */
+export function completeCall (call: Omit<MeterCall, 'host' | 'knownTerm'> & Partial<MeterCall>): MeterCall {
+  return { ...call, host: call.host ?? '', knownTerm: call.knownTerm ?? unknownTerm }
+}
+
+/** Adds what answers of processes of an earlier release lack. */
+export function completeAnswer (answer: EarlierMeterCallAnswer): MeterCallAnswer {
+  switch (answer.type) {
+    case 'metered': return { ...answer, term: answer.term ?? answer.answers[0]?.term ?? unknownTerm, hosts: answer.hosts ?? 0 }
+    case 'notOwner': return { ...answer, reason: answer.reason ?? 'elsewhere' }
+  }
+}
+
+/** An answer of this or an earlier release. */
+export type EarlierMeterCallAnswer =
+  | { readonly type: 'metered', readonly term?: number, readonly hosts?: number, readonly answers: readonly meterAccount.MeterAnswer[] }
+  | { readonly type: 'notOwner', readonly reason?: Extract<MeterCallAnswer, { type: 'notOwner' }>['reason'] }
--- a/packages/programs/front/src/peer-listener.ts
+++ b/packages/programs/front/src/peer-listener.ts
@@ -7,6 +7,7 @@
 import * as findChain from './find-chain.js'
 import * as forwardHeader from './forward-header.js'
 import * as inbound from './inbound.js'
+import * as meterCall from './meter-call.js'
 import * as peerCalls from './peer-calls.js'
 import * as readRequest from './read-request.js'
 import type * as inFlightRequests from './in-flight-requests.js'
@@ -102,7 +103,7 @@
       if (shard !== undefined) reserveTurn.releaseLocally(ports, shard, call)
       return { type: 'heard' }
     }
-    case 'meter': return ports.limits.countReports(call)
+    case 'meter': return ports.limits.countReports(meterCall.completeCall(call))
     case 'findChain': return findChain.findChainLocally(ports.shards, { turn: call.turn, account: call.account })
     case 'settle': {
       const shard = routeTurn.findServingShard(ports, call.request.program)
