What hosts used without an owner of account counts is charged once

Callers would see: after a partition, requests of a busy account refused for a second or more although it is below its limit. Cause: the owner takes the rate of hosts that do not report out of its refill, and charged what they had sent once more when they reported it. Evidence: meter-account.test 'what hosts used without the owner is charged once', red before. Change: the part that is taken out fills the reserve up to its part of the capacity, and comes back with the hosts.

--- a/packages/decide/meter-account/src/meter-registry.ts
+++ b/packages/decide/meter-account/src/meter-registry.ts
@@ -127,10 +127,19 @@
   return { ...limit, requestsPerSecond: limit.requestsPerSecond * (1 - accountEstimate.fallbackShare * missingShare) }
 }
 
+/** Divides what has become free since the last update between the meter and the reserve. */
 function refillEntry (entry: AccountEntry, now: number): AccountEntry {
   const { meter, reserve } = entry
-  const refilled = accountMeter.refillMeter({ ...meter, limit: computeOwnLimit(meter.limit, reserve.missingShare) }, now)
-  return { ...entry, meter: { ...refilled, limit: meter.limit } }
+  const { limit } = meter
+  const refilled = accountMeter.refillMeter({ ...meter, limit: computeOwnLimit(limit, reserve.missingShare) }, now)
+  const reservedPart = accountEstimate.fallbackShare * reserve.missingShare
+  const kept = reservedPart * limit.requestsPerSecond * (refilled.updatedAt - meter.updatedAt) / 1_000
+  const maxReserve = reservedPart * accountMeter.computeCapacity(limit)
+  return {
+    ...entry,
+    reserve: { ...reserve, level: Math.min(maxReserve, reserve.level + kept), uncommitted: Math.min(maxReserve, reserve.uncommitted + kept) },
+    meter: { ...refilled, limit }
+  }
 }
 
 /** Moves requests between the meter and the reserve when the part of the missing hosts has changed. */
