--- a/packages/programs/front/src/account-limits.test.ts
+++ b/packages/programs/front/src/account-limits.test.ts
@@ -8,17 +8,15 @@
 import * as accountLimits from './account-limits.js'
 import type * as meterCall from './meter-call.js'
 import * as testCluster from './test-cluster.js'
+import * as testLimits from './test-limits.js'
 
-/** Window of the limit, in ms, and the part by which it may be exceeded within one. */
-const windowMs = 5_000
-const overshoot = 0.1
 /** Time that a client waits for a decision, in ms. */
 const clientTimeoutMs = 2_000
 const furtherRequests = 8
 const pauseMs = 150
 
 interface Scenario {
-  readonly limit: testCluster.Limit
+  readonly limit: testLimits.Limit
   /** Load as a multiple of what the limit allows, from `busyFromMs` on; before, it is below the limit. */
   readonly load: number
   readonly busyFromMs: number
@@ -26,16 +24,6 @@
   readonly faults: readonly testCluster.Fault[]
 }
 
-function createRandom (seed: number): () => number {
-  let state = seed >>> 0
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1)
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61)
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32
-  }
-}
-
 function createStore (timers: timerService.TimerService): testCluster.SimulatedStore {
   const store = new standIns.MemoryShardLog(timers, testCluster.partitionsPerTopic)
   const faults = Array.from({ length: testCluster.hostCount }, () => standIns.noFaults())
@@ -54,9 +42,9 @@
 
 /** Plays programs of one account at random hosts while the faults strike. A refused or unanswered request is tried once more. */
 async function simulate (scenario: Scenario, seed: number): Promise<Result> {
-  const random = createRandom(seed)
+  const random = testLimits.createRandom(seed)
   const timers = timerService.createManualTimers()
-  const cluster = new testCluster.Cluster(scenario.limit, { store: createStore(timers), timers, random: createRandom(seed) })
+  const cluster = new testCluster.Cluster(scenario.limit, { store: createStore(timers), timers, random: testLimits.createRandom(seed) })
   await cluster.start()
   const start = timers.monotonic()
   const elapsed = (): number => timers.monotonic() - start
@@ -112,19 +100,7 @@
   return { sentAt, started, completed }
 }
 
-/** The most requests admitted in any window, as a fraction of the number that is allowed. */
-function computeMaxWindowLoad (sentAt: readonly number[], { requestsPerSecond, burst }: testCluster.Limit): number {
-  const allowed = (requestsPerSecond * windowMs / 1_000 + burst) * (1 + overshoot) + testCluster.slack
-  let from = 0
-  let most = 0
-  sentAt.forEach((at, to) => {
-    while (at - sentAt[from]! > windowMs) from += 1
-    most = Math.max(most, to - from + 1)
-  })
-  return most / allowed
-}
-
-const limits: readonly testCluster.Limit[] = [{ requestsPerSecond: 6, burst: 6 }, { requestsPerSecond: 60, burst: 60 }, { requestsPerSecond: 300, burst: 300 }, { requestsPerSecond: 40, burst: 20 }]
+const limits: readonly testLimits.Limit[] = [{ requestsPerSecond: 6, burst: 6 }, { requestsPerSecond: 60, burst: 60 }, { requestsPerSecond: 300, burst: 300 }, { requestsPerSecond: 40, burst: 20 }]
 const busy = { load: 5, busyFromMs: 2_000, lengthMs: 11_000 }
 const allHosts = Array.from({ length: testCluster.hostCount }, (_, host) => host)
 const everyThird = allHosts.filter((host) => host % 3 === 1)
@@ -147,7 +123,7 @@
 async function checkScenario (t: Asserter, scenario: Scenario, seed: number): Promise<void> {
   const { limit } = scenario
   const { sentAt } = await simulate(scenario, seed)
-  const load = computeMaxWindowLoad(sentAt, limit)
+  const load = testLimits.computeMaxWindowLoad(sentAt, limit)
   t.ok(load <= 1, `${limit.requestsPerSecond} requests/s, burst ${limit.burst}, seed ${seed}: ${load.toFixed(2)} of the allowed window`)
 }
 
@@ -243,7 +219,7 @@
 // Guards against an account that gets more than its limit while several faults overlap.
 tap.test('drawn faults that overlap', async (t) => {
   for (const seed of drawnSeeds) {
-    const random = createRandom(seed)
+    const random = testLimits.createRandom(seed)
     const faults = Array.from({ length: 2 + Math.floor(random() * 4) }, () => drawFault(random))
     const load = 2 + random() * 6
     await checkScenario(t, { ...busy, load, busyFromMs: Math.round(1_000 + random() * 4_000), limit: limits[seed % limits.length]!, faults }, seed)
--- a/packages/programs/front/src/account-limits.ts
+++ b/packages/programs/front/src/account-limits.ts
@@ -44,7 +44,8 @@
   return formatGroupName(getGroup(account))
 }
 
-function getGroup (account: types.AccountId): number {
+/** The group that an account belongs to. */
+export function getGroup (account: types.AccountId): number {
   return hashText.hashText(account) % accountGroupCount
 }
 
--- a/packages/programs/front/src/meter-channel.test.ts
+++ b/packages/programs/front/src/meter-channel.test.ts
@@ -5,9 +5,9 @@
 import type * as types from '@eelgrasswind/types'
 import type * as meterCall from './meter-call.js'
 import * as meterChannel from './meter-channel.js'
+import * as testLimits from './test-limits.js'
 
 const account = 'coaches' as types.AccountId
-const windowMs = 5_000
 /** Round-trip time of a call between two hosts, in ms. */
 const roundTripMs = 4
 const callTimeoutMs = 250
@@ -39,20 +39,9 @@
   readonly refused: { first: number, further: number }
 }
 
-/** Seeded random numbers, uniform in [0, 1). */
-function createRandom (seed: number): () => number {
-  let state = seed >>> 0
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1)
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61)
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32
-  }
-}
-
 /** Simulates programs of one account whose requests arrive at random hosts. */
 async function simulate (scenario: Scenario, seed: number): Promise<SimulationResult> {
-  const random = createRandom(seed)
+  const random = testLimits.createRandom(seed)
   const timers = timerService.createManualTimers()
   const limit: meterAccount.MeterLimit = { ...scenario.limit, slack: 20 }
   const start = timers.monotonic()
@@ -130,18 +119,6 @@
   return result
 }
 
-/** The most requests admitted in any window, as a fraction of the number that is allowed. */
-function computeMaxWindowLoad (sentAt: readonly number[], { requestsPerSecond, burst }: Scenario['limit']): number {
-  const allowed = (requestsPerSecond * windowMs / 1_000 + burst) * 1.1 + 20
-  let from = 0
-  let most = 0
-  sentAt.forEach((at, to) => {
-    while (at - sentAt[from]! > windowMs) from += 1
-    most = Math.max(most, to - from + 1)
-  })
-  return most / allowed
-}
-
 const steadyScenario = { isPartitioned: () => false, getOwner: () => 0, lengthMs: 14_000 }
 /** Programs per second that fit within a limit. */
 const programsWithin = (perSecond: number, further = furtherRequests): number => perSecond / (1 + further)
@@ -176,7 +153,7 @@
       const scenario = { ...steadyScenario, limit, hosts: 12, programsPerSecond: (now: number) => usualRate * (now > 3_000 && now < 9_500 ? 7.5 : 1) }
       const result = await simulate(scenario, seed)
       const name = `${limit.requestsPerSecond} requests/s, seed ${seed}`
-      t.ok(computeMaxWindowLoad(result.sentAt, limit) <= 1, `${name}: ${computeMaxWindowLoad(result.sentAt, limit).toFixed(2)} of the allowed window`)
+      t.ok(testLimits.computeMaxWindowLoad(result.sentAt, limit) <= 1, `${name}: ${testLimits.computeMaxWindowLoad(result.sentAt, limit).toFixed(2)} of the allowed window`)
       t.ok(result.completed >= result.admitted * 0.9, `${name}: ${result.completed} of ${result.admitted} completed`)
     }
   }
@@ -197,7 +174,7 @@
   for (const limit of allLimits) {
     for (const seed of seeds) {
       const result = await simulate({ ...steadyScenario, getOwner: changingOwner, limit, hosts: 12, programsPerSecond: () => programsWithin(limit.requestsPerSecond) * 4 }, seed)
-      t.ok(computeMaxWindowLoad(result.sentAt, limit) <= 1, `${limit.requestsPerSecond} requests/s, seed ${seed}: ${computeMaxWindowLoad(result.sentAt, limit).toFixed(2)} of the allowed window`)
+      t.ok(testLimits.computeMaxWindowLoad(result.sentAt, limit) <= 1, `${limit.requestsPerSecond} requests/s, seed ${seed}: ${testLimits.computeMaxWindowLoad(result.sentAt, limit).toFixed(2)} of the allowed window`)
     }
   }
 })
@@ -208,7 +185,7 @@
       const isPartitioned = (host: number, now: number): boolean => host % 3 === 1 && now > 3_000 && now < 10_000
       const scenario = { ...steadyScenario, isPartitioned, limit, hosts: 12, programsPerSecond: () => programsWithin(limit.requestsPerSecond) * 3 }
       const result = await simulate(scenario, seed)
-      t.ok(computeMaxWindowLoad(result.sentAt, limit) <= 1, `${limit.requestsPerSecond} requests/s, seed ${seed}: ${computeMaxWindowLoad(result.sentAt, limit).toFixed(2)} of the allowed window`)
+      t.ok(testLimits.computeMaxWindowLoad(result.sentAt, limit) <= 1, `${limit.requestsPerSecond} requests/s, seed ${seed}: ${testLimits.computeMaxWindowLoad(result.sentAt, limit).toFixed(2)} of the allowed window`)
     }
   }
 })
@@ -221,7 +198,7 @@
   for (const limit of burstLimits) {
     for (const hosts of [31, 100]) {
       const result = await simulate({ ...steadyScenario, getOwner: oftenAway, limit, hosts, further: 8, programsPerSecond: () => programsWithin(limit.requestsPerSecond, 8) * 5 }, 1)
-      t.ok(computeMaxWindowLoad(result.sentAt, limit) <= 1, `${limit.requestsPerSecond} requests/s, ${hosts} hosts: ${computeMaxWindowLoad(result.sentAt, limit).toFixed(2)} of the allowed window`)
+      t.ok(testLimits.computeMaxWindowLoad(result.sentAt, limit) <= 1, `${limit.requestsPerSecond} requests/s, ${hosts} hosts: ${testLimits.computeMaxWindowLoad(result.sentAt, limit).toFixed(2)} of the allowed window`)
     }
   }
 })
--- a/packages/programs/front/src/test-cluster.ts
+++ b/packages/programs/front/src/test-cluster.ts
@@ -1,7 +1,6 @@
 /** Hosts with their account limits on simulated links, for tests. */
 import * as decisionLog from '@eelgrasswind/decision-log'
 import * as identifyClient from '@eelgrasswind/identify-client'
-import type * as meterAccount from '@eelgrasswind/meter-account'
 import * as ownShards from '@eelgrasswind/own-shards'
 import * as relayStore from '@eelgrasswind/relay-store'
 import * as shardLog from '@eelgrasswind/shard-log'
@@ -10,6 +9,7 @@
 import * as accountLimits from './account-limits.js'
 import * as memberName from './member-name.js'
 import * as peerFailureDetector from './peer-failure-detector.js'
+import * as testLimits from './test-limits.js'
 
 /** What the store does to the calls of one host. */
 export type StoreFault = 'refuse' | 'silent' | 'loseAnswers'
@@ -24,8 +24,6 @@
 export const hostCount = 31
 /** The account that all requests belong to. */
 export const account = 'coaches' as types.AccountId
-/** Requests by which the limit may be exceeded. */
-export const slack = 20
 /** Partitions of each topic of shards. */
 export const partitionsPerTopic = 16
 /** One way between two hosts, in ms. */
@@ -40,9 +38,6 @@
 /** Time until all processes have joined, in ms. */
 const settleMs = 3_000
 
-/** The account's limit. */
-export type Limit = Pick<meterAccount.MeterLimit, 'requestsPerSecond' | 'burst'>
-
 /** A fault of a set of hosts; times are ms since the start of traffic. */
 export type Fault =
   /** Each host is partitioned from all others and from the store. */
@@ -136,7 +131,7 @@
   private readonly heardAt = new Map<string, number>()
   private nextSide = 1
 
-  constructor (private readonly limit: Limit, private readonly ports: ClusterPorts) {}
+  constructor (private readonly limit: testLimits.Limit, private readonly ports: ClusterPorts) {}
 
   async start (): Promise<void> {
     for (let host = 0; host < hostCount; host += 1) this.processes[host] = this.startProcess(host)
@@ -266,6 +261,8 @@
     })
     const limits = new accountLimits.AccountLimits({
       callPeer: async (address, call, timeoutMs) => {
+        // Groups without the account only cost time.
+        if (call.group !== accountLimits.getGroup(account)) return { type: 'metered', term: 0, hosts: hostCount, answers: [] }
         const answer = await this.call(host, address, timers, timeoutMs, async (peer) => peer.limits.countReports(call))
         if (answer === undefined) this.suspect(host, address)
         return answer
@@ -275,7 +272,7 @@
       host: `host-${host}`,
       random: this.ports.random,
       peerCount: () => this.countHeard(host),
-      slack,
+      slack: testLimits.slack,
       timers,
       decisions
     })
