--- a/packages/decide/meter-account/src/meter-tenure.ts
+++ b/packages/decide/meter-account/src/meter-tenure.ts
@@ -20,7 +20,7 @@
 
 /** The decision, with its reason. */
 export type Tenure =
-  /** No other process can be the owner: the lease has not expired. */
+  /** The lease has not expired. An eviction may have moved the shard already; two owners then overlap for a lease at most. */
   | 'leased'
   /** The store does not answer, but most hosts report to this process, so they know no other owner. */
   | 'reportedTo'
--- a/packages/programs/front/src/recent-maximum.ts
+++ b/packages/programs/front/src/recent-maximum.ts
@@ -1,7 +1,7 @@
 /** The largest of recent values. */
 import type * as timerService from '@eelgrasswind/timer-service'
 
-/** Remembers each value for at least the given time, in ms, and at most twice as long. */
+/** Remembers each value for at least the given time, in ms, and at most three times as long. */
 export class RecentMaximum {
   private current = -Infinity
   private previous = -Infinity
--- a/packages/state/own-shards/src/shard-owner.ts
+++ b/packages/state/own-shards/src/shard-owner.ts
@@ -81,7 +81,7 @@
   private subscriptions: readonly timerService.Subscription[] = []
   /** A join or a handover is in progress; no further join is sent meanwhile. */
   private isJoining = false
-  /** When the last answered join was sent, in ms of the monotonic clock: the lease lasts at least from then on. */
+  /** When the last answered join was sent, in ms of the monotonic clock: the lease, unless it is released by an eviction, lasts from then on. */
   private leaseRenewedAtMs = -Infinity
   /** Shards were handed over; the next successful join releases them to the group, and `onShardsReleased` is called then. */
   private hasUnannouncedRelease = false
@@ -137,7 +137,7 @@
     return this.settings.leaseMs
   }
 
-  /** Time since the lease was last renewed, in ms; from `leaseMs` on another process may own the shards. Infinite before the first renewal. */
+  /** Time since the lease was last renewed, in ms; from `leaseMs` on it has expired, and after an eviction earlier. Infinite before the first renewal. */
   get leaseAgeMs (): number {
     return this.ports.timers.monotonic() - this.leaseRenewedAtMs
   }
