front: lines that tell how an answer was framed and how its connection ended

New line answerEnded for every answer of an upstream that broke off or that only the end of its connection marked: framing, end of the connection, bytes, and what it was taken for; a counter of the same. streamBroken also has the bytes of an incomplete event and the detail. message-framing determines what marks the end of a body; send-http reads how the peer ended the connection within the socket's event end, before the HTTP client ends the answer.

--- a/packages/base/decision-log/src/decision-log.test.ts
+++ b/packages/base/decision-log/src/decision-log.test.ts
@@ -17,7 +17,7 @@
 }
 
 const createSent = (request: string): decisionLog.Decision => ({ event: 'sent', request, attempt: 1, upstream: 'u' as types.UpstreamId, preferred: true, running: 1, othersRunning: 0, candidates: 6, listAgeMs: 100, leftMs: 2_000 })
-const createBroken = (request: string): decisionLog.Decision => ({ event: 'streamBroken', request, ran: true, events: 2, reason: 'answerLost' })
+const createBroken = (request: string): decisionLog.Decision => ({ event: 'streamBroken', request, ran: true, events: 2, pendingBytes: 0, reason: 'answerLost' })
 
 tap.test('a line has the request, the inputs of the decision and its outcome', (t) => {
   const { lines, log } = createFixture()
@@ -64,9 +64,11 @@
   const metrics = decisionLog.createDecisionMetrics()
   metrics.countDecision({ event: 'ended', request: 'r', kind: 'turn', outcome: 'refused', status: 503, reason: 'storeAway', tookMs: 7 })
   metrics.countDecision(createBroken('r'))
+  metrics.countDecision({ event: 'answerEnded', request: 'r', upstream: 'u' as types.UpstreamId, framing: 'connection', connection: 'reset', bodyBytes: 0, whole: false })
   metrics.observeStoreCall('append', 'appended', 6)
   const text = await metrics.renderText()
   t.match(text, 'eelgrasswind_requests_total{kind="turn",outcome="refused",status="503"} 1')
   t.match(text, 'eelgrasswind_refusals_total{reason="answerLost"} 1')
+  t.match(text, 'eelgrasswind_unmarked_answers_total{framing="connection",connection="reset",whole="false"} 1')
   t.match(text, 'eelgrasswind_store_call_ms_bucket{le="10",call="append",outcome="appended"} 1')
 })
--- a/packages/base/decision-log/src/decision-metrics.ts
+++ b/packages/base/decision-log/src/decision-metrics.ts
@@ -25,6 +25,7 @@
   const requestCounter = new prometheus.Counter({ name: `${metricPrefix}requests_total`, help: 'Ended requests by kind, outcome and status.', labelNames: ['kind', 'outcome', 'status'], registers })
   const refusalCounter = new prometheus.Counter({ name: `${metricPrefix}refusals_total`, help: 'Refused and broken turns and requests by reason.', labelNames: ['reason'], registers })
   const sendFailureCounter = new prometheus.Counter({ name: `${metricPrefix}send_failures_total`, help: 'Sends without a usable answer by cause and what followed.', labelNames: ['cause', 'next'], registers })
+  const answerCounter = new prometheus.Counter({ name: `${metricPrefix}unmarked_answers_total`, help: 'Answers that broke off, or that only the end of their connection marked, by framing and end.', labelNames: ['framing', 'connection', 'whole'], registers })
   const firstEventHistogram = new prometheus.Histogram({ name: `${metricPrefix}first_event_ms`, help: 'Time to the head of the answer, ms.', labelNames: ['kind'], buckets: bucketBoundsMs, registers })
   const requestHistogram = new prometheus.Histogram({ name: `${metricPrefix}request_ms`, help: 'Time to the end of the answer, ms.', labelNames: ['kind', 'outcome'], buckets: bucketBoundsMs, registers })
   const shardOpenHistogram = new prometheus.Histogram({ name: `${metricPrefix}shard_open_ms`, help: 'Time to fence the former owner of a shard and read it, ms.', buckets: bucketBoundsMs, registers })
@@ -47,6 +48,9 @@
         case 'streamBroken':
           refusalCounter.inc({ reason: decision.reason })
           break
+        case 'answerEnded':
+          answerCounter.inc({ framing: decision.framing, connection: decision.connection, whole: String(decision.whole) })
+          break
         case 'sendFailed':
           sendFailureCounter.inc({ cause: decision.failure.tag, next: decision.next })
           break
--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -1,4 +1,5 @@
 /** The decisions that are logged. A new event needs its fields in a union here, and its level and message in `eventTable`. */
+import type * as messageFraming from '@eelgrasswind/message-framing'
 import type * as types from '@eelgrasswind/types'
 
 /** A shard, as it is written in a log line. */
@@ -67,7 +68,10 @@
   | RequestFields & { readonly event: 'timedOut', readonly ran: boolean }
   | RequestFields & { readonly event: 'upstreamSilent', readonly upstream: types.UpstreamId, readonly afterMs: number }
   | RequestFields & { readonly event: 'peerAnswerLost', readonly peer: string, readonly cause: string, readonly detail: string }
-  | RequestFields & { readonly event: 'streamBroken', readonly ran: boolean, readonly events: number, readonly reason: string }
+  /** The end of an upstream's answer that broke off, or that only the end of its connection marked. `whole`: it was taken for complete. */
+  | RequestFields & messageFraming.AnswerEnd & { readonly event: 'answerEnded', readonly upstream: types.UpstreamId, readonly whole: boolean }
+  /** `pendingBytes`: bytes of an incomplete event. */
+  | RequestFields & { readonly event: 'streamBroken', readonly ran: boolean, readonly events: number, readonly pendingBytes: number, readonly reason: string, readonly detail?: string | undefined }
   | TurnFields & { readonly event: 'turnSettledElsewhere' }
   | TurnFields & { readonly event: 'turnNotKept', readonly epoch: number }
   | RequestFields & { readonly event: 'ended', readonly program?: types.ProgramId | undefined, readonly kind: RequestKind, readonly outcome: RequestOutcome, readonly status: number, readonly reason?: string, readonly firstMs?: number | undefined, readonly tookMs: number }
@@ -165,6 +169,7 @@
   upstreamSilent: { level: 'warn', message: 'no data from the upstream; new requests avoid it' },
   timedOut: { level: 'warn', message: 'request timed out' },
   peerAnswerLost: { level: 'warn', message: 'no complete answer from the owner of the program' },
+  answerEnded: { level: 'info', message: 'end of an answer that its framing does not mark' },
   streamBroken: { level: 'warn', message: 'stream ended without a complete answer' },
   turnSettledElsewhere: { level: 'info', message: 'turn stored by the next owner of its shard' },
   turnNotKept: { level: 'warn', message: 'turn could not be stored; its answer is cut off' },
--- /dev/null
+++ b/packages/base/message-framing/src/index.ts
@@ -0,0 +1,2 @@
+/** How the end of an HTTP answer is marked, and whether it has arrived whole. */
+export * from './message-framing.js'
--- /dev/null
+++ b/packages/base/message-framing/src/message-framing.test.ts
@@ -0,0 +1,21 @@
+import tap from 'tap'
+import * as messageFraming from './index.js'
+
+tap.test('the end of a body is marked by a length, the last chunk, or the connection', (t) => {
+  const cases = [
+    [{}, 'connection'],
+    [{ contentLength: '0' }, 'length'],
+    [{ transferEncoding: 'chunked' }, 'chunked'],
+    [{ transferEncoding: 'gzip, Chunked ' }, 'chunked'],
+    [{ transferEncoding: 'chunked, gzip' }, 'connection'],
+    [{ transferEncoding: 'gzip', contentLength: '5' }, 'connection'],
+    [{ status: 204 }, 'none'],
+    [{ status: 304, contentLength: '5' }, 'none'],
+    [{ method: 'HEAD', contentLength: '5' }, 'none']
+  ] as const
+  for (const [fields, expected] of cases) {
+    const answer = { method: 'GET', status: 200, transferEncoding: undefined, contentLength: undefined, ...fields }
+    t.equal(messageFraming.getBodyFraming(answer), expected, JSON.stringify(fields))
+  }
+  t.end()
+})
--- a/packages/peers/send-http/src/send-http.ts
+++ b/packages/peers/send-http/src/send-http.ts
@@ -1,6 +1,9 @@
 /** HTTP/1.1 client over keep-alive connections that streams the answer to a sink. */
 import * as http from 'node:http'
+import type * as net from 'node:net'
+import * as messageFraming from '@eelgrasswind/message-framing'
 import type * as types from '@eelgrasswind/types'
+import * as connectionEnd from './connection-end.js'
 
 /** A request to send. */
 export interface OutgoingRequest {
@@ -41,6 +44,8 @@
   readonly detail: string
   /** Whether the connection had carried an earlier request. */
   readonly reused: boolean
+  /** How the answer ended; `undefined` if no head has arrived. */
+  readonly answer?: messageFraming.AnswerEnd | undefined
 }
 
 /** Receives the answer. No callback follows `onComplete` or `onFailed`. */
@@ -48,7 +53,7 @@
   readonly onHead: (head: AnswerHead) => void
   readonly onData: (chunk: Buffer) => void
   /** The whole answer has been received. */
-  readonly onComplete: () => void
+  readonly onComplete: (answer: messageFraming.AnswerEnd) => void
   readonly onFailed: (failure: SendFailure) => void
 }
 
@@ -138,7 +143,10 @@
 }
 
 class HttpExchange implements Exchange {
+  private socket: net.Socket | undefined
   private res: http.IncomingMessage | undefined
+  private framing: messageFraming.BodyFraming = 'none'
+  private bodyBytes = 0
   private isDone = false
   private isConnected = false
   /** Whether anything was sent that the server may act on. */
@@ -149,6 +157,8 @@
 
   constructor (private readonly req: http.ClientRequest, private readonly request: OutgoingRequest, private readonly sink: AnswerSink) {
     req.on('socket', (socket) => {
+      this.socket = socket
+      connectionEnd.watchConnection(socket)
       if (socket.connecting) socket.once('connect', () => { this.onConnect() })
       else this.onConnect()
     })
@@ -196,9 +206,18 @@
     if (this.isDone) return
     clearTimeout(this.phaseTimer)
     this.res = res
+    this.framing = messageFraming.getBodyFraming({
+      method: this.request.method,
+      status: res.statusCode ?? 0,
+      transferEncoding: res.headers['transfer-encoding'],
+      contentLength: res.headers['content-length']
+    })
     // The answer arrived before the request was fully written: later bytes of this request would corrupt the next one on the connection.
     if (!this.req.writableFinished) this.isUnfitForReuse = true
-    res.on('data', (chunk: Buffer) => { if (!this.isDone) this.sink.onData(chunk) })
+    res.on('data', (chunk: Buffer) => {
+      this.bodyBytes += chunk.length
+      if (!this.isDone) this.sink.onData(chunk)
+    })
     res.on('end', () => { this.onEnd(res) })
     res.on('error', (err) => { this.onError(err) })
     this.sink.onHead({ status: res.statusCode ?? 0, headers: res.headers, rawHeaders: res.rawHeaders })
@@ -210,9 +229,10 @@
       this.failWith('truncated', 'connection closed before the answer was complete')
       return
     }
+    const answer = this.describeAnswer()!
     this.finish()
     if (this.isUnfitForReuse) this.req.destroy()
-    this.sink.onComplete()
+    this.sink.onComplete(answer)
   }
 
   private onError (err: Error): void {
@@ -230,9 +250,16 @@
   private failWith (cause: SendFailure['cause'], detail: string): void {
     if (this.isDone) return
     const actualCause = this.isConnected || cause === 'refused' ? cause : 'connect'
+    const answer = this.describeAnswer()
     this.finish()
     this.req.destroy()
-    this.sink.onFailed({ verdict: this.hasSent ? 'mayHaveRun' : 'notRun', cause: actualCause, detail, reused: this.req.reusedSocket })
+    this.sink.onFailed({ verdict: this.hasSent ? 'mayHaveRun' : 'notRun', cause: actualCause, detail, reused: this.req.reusedSocket, answer })
+  }
+
+  private describeAnswer (): messageFraming.AnswerEnd | undefined {
+    const { socket, res, framing, bodyBytes } = this
+    if (socket === undefined || res === undefined) return undefined
+    return { framing, connection: connectionEnd.getConnectionEnd(socket), bodyBytes }
   }
 
   private finish (): void {
--- a/packages/programs/front/src/answer-stream.ts
+++ b/packages/programs/front/src/answer-stream.ts
@@ -97,7 +97,7 @@
     this.markFinished()
     const { mayHaveRun } = this
     this.dispatch.cancel()
-    this.ports.decisions.record({ event: 'streamBroken', request: this.req.attempt.id, ran: mayHaveRun, events: this.eventCount, reason: refusal?.type ?? 'clientGone' })
+    this.ports.decisions.record({ event: 'streamBroken', request: this.req.attempt.id, ran: mayHaveRun, events: this.eventCount, pendingBytes: this.events.pendingBytes, reason: refusal?.type ?? 'clientGone', detail: refusal !== undefined && 'detail' in refusal ? refusal.detail : undefined })
     this.sink.onFailed?.()
     if (refusal === undefined) return
     if (this.req.reply.headSent) this.req.reply.abort()
--- a/packages/programs/front/src/dispatch.test.ts
+++ b/packages/programs/front/src/dispatch.test.ts
@@ -61,7 +61,7 @@
         default:
           nextFacts = facts[behaviour]
           sink.onHead({ status: behaviour === 'errors' ? 500 : 200, headers: {}, rawHeaders: [] })
-          if (behaviour === 'answers' || behaviour === 'errors') sink.onComplete()
+          if (behaviour === 'answers' || behaviour === 'errors') sink.onComplete({ framing: 'length', connection: 'open', bodyBytes: 0 })
       }
     })
     return { cancel: () => { cancelled.push(request.address) }, pause: () => {}, resume: () => {} }
--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -2,6 +2,7 @@
 import type * as decisionLog from '@eelgrasswind/decision-log'
 import * as decideRetry from '@eelgrasswind/decide-retry'
 import * as errors from '@eelgrasswind/errors'
+import type * as messageFraming from '@eelgrasswind/message-framing'
 import type * as sendHttp from '@eelgrasswind/send-http'
 import type * as timerService from '@eelgrasswind/timer-service'
 import * as trackUpstreams from '@eelgrasswind/track-upstreams'
@@ -227,8 +228,9 @@
         this.restartSilenceTimer(upstream, now, streamSilenceMs)
         this.sink.data(chunk)
       },
-      onComplete: () => {
+      onComplete: (answer) => {
         if (!isAccepted) return
+        this.recordAnswerEnd(id, answer, true)
         this.silenceTimer?.cancel()
         noteFirstBytes()
         this.releaseSlot?.()
@@ -238,6 +240,7 @@
       onFailed: (failure) => {
         this.silenceTimer?.cancel()
         health.noteFailure(upstream)
+        if (isAccepted && failure.answer !== undefined) this.recordAnswerEnd(id, failure.answer, false)
         const attemptFailure: errors.Failure = failure.verdict === 'notRun'
           ? { tag: 'upstreamUnavailable', verdict: 'notRun', message: failure.detail, retryAfterMs: 0 }
           : { tag: 'answerBroken', verdict: 'mayHaveRun', message: failure.cause, detail: failure.detail }
@@ -253,6 +256,12 @@
     })
   }
 
+  /** Records the end of an answer unless a length or the last chunk showed that it was whole. */
+  private recordAnswerEnd (upstream: types.UpstreamId, answer: messageFraming.AnswerEnd, whole: boolean): void {
+    if (whole && answer.framing !== 'connection') return
+    this.ports.decisions.record({ event: 'answerEnded', request: this.req.attempt.id, upstream, ...answer, whole })
+  }
+
   /** Passes on the head of the first answer. The head of a resumed stream is dropped, as the client already has one. */
   private relayHead (head: sendHttp.AnswerHead, upstream: types.UpstreamId): void {
     const { hasHead: isResumed } = this
--- a/packages/programs/front/src/forward-turn.test.ts
+++ b/packages/programs/front/src/forward-turn.test.ts
@@ -60,7 +60,7 @@
   const { timers, outcome, replyEvents, pingCount } = fixture(false, (sink, fakeTimers) => {
     fakeTimers.after(100, () => { sink.onHead({ status: 200, headers: {}, rawHeaders: [] }) })
     for (const at of [300, 600, 900]) fakeTimers.after(at, () => { sink.onData(Buffer.from('x')) })
-    fakeTimers.after(1_000, () => { sink.onComplete() })
+    fakeTimers.after(1_000, () => { sink.onComplete({ framing: 'chunked', connection: 'open', bodyBytes: 0 }) })
   })
   await timers.advanceAsync(1_200)
   t.same(await outcome, { type: 'answered' })
