--- a/packages/peers/send-http/src/send-http.test.ts
+++ b/packages/peers/send-http/src/send-http.test.ts
@@ -155,3 +155,64 @@
   const second = await send(address)
   t.not(second.body, 'extra')
 })
+
+/** Writes the text and resets the connection right behind its last byte. */
+function resetBehind (socket: net.Socket, text: string): void {
+  socket.write(text, () => { socket.resetAndDestroy() })
+}
+
+// Guards against "framed as complete and isn't": the reset arrived together with the last bytes, and was taken for the end of the answer.
+tap.test('an answer without a length is not complete when the connection is reset right behind its last byte', async (t) => {
+  for (const body of ['', 'part']) {
+    const address = await startServer(t, (socket, received) => {
+      if (received.endsWith('hello')) resetBehind(socket, `HTTP/1.1 200 OK\r\n\r\n${body}`)
+    })
+    t.match(await send(address), { ended: false, failure: { verdict: 'mayHaveRun', cause: 'truncated' } }, `body ${JSON.stringify(body)}`)
+  }
+})
+
+// Guards against the same on a connection that an earlier request has used.
+tap.test('on a reused connection, an answer without a length is not complete when the connection is reset', async (t) => {
+  let requestCount = 0
+  const address = await startServer(t, (socket, received) => {
+    if (!received.endsWith('hello')) return
+    requestCount += 1
+    if (requestCount === 1) socket.write(ok)
+    else resetBehind(socket, 'HTTP/1.1 200 OK\r\n\r\npart')
+  })
+  t.match(await send(address), { ended: true })
+  t.match(await send(address), { ended: false, failure: { reused: true, cause: 'truncated' } })
+})
+
+// Guards against the same while back pressure delays reading.
+tap.test('an answer without a length is not complete when the connection is reset while reading is paused', async (t) => {
+  for (const isReset of [true, false]) {
+    const body = 'x'.repeat(300_000)
+    const address = await startServer(t, (socket, received) => {
+      if (!received.endsWith('hello')) return
+      const text = `HTTP/1.1 200 OK\r\n\r\n${body}`
+      if (isReset) resetBehind(socket, text)
+      else socket.end(text)
+    })
+    const result = await new Promise((resolve) => {
+      let bytes = 0
+      const exchange = sender.send({ address, method: 'POST', path: '/x', headers: ['Host', 'h', 'Content-Length', '5'], body: Buffer.from('hello'), connectTimeoutMs: 200, continueTimeoutMs: undefined, atMostOnce: false }, {
+        onHead: () => {
+          exchange.pause()
+          setTimeout(() => { exchange.resume() }, 50)
+        },
+        onData: (chunk) => { bytes += chunk.length },
+        onComplete: () => { resolve(`complete, ${bytes} bytes`) },
+        onFailed: ({ cause }) => { resolve(cause) }
+      })
+    })
+    t.equal(result, isReset ? 'truncated' : `complete, ${body.length} bytes`)
+  }
+})
+
+tap.test('an answer that its length or last chunk marks as whole is complete, however its connection ends', async (t) => {
+  for (const whole of [ok, 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n', 'HTTP/1.1 204 No Content\r\n\r\n']) {
+    const address = await startServer(t, (socket, received) => { if (received.endsWith('hello')) resetBehind(socket, whole) })
+    t.match(await send(address), { ended: true }, whole.split('\r\n')[1]!)
+  }
+})
