send-http: a reset is not taken for the end of an answer without a length

Callers saw: answers of plain services and streams that had been broken off reached them as complete, with a length or a last chunk of ours.

Cause: an answer with neither a length nor chunks ends with its connection. Where a reset arrives together with the last bytes, libuv reports an end of file: it finds a hangup beside a short read and does not read again, so the pending error is never seen. The HTTP client takes the end of file for the end of the answer. Class: an end of a connection is taken for an end of a message.

Change: such an answer is whole only if its connection was closed in order (message-framing.isWhole). The socket's peer address tells: it is gone after a reset and still there after a close in order; it is read within the event end, before the HTTP client ends the answer. Any other end is 'truncated', as it was for answers with a length or chunks.

Evidence: on the code before, 2 tests of send-http and 15 checks of broken-answers.test fail; now none of these does.

Ruled out: a shorter read of ours (the error never reaches Node.js), and the framing towards the caller (the owner itself took the answer for whole).

Three checks of broken-answers.test stay red: a stream that is closed in order before its first event.

--- a/packages/base/message-framing/src/message-framing.test.ts
+++ b/packages/base/message-framing/src/message-framing.test.ts
@@ -19,3 +19,9 @@
   }
   t.end()
 })
+
+tap.test('without a length or chunks a body is whole only if the connection was closed in order', (t) => {
+  t.same((['open', 'orderly', 'reset'] as const).map((connection) => messageFraming.isWhole({ framing: 'connection', connection })), [false, true, false])
+  for (const framing of ['none', 'length', 'chunked'] as const) t.ok(messageFraming.isWhole({ framing, connection: 'reset' }), framing)
+  t.end()
+})
--- a/packages/base/message-framing/src/message-framing.ts
+++ b/packages/base/message-framing/src/message-framing.ts
@@ -37,3 +37,8 @@
   const lastCoding = transferEncoding.split(',').at(-1)!
   return lastCoding.trim().toLowerCase() === 'chunked'
 }
+
+/** Whether a body that has ended is whole. Without a length or chunks only an orderly end of the connection shows that no byte is missing. */
+export function isWhole ({ framing, connection }: Pick<AnswerEnd, 'framing' | 'connection'>): boolean {
+  return framing !== 'connection' || connection === 'orderly'
+}
--- a/packages/peers/send-http/src/send-http.ts
+++ b/packages/peers/send-http/src/send-http.ts
@@ -225,11 +225,11 @@
 
   private onEnd (res: http.IncomingMessage): void {
     if (this.isDone) return
-    if (!res.complete) {
+    const answer = this.describeAnswer()
+    if (!res.complete || answer === undefined || !messageFraming.isWhole(answer)) {
       this.failWith('truncated', 'connection closed before the answer was complete')
       return
     }
-    const answer = this.describeAnswer()!
     this.finish()
     if (this.isUnfitForReuse) this.req.destroy()
     this.sink.onComplete(answer)
