front: a stream that ends before its first event is not whole

Callers saw: a 200 without any event, ended as complete; the turn was stored as one without output.

Cause: an upstream whose process ends has its connection closed in order by the kernel, and an answer with neither a length nor chunks ends with it. Cut within an event this was noticed, before the first event it was not. The transport can't tell, but a run begins with its first event.

Change: Dispatch asks its sink whether an answer that has ended can be whole by its content (findDefect); AnswerStream names a stream that ended within an event, or that has no event and no length or chunks. Such an answer is treated as truncated: it is told as broken off, marks its upstream as failed, and is resumed at another upstream where the route allows, which one cut within an event was not either. A stream that its upstream marks as whole by a last chunk is delivered also without events.

Not told apart: an orderly end between two events.

--- a/packages/programs/front/src/answer-stream.ts
+++ b/packages/programs/front/src/answer-stream.ts
@@ -1,4 +1,5 @@
 /** Relays the streamed answer of an upstream to the client in complete events; a stream that breaks off may be resumed at another upstream. */
+import type * as messageFraming from '@eelgrasswind/message-framing'
 import type * as sendHttp from '@eelgrasswind/send-http'
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as trackUpstreams from '@eelgrasswind/track-upstreams'
@@ -55,6 +56,7 @@
       head: (head, upstream) => { this.onHead(head, upstream) },
       data: (chunk) => { this.onData(chunk) },
       resumed: () => { this.events.reset() },
+      findDefect: (answer) => this.findDefect(answer),
       end: () => {
         this.hasAnswerEnded = true
         this.flush()
@@ -140,6 +142,13 @@
     this.req.reply.onDrain(() => { this.dispatch.resume() })
   }
 
+  /** A run begins with its first event, so a stream that has none and no mark of its end broke off. */
+  private findDefect (answer: messageFraming.AnswerEnd): string | undefined {
+    if (this.answerHead?.status !== okStatus) return undefined
+    if (this.events.pendingBytes > 0) return 'the stream ended within an event'
+    return this.eventCount === 0 && answer.framing === 'connection' ? 'the stream ended before its first event' : undefined
+  }
+
   private completeAnswer (head: sendHttp.AnswerHead): void {
     if (head.status !== okStatus) {
       this.markFinished()
@@ -147,10 +156,6 @@
       this.sink.onErrorAnswer?.()
       return
     }
-    if (this.events.pendingBytes > 0) {
-      this.abort({ type: 'answerLost', detail: 'the stream ended within an event' })
-      return
-    }
     this.markFinished()
     this.sink.onComplete()
   }
--- a/packages/programs/front/src/dispatch.test.ts
+++ b/packages/programs/front/src/dispatch.test.ts
@@ -69,7 +69,7 @@
   const req = { attempt: { id, deadlineMs: 2_000, turn: undefined }, method: 'GET', path: '/', rawHeaders: [], body: Buffer.alloc(0), route: { ...createRoute(repeatability), stream }, service, tokensPerEvent: 1, deadlineAt: timers.monotonic() + 2_000 } as unknown as inbound.InboundRequest
   let result: string | undefined
   let resumedCount = 0
-  const run = (preferred: string): dispatch.Dispatch => {
+  const run = (preferred: string, defects: (string | undefined)[] = []): dispatch.Dispatch => {
     const started = new dispatch.Dispatch({
       upstreams,
       sender: { send, close: () => {} },
@@ -84,6 +84,7 @@
       head: () => {},
       data: () => {},
       resumed: () => { resumedCount += 1 },
+      findDefect: () => defects.shift(),
       end: () => { result = 'whole' },
       fail: (failure) => { result = dispatch.toRefusal(failure).type }
     })
@@ -155,6 +156,19 @@
   t.end()
 })
 
+// Guards against a stream that ended before its first event and was taken for whole.
+tap.test('an answer whose content shows that it is not whole is treated as truncated', (t) => {
+  const resumed = fixture({ a: 'answers', b: 'answers' }, 'idempotent', { gapMs: 200, resumable: true })
+  resumed.run('a', ['no event'])
+  resumed.timers.advance(400)
+  t.same([resumed.sentTo, resumed.getResumedCount(), resumed.getResult()], [['a', 'b'], 1, 'whole'])
+  const lost = fixture({ a: 'answers', b: 'answers' }, 'atMostOnce', { gapMs: 200, resumable: false })
+  lost.run('a', ['no event'])
+  lost.timers.advance(400)
+  t.same([lost.sentTo, lost.marks, lost.getResult()], [['a'], ['a failed'], 'answerLost'])
+  t.end()
+})
+
 tap.test('a partial answer that is not resumable does not fail over', (t) => {
   for (const stream of [undefined, { gapMs: 200, resumable: false }]) {
     for (const [behaviour, end] of [['stalls', undefined], ['truncates', 'answerLost']] as const) {
--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -46,6 +46,8 @@
   /** Another upstream resumes the stream after the last complete event; discard any partial event. */
   readonly resumed?: () => void
   readonly end: () => void
+  /** Returns why an answer that has ended can't be whole, by its content; `undefined` if it may be. Without this callback every one may be. */
+  readonly findDefect?: (answer: messageFraming.AnswerEnd) => string | undefined
   /** No answer arrived, or it ended early after its head. */
   readonly fail: (failure: DispatchFailure) => void
 }
@@ -189,6 +191,16 @@
       if (isAwaitingFirstBytes) health.noteFirstBytes(upstream, this.req.route, timers.monotonic() - sentAt)
       isAwaitingFirstBytes = false
     }
+    const failAttempt = (failure: errors.Failure, reused?: boolean): void => {
+      this.silenceTimer?.cancel()
+      health.noteFailure(upstream)
+      if (!isAccepted || this.canFailOver()) {
+        this.onAttemptFailed(upstream, failure, reused)
+        return
+      }
+      this.releaseSlot?.()
+      this.fail(failure)
+    }
     health.noteSent(upstream)
     if (this.attemptCount === 1) budget.creditFirstAttempt()
     this.isInFlight = true
@@ -230,7 +242,12 @@
       },
       onComplete: (answer) => {
         if (!isAccepted) return
-        this.recordAnswerEnd(id, answer, true)
+        const defect = this.sink.findDefect?.(answer)
+        this.recordAnswerEnd(id, answer, defect === undefined)
+        if (defect !== undefined) {
+          failAttempt({ tag: 'answerBroken', verdict: 'mayHaveRun', message: defect, detail: 'truncated' })
+          return
+        }
         this.silenceTimer?.cancel()
         noteFirstBytes()
         this.releaseSlot?.()
@@ -238,20 +255,14 @@
         this.sink.end()
       },
       onFailed: (failure) => {
-        this.silenceTimer?.cancel()
-        health.noteFailure(upstream)
         if (isAccepted && failure.answer !== undefined) this.recordAnswerEnd(id, failure.answer, false)
-        const attemptFailure: errors.Failure = failure.verdict === 'notRun'
-          ? { tag: 'upstreamUnavailable', verdict: 'notRun', message: failure.detail, retryAfterMs: 0 }
-          : { tag: 'answerBroken', verdict: 'mayHaveRun', message: failure.cause, detail: failure.detail }
-        if (isAccepted && !this.canFailOver()) {
-          this.releaseSlot?.()
-          this.fail(attemptFailure)
+        if (failure.verdict !== 'notRun') {
+          failAttempt({ tag: 'answerBroken', verdict: 'mayHaveRun', message: failure.cause, detail: failure.detail }, failure.reused)
           return
         }
         // A request that was never sent does not use up an attempt.
-        if (failure.verdict === 'notRun') this.attemptCount -= 1
-        this.onAttemptFailed(upstream, attemptFailure, failure.reused)
+        this.attemptCount -= 1
+        failAttempt({ tag: 'upstreamUnavailable', verdict: 'notRun', message: failure.detail, retryAfterMs: 0 }, failure.reused)
       }
     })
   }
