front: a client that speaks HTTP/1.0 gets a streamed answer once it is whole

Callers saw: a client that speaks HTTP/1.0 gets a streamed answer without a length or chunks, which HTTP/1.0 lacks. Where the stream broke off, the front closed the connection, and the client took that for the end of the answer. The same if the front process ended.

Change: Reply holds a streamed answer for such a client back and sends it with its length; one that breaks off is told as 502, since nothing was sent yet. What it costs: such a client gets no event before the last one.

Weighed: a reset in place of a close tells it too, but not if the process is killed, whose kernel closes its connections in order.

--- a/packages/programs/front/src/client-listener.ts
+++ b/packages/programs/front/src/client-listener.ts
@@ -40,7 +40,8 @@
 function handleRequest (ports: ClientListenerPorts, req: http.IncomingMessage, res: http.ServerResponse): void {
   const arrivedAt = ports.timers.monotonic()
   if (ports.isStopping()) res.setHeader('Connection', 'close')
-  const reply = new inbound.Reply(res)
+  // HTTP/1.0 has no chunks: every end of the connection, also by the end of this process, would mark a streamed answer as complete.
+  const reply = new inbound.Reply(res, req.httpVersion === '1.0')
   const routing = ports.routing.current
   if (routing === undefined || ports.routing.ageMs > (ports.maxRoutingAgeMs ?? Infinity)) {
     reply.refuse({ type: 'notReady', retryAfterMs: checkHead.notReadyRetryAfterMs })
--- a/packages/programs/front/src/inbound.ts
+++ b/packages/programs/front/src/inbound.ts
@@ -81,15 +81,24 @@
   readonly reason?: string
 }
 
+/** An answer that is not sent before it is whole. */
+interface HeldAnswer {
+  readonly status: number
+  readonly headers: readonly string[]
+  readonly chunks: Uint8Array[]
+}
+
 /** The reply to one request. Nothing is written after the client has disconnected. */
 export class Reply {
+  private held: HeldAnswer | undefined
   private goneListener: (() => void) | undefined
   private readonly endListeners: ((end: ReplyEnd) => void)[] = []
   private headListener: (() => void) | undefined
   private isFinished = false
   private source: AnswerSource = 'front'
 
-  constructor (private readonly res: http.ServerResponse) {
+  /** `isHolding`: whether answers are held back until they are whole. */
+  constructor (private readonly res: http.ServerResponse, private readonly isHolding = false) {
     res.on('close', () => {
       if (this.isFinished) return
       this.finish({ outcome: 'clientGone', status: res.statusCode })
@@ -114,6 +123,7 @@
     return this.isFinished
   }
 
+  /** Whether any part of an answer was sent. */
   get headSent (): boolean {
     return this.res.headersSent
   }
@@ -126,6 +136,7 @@
   refuse (refusal: Refusal, extraHeaders: readonly string[] = []): void {
     if (this.isFinished) return
     const { type, ...details } = refusal
+    this.source = 'front'
     this.finish({ outcome: 'refused', status: getRefusalStatus(refusal), reason: type })
     const body = JSON.stringify({ error: type, ...details })
     const headers = ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body)), ...extraHeaders]
@@ -139,6 +150,10 @@
     if (this.isFinished) return
     this.source = 'upstream'
     this.headListener?.()
+    this.sendWhole(status, headers, body)
+  }
+
+  private sendWhole (status: number, headers: readonly string[], body: Buffer): void {
     this.finish({ outcome: 'whole', status })
     this.res.writeHead(status, [...headers, 'Content-Length', String(body.length)])
     this.res.end(body)
@@ -146,16 +161,23 @@
 
   /** Begins an answer whose body follows. */
   head (status: number, headers: readonly string[], source: AnswerSource): void {
-    if (this.isFinished) return
+    if (this.isFinished || this.held !== undefined) return
     this.source = source
     this.headListener?.()
+    if (this.isHolding) {
+      this.held = { status, headers, chunks: [] }
+      return
+    }
     this.res.writeHead(status, [...headers])
     this.res.flushHeaders()
   }
 
   /** Returns false if the client reads too slowly: write more only after `onDrain`. */
   data (chunk: Uint8Array): boolean {
-    return this.isFinished || this.res.write(chunk)
+    if (this.isFinished) return true
+    if (this.held === undefined) return this.res.write(chunk)
+    this.held.chunks.push(chunk)
+    return true
   }
 
   onDrain (listener: () => void): void {
@@ -164,13 +186,21 @@
 
   end (): void {
     if (this.isFinished) return
+    if (this.held !== undefined) {
+      this.sendWhole(this.held.status, this.held.headers, Buffer.concat(this.held.chunks))
+      return
+    }
     this.finish({ outcome: 'whole', status: this.res.statusCode })
     this.res.end()
   }
 
-  /** Closes the connection, so that the client can't take the answer for complete. */
+  /** Closes the connection, so that the client can't take the answer for complete; refuses the request if nothing was sent. */
   abort (): void {
     if (this.isFinished) return
+    if (this.held !== undefined) {
+      this.refuse({ type: 'answerLost', detail: 'the answer broke off' })
+      return
+    }
     this.finish({ outcome: 'brokenOff', status: this.res.statusCode })
     this.res.destroy()
   }
