Entry and sidecar: services of tests and soak answer without a length and break off

Cause: the stand-in of a service framed every answer, as that of the front.

Change: faults 'unframed' (whole) and 'truncate' with an unframed end (bytes, reset or orderly). answers.test has five such cases; the soak draws how a truncated answer is cut from random numbers of its own, so that which faults come when is as before for each seed.

--- a/packages/testing/stand-ins/src/http-host.ts
+++ b/packages/testing/stand-ins/src/http-host.ts
@@ -1,6 +1,7 @@
 /** A small HTTP server on loopback that the stand-ins share. */
 import * as http from 'node:http'
 import type * as net from 'node:net'
+import * as zod from 'zod'
 
 /** One request, its body read, and the response to fill. */
 export interface Exchange {
@@ -130,3 +131,28 @@
   res.writeHead(200, all)
   res.end(text, () => { socket.write(whole) })
 }
+
+export const unframedEnd = zod.object({
+  /** Bytes of the body to send; all by default. */
+  bytes: zod.int().nonnegative().optional(),
+  /** Whether the connection is reset behind them; otherwise it is closed in order. */
+  reset: zod.boolean()
+})
+export type UnframedEnd = zod.infer<typeof unframedEnd>
+
+/** Answers with neither a length nor chunks, and ends the connection. */
+export function sendUnframed (res: http.ServerResponse, body: string, end: UnframedEnd, headers: http.OutgoingHttpHeaders = {}): void {
+  if (res.destroyed) return
+  const { socket } = res.req
+  // Without either header Node.js ends the body with the connection.
+  res.removeHeader('transfer-encoding')
+  res.writeHead(200, { 'content-type': 'application/json', ...headers })
+  res.flushHeaders()
+  const part = Buffer.from(body).subarray(0, end.bytes)
+  if (part.length > 0) res.write(part)
+  // An empty write is called back after all bytes before it have been sent.
+  socket.write('', () => {
+    if (end.reset) socket.resetAndDestroy()
+    else socket.end()
+  })
+}
--- a/packages/testing/stand-ins/src/service-stand-in.ts
+++ b/packages/testing/stand-ins/src/service-stand-in.ts
@@ -21,8 +21,10 @@
   zod.object({ type: zod.literal('delay'), delayMs: zod.number() }),
   /** 500, having run or not. */
   zod.object({ type: zod.literal('error'), run: zod.boolean(), status: zod.int().optional() }),
-  /** Runs; the answer is cut in the middle. */
-  zod.object({ type: zod.literal('truncate') }),
+  /** Runs; the answer is cut: in the middle of an announced length, or as told. */
+  zod.object({ type: zod.literal('truncate'), unframed: httpHost.unframedEnd.optional() }),
+  /** Runs; the answer is whole and has neither a length nor chunks. */
+  zod.object({ type: zod.literal('unframed') }),
   /** Runs; the answer carries another request's id. */
   zod.object({ type: zod.literal('wrongId') }),
   /** Runs; the answer and its id are those of the request before. */
@@ -109,6 +111,12 @@
     res.end(answer.text)
   }
 
+  function cut (res: http.ServerResponse, answer: Answer, unframed: httpHost.UnframedEnd | undefined): void {
+    const headers = { 'x-request-id': answer.requestId }
+    if (unframed === undefined) httpHost.sendTruncated(res, answer.text, headers)
+    else httpHost.sendUnframed(res, answer.text, unframed, headers)
+  }
+
   function headersOf (answer: Answer): http.OutgoingHttpHeaders {
     return { 'content-type': 'application/json', 'content-length': Buffer.byteLength(answer.text), 'x-request-id': answer.requestId }
   }
@@ -138,7 +146,9 @@
         if (fault.run) run(exchange, requestId)
         return httpHost.sendJson(res, fault.status ?? 500, { error: { message: 'failed' } }, { 'x-request-id': requestId })
       case 'truncate':
-        return httpHost.sendTruncated(res, run(exchange, requestId).text, { 'x-request-id': requestId })
+        return cut(res, run(exchange, requestId), fault.unframed)
+      case 'unframed':
+        return httpHost.sendUnframed(res, run(exchange, requestId).text, { reset: false }, { 'x-request-id': requestId })
       case 'wrongId':
         return send(res, { ...run(exchange, requestId), requestId: unknownAnswer.requestId })
       case 'crossed':
--- a/packages/testing/system-tests/src/answers.test.ts
+++ b/packages/testing/system-tests/src/answers.test.ts
@@ -85,7 +85,12 @@
   [{ type: 'invalidJson' }, ['mayHaveRun', 'ran']],
   [{ type: 'oversize', bytes: 5_000_000 }, ['mayHaveRun', 'ran']],
   [{ type: 'hang', run: true }, ['mayHaveRun']],
-  [{ type: 'hang', run: false }, ['mayHaveRun']]
+  [{ type: 'hang', run: false }, ['mayHaveRun']],
+  [{ type: 'unframed' }, ['whole']],
+  [{ type: 'truncate', unframed: { bytes: 0, reset: true } }, ['mayHaveRun', 'ran']],
+  [{ type: 'truncate', unframed: { bytes: 0, reset: false } }, ['mayHaveRun', 'ran']],
+  [{ type: 'truncate', unframed: { bytes: 9, reset: true } }, ['mayHaveRun', 'ran']],
+  [{ type: 'truncate', unframed: { bytes: 9, reset: false } }, ['mayHaveRun', 'ran']]
 ]
 
 function endOf (answer: recorders.Answer): string {
@@ -93,7 +98,7 @@
 }
 
 serviceFaults.forEach(([fault, ends], at) => {
-  tap.test(`service answers ${fault.type}`, async (t) => {
+  tap.test(`service answers ${fault.type}${'unframed' in fault ? ` ${JSON.stringify(fault.unframed)}` : ''}`, async (t) => {
     const program = `s-${at}-${fault.type}`
     await start(program)
     t.ok((await recorder.ask(recorders.serviceCall(program, 'k1', 1))).ok)
--- a/packages/testing/system-tests/src/soak-faults.ts
+++ b/packages/testing/system-tests/src/soak-faults.ts
@@ -10,6 +10,8 @@
 
 /** Most processes that are killed, stopped or paused at the same time. */
 const mostDown = 2
+/** Most bytes that are sent of an answer that is cut; every reply is longer. */
+const mostCutBytes = 20
 
 type Action = (rnd: testUtils.Seeded) => Promise<string>
 
@@ -19,7 +21,8 @@
   private readonly pending = new Set<Promise<void>>()
   private ended = false
 
-  constructor (private readonly system: testUtils.System, private readonly rnd: testUtils.Seeded, private readonly settings: FaultSettings) {}
+  /** `variants`: draws the details of a fault, apart from which faults come when. */
+  constructor (private readonly system: testUtils.System, private readonly rnd: testUtils.Seeded, private readonly variants: testUtils.Seeded, private readonly settings: FaultSettings) {}
 
   /** Goes on until told to end. */
   async run (): Promise<void> {
@@ -124,13 +127,19 @@
       { type: 'delay', delayMs: rnd.whole(100, 2_500) }, { type: 'error', run: true }, { type: 'error', run: false }, { type: 'truncate' },
       { type: 'wrongId' }, { type: 'crossed' }, { type: 'duplicate' }, { type: 'invalidJson' }
     ]
-    const fault = rnd.pick(faults)
+    const fault = this.drawVariant(rnd.pick(faults))
     const one = rnd.pick([...this.system.services.values()])
     one.faults.set(fault, { times: rnd.whole(1, 4) })
     if (fault.type === 'hang') this.later(rnd.whole(500, 3_000), () => one.faults.clear())
     return `service ${fault.type}`
   }
 
+  /** Draws how an answer is cut, apart from the other draws. A reply is a JSON object, which shows by itself that it is cut. */
+  private drawVariant (fault: standIns.ServiceFault): standIns.ServiceFault {
+    if (fault.type !== 'truncate' || this.variants.chance(0.3)) return fault
+    return { type: 'truncate', unframed: { bytes: this.variants.whole(0, mostCutBytes), reset: this.variants.chance(0.5) } }
+  }
+
   private readonly strikeEngine: Action = async (rnd) => {
     const faults: readonly standIns.EngineFault[] = [
       { type: 'refuse', retryAfterMs: 100 }, { type: 'reset' }, { type: 'error' }, { type: 'truncate', afterTokens: 2, clean: rnd.chance(0.5) }, { type: 'wrongId' },
--- a/packages/testing/system-tests/src/soak.ts
+++ b/packages/testing/system-tests/src/soak.ts
@@ -25,6 +25,8 @@
 /** A hold is a lease of at most ten seconds with the rule `fixed`, and a sweep follows within five. */
 const holdBoundMs = 20_000
 const readBoundMs = 30_000
+/** Index of the random numbers for details of faults: above those of the workers. */
+const variantSeedIndex = 1_000
 
 /** The plan of a soak: three hosts with engines, two with a service, two entries. */
 export function soakPlan (base: testUtils.SystemPlan): testUtils.SystemPlan {
@@ -43,7 +45,7 @@
   const { seed, durationMs, workers, faultEveryMs } = settings
   const recorder = new recorders.CallRecorder(system)
   const programs = new soakPrograms.SoakPrograms(recorder, `soak-${seed}`)
-  const faults = new soakFaults.SoakFaults(system, testUtils.createSeeded(seed), { everyMs: faultEveryMs })
+  const faults = new soakFaults.SoakFaults(system, testUtils.createSeeded(seed), testUtils.createSeeded(seed, variantSeedIndex), { everyMs: faultEveryMs })
   const running = Array.from({ length: workers }, (_, worker) => programs.run(worker, testUtils.createSeeded(seed, worker + 1)))
   const striking = faults.run()
   await recorders.pause(durationMs)
