--- a/packages/base/errors/src/http-exchange.ts
+++ b/packages/base/errors/src/http-exchange.ts
@@ -149,8 +149,8 @@
 
   /**
    * Whether a length, the last chunk or the content shows that the answer is whole. undici takes every end of a connection, a
-   * reset too, for the end of an answer that has neither. A consumer of `onData` checks the content itself, and a status
-   * without a body that counts is whole with its head.
+   * reset too, for the end of an answer that has neither. Consumers of `onData` check the content themselves; of refusals
+   * and server errors only the head is used.
    */
   private isMarkedWhole (): boolean {
     const status = this.status ?? 0
