front: a graceful shutdown cuts no order on a kept connection

Cause: whether an answer is the last one of its connection was decided when its request arrived, so answers sent after the stop still said keep-alive; idle connections were closed once, 3 s after the signal; and a request was taken whatever its deadline, although the time of the exit was known. Ruled out: a second signal (there is one), time limits of upstreams.

Change: base/drain-server decides at the head of an answer: while draining, the newest request of a connection ends it, requests behind that answer are not read, pipelined requests before it are answered, and responses of pipelined requests learn that their client left. A connection that becomes idle while draining is closed after 250 ms without a request: closed at once, it would reset a client that sends its next request right after a stream. A request whose deadline lies behind the end of the grace period is refused at once (503 shuttingDown, Retry-After 0, nothing ran). The entry's server had the same fault and uses the same server.

--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -32,6 +32,8 @@
   | RequestFields & { readonly event: 'unknownKey', readonly route: string, readonly key: 'none' | 'key' | 'unreadable', readonly version: number, readonly routingAgeMs: number }
   /** `by`: who decided. `requestsLeft`: what remains of the account's limit, below 0 if it is exceeded. */
   | RequestFields & { readonly event: 'overLimit', readonly program: types.ProgramId | undefined, readonly account: types.AccountId, readonly route: string, readonly part: 'first' | 'further', readonly by: 'owner' | 'share', readonly requestsLeft: number, readonly retryAfterMs: number, readonly version: number }
+  /** This process exits before the request, which may need `neededMs`, would have to end. */
+  | RequestFields & { readonly event: 'refusedAtShutdown', readonly route: string, readonly neededMs: number }
   /** Taken back from the usage of its account as not run. `source`: who made the answer. */
   | RequestFields & { readonly event: 'requestRefunded', readonly account: types.AccountId, readonly status: number, readonly source: 'front' | 'upstream' }
   /** Forwarded to the process that owns the program. */
@@ -173,6 +175,7 @@
   unknownRoute: { level: 'info', message: 'no route matches' },
   unknownKey: { level: 'info', message: 'no client account has the key of the request' },
   overLimit: { level: 'info', message: 'the client account has used up its limit' },
+  refusedAtShutdown: { level: 'info', message: 'refused: the process may exit before the request ends' },
   requestRefunded: { level: 'info', message: 'not run; no longer counted for its client account' },
   passedOn: { level: 'info', message: 'forwarded to the owner of the program' },
   turnAdmitted: { level: 'info', message: 'turn admitted; reserving its tokens' },
--- /dev/null
+++ b/packages/base/drain-server/src/drain-server.test.ts
@@ -0,0 +1,108 @@
+import * as http from 'node:http'
+import * as net from 'node:net'
+import * as fc from 'fast-check'
+import tap from 'tap'
+import * as drainServer from './drain-server.js'
+
+/** Requests of one connection: when each is sent, and how long its answer takes, in ms. */
+interface ClientPlan {
+  readonly requests: readonly { readonly pauseMs: number, readonly answerMs: number }[]
+}
+
+interface Outcome {
+  /** Requests that the listener got, and complete answers that the client got. */
+  readonly served: readonly string[]
+  readonly answered: readonly string[]
+}
+
+const clientPlan: fc.Arbitrary<ClientPlan> = fc.record({
+  requests: fc.array(fc.record({ pauseMs: fc.constantFrom(0, 0, 5, 20), answerMs: fc.constantFrom(0, 10, 30) }), { minLength: 1, maxLength: 5 })
+})
+
+function sleep (ms: number): Promise<void> {
+  return new Promise((resolve) => { setTimeout(resolve, ms) })
+}
+
+async function listen (server: http.Server): Promise<number> {
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  return (server.address() as net.AddressInfo).port
+}
+
+/** Sends the requests of a plan without waiting for their answers, and reads until the connection is closed. */
+async function runClient (port: number, name: string, { requests }: ClientPlan): Promise<string> {
+  const socket = net.connect(port, '127.0.0.1')
+  let received = ''
+  socket.on('data', (bytes: Buffer) => { received += bytes.toString() })
+  socket.on('error', () => {})
+  const closed = new Promise((resolve) => { socket.once('close', resolve) })
+  for (const [index, { pauseMs, answerMs }] of requests.entries()) {
+    if (pauseMs > 0) await sleep(pauseMs)
+    socket.write(`GET /${name}.${index}?${answerMs} HTTP/1.1\r\nHost: a\r\n\r\n`)
+  }
+  await closed
+  return received
+}
+
+async function runPlans (plans: readonly ClientPlan[], drainAfterMs: number): Promise<Outcome[]> {
+  const served: string[] = []
+  const drainable = drainServer.createDrainServer({}, (req, res) => {
+    const [path, answerMs] = (req.url ?? '').slice(1).split('?')
+    served.push(path!)
+    setTimeout(() => {
+      res.writeHead(200, { 'Content-Length': path!.length })
+      res.end(path)
+    }, Number(answerMs))
+  })
+  const port = await listen(drainable.server)
+  const clients = plans.map((plan, index) => runClient(port, `c${index}`, plan))
+  await sleep(drainAfterMs)
+  drainable.startDraining()
+  drainable.server.close()
+  const received = await Promise.all(clients)
+  if (drainable.openRequestCount !== 0) throw new Error('requests are still counted')
+  return received.map((text, index) => ({
+    served: served.filter((path) => path.startsWith(`c${index}.`)),
+    answered: [...text.matchAll(/\r\n\r\n(c\d+\.\d+)/g)].map(([, path]) => path!)
+  }))
+}
+
+// Guards against requests cut off by the end of their connection, whichever answer announced it and whenever the shutdown began.
+tap.test('every request that is served during a shutdown is answered, in drawn orders of requests and answers', async (t) => {
+  await fc.assert(fc.asyncProperty(fc.array(clientPlan, { minLength: 1, maxLength: 8 }), fc.integer({ min: 0, max: 60 }), async (plans, drainAfterMs) => {
+    for (const { served, answered } of await runPlans(plans, drainAfterMs)) {
+      if (served.join() !== answered.join()) throw new Error(`served ${served.join()}, answered ${answered.join()}`)
+    }
+  }), { numRuns: 20, seed: 54 })
+  t.pass('drawn with seed 54')
+})
+
+// Guards against replies that are never ended: only the response being sent learns that its connection was closed.
+tap.test('pipelined responses are closed with their connection', async (t) => {
+  const closed: string[] = []
+  const drainable = drainServer.createDrainServer({}, (req, res) => { res.on('close', () => { closed.push(req.url ?? '') }) })
+  const socket = net.connect(await listen(drainable.server), '127.0.0.1')
+  socket.write('GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n')
+  while (drainable.openRequestCount < 2) await sleep(5)
+  socket.destroy()
+  while (closed.length === 0) await sleep(5)
+  t.same(closed, ['/1', '/2'])
+  t.equal(drainable.openRequestCount, 0)
+  drainable.server.close()
+})
+
+tap.test('an idle connection stays open until the shutdown begins', async (t) => {
+  const drainable = drainServer.createDrainServer({}, (_req, res) => { res.end('ok') })
+  drainable.setKeepAliveTimeout(5_000)
+  const agent = new http.Agent({ keepAlive: true })
+  const port = await listen(drainable.server)
+  const get = (): Promise<http.IncomingMessage> => new Promise((resolve, reject) => {
+    http.get({ agent, port, host: '127.0.0.1' }, (res) => { res.resume().on('end', () => { resolve(res) }) }).on('error', reject)
+  })
+  t.equal((await get()).headers.connection, 'keep-alive')
+  await sleep(2 * drainServer.drainKeepAliveMs)
+  drainable.startDraining()
+  drainable.setKeepAliveTimeout(5_000)
+  t.equal((await get()).headers.connection, 'close')
+  agent.destroy()
+  drainable.server.close()
+})
--- /dev/null
+++ b/packages/base/drain-server/src/drain-server.ts
@@ -0,0 +1,96 @@
+/** HTTP/1.1 server that ends its connections during a graceful shutdown without cutting off a request. */
+import * as http from 'node:http'
+import type * as net from 'node:net'
+
+/** A server that can be drained. */
+export interface DrainServer {
+  readonly server: http.Server
+  /** Number of requests whose head has arrived and whose answer has not ended. */
+  readonly openRequestCount: number
+  /** Sets the idle timeout of connections, in ms. It has no effect while draining. */
+  readonly setKeepAliveTimeout: (timeoutMs: number) => void
+  /**
+   * From now on each answer announces the end of its connection, and connections that become idle are closed. New
+   * connections are still accepted until `server` is closed.
+   */
+  readonly startDraining: () => void
+}
+
+/** Idle timeout of connections while draining, in ms: several network round trips, so that a client that sends its next request at once gets an answer. */
+export const drainKeepAliveMs = 250
+
+/** The requests of one connection. */
+class Connection {
+  /** Responses that have not ended, oldest first; they are sent in this order. */
+  private readonly openResponses = new Set<http.ServerResponse>()
+  private newestResponse: http.ServerResponse | undefined
+  /** An answer has announced the end of the connection, so no request after it is answered. */
+  isEndAnnounced = false
+
+  constructor (socket: net.Socket) {
+    // Node.js emits 'close' only for the response that is being sent, not for those of pipelined requests behind it.
+    socket.once('close', () => { for (const res of this.openResponses) res.emit('close') })
+  }
+
+  add (res: http.ServerResponse, onClose: () => void): void {
+    this.newestResponse = res
+    this.openResponses.add(res)
+    res.once('close', () => {
+      this.openResponses.delete(res)
+      onClose()
+    })
+  }
+
+  /** Whether no further request has arrived since, so that the connection may end with this answer. */
+  isNewest (res: http.ServerResponse): boolean {
+    return this.newestResponse === res
+  }
+}
+
+/** Creates a server, which does not listen yet. Requests that arrive after the last answer of their connection are not passed to the listener. */
+export function createDrainServer (options: http.ServerOptions, onRequest: http.RequestListener): DrainServer {
+  const connections = new WeakMap<net.Socket, Connection>()
+  let isDraining = false
+  let openRequestCount = 0
+
+  /** Decides when the head of an answer is sent, not when its request arrives, whether the connection ends with it. */
+  class DrainResponse<Request extends http.IncomingMessage> extends http.ServerResponse<Request> {
+    override writeHead (...args: unknown[]): this {
+      const connection = connections.get(this.req.socket)
+      const mayEnd = connection?.isNewest(this) === true
+      if (isDraining && mayEnd) this.shouldKeepAlive = false
+      super.writeHead(...args as Parameters<http.ServerResponse['writeHead']>)
+      if (mayEnd && !this.shouldKeepAlive) connection.isEndAnnounced = true
+      return this
+    }
+  }
+
+  function getConnection (socket: net.Socket): Connection {
+    const connection = connections.get(socket) ?? new Connection(socket)
+    connections.set(socket, connection)
+    return connection
+  }
+
+  const server = http.createServer({ ...options, ServerResponse: DrainResponse }, (req, res) => {
+    const connection = getConnection(req.socket)
+    if (connection.isEndAnnounced) {
+      req.resume()
+      return
+    }
+    openRequestCount += 1
+    connection.add(res, () => { openRequestCount -= 1 })
+    onRequest(req, res)
+  })
+
+  return {
+    server,
+    get openRequestCount () { return openRequestCount },
+    setKeepAliveTimeout (timeoutMs) {
+      if (!isDraining) server.keepAliveTimeout = timeoutMs
+    },
+    startDraining () {
+      isDraining = true
+      server.keepAliveTimeout = drainKeepAliveMs
+    }
+  }
+}
--- /dev/null
+++ b/packages/base/drain-server/src/index.ts
@@ -0,0 +1,2 @@
+/** HTTP/1.1 server that ends its connections during a graceful shutdown without cutting off a request. */
+export * from './drain-server.js'
--- a/packages/operate/find-losses/src/loss-finder.ts
+++ b/packages/operate/find-losses/src/loss-finder.ts
@@ -167,6 +167,7 @@
     case 'unknownRoute': return 'no route matches'
     case 'unknownKey': return 'no account has the key'
     case 'overLimit': return `account over its limit: ${String(line['part'])} requests, decided by the ${String(line['by'])}`
+    case 'refusedAtShutdown': return 'host shutting down'
     case 'sendFailed': return `send failed: ${failureText(line['failure'])}`
     case 'upstreamSilent': return 'upstream silent'
     case 'timedOut': return 'no answer in time'
--- a/packages/peers/caller-server/src/caller-server.test.ts
+++ b/packages/peers/caller-server/src/caller-server.test.ts
@@ -171,6 +171,25 @@
   await drained
 })
 
+// Guards against clients that go on using a connection of a draining entry: its answer did not announce the end.
+tap.test('an answer that is sent while the server drains ends its connection', async (t) => {
+  let answerCall: () => void = () => {}
+  const { url, received, server } = await startServer(t, {
+    call: async (req) => {
+      received.calls.push(req)
+      await new Promise<void>((resolve) => { answerCall = resolve })
+      return { ok: true, value: callEnd }
+    }
+  })
+  const pending = post(`${url}/v1/programs/p1/chat/completions`, completion)
+  while (received.calls.length === 0) await new Promise((resolve) => { setTimeout(resolve, 5) })
+  const drained = server.drain()
+  answerCall()
+  t.equal((await pending).headers.get('connection'), 'close')
+  const timeout = new Promise((resolve) => { setTimeout(resolve, 1_000, 'still open') })
+  t.equal(await Promise.race([drained, timeout]), undefined)
+})
+
 tap.test('failures are mapped to an HTTP status and a Retry-After value', async (t) => {
   t.equal(errorBody.toHttpStatus({ tag: 'sealed', verdict: 'notRun', message: '' }), 409)
   t.equal(errorBody.toRetryAfterSeconds({ tag: 'internal', verdict: 'mayHaveRun', message: '' }), undefined)
--- a/packages/peers/caller-server/src/caller-server.ts
+++ b/packages/peers/caller-server/src/caller-server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers: parses routes, authorizes requests and writes exactly one final response to each. */
-import * as http from 'node:http'
+import type * as http from 'node:http'
 import type * as net from 'node:net'
+import * as drainServer from '@eelgrasswind/drain-server'
 import * as errors from '@eelgrasswind/errors'
 import type * as logger from '@eelgrasswind/logger'
 import * as types from '@eelgrasswind/types'
@@ -90,7 +91,7 @@
 export async function startCallerServer (settings: CallerServerSettings): Promise<CallerServer> {
   const callerHandlers = settings.handlers
   let isDraining = false
-  const server = http.createServer({ requestTimeout: requestTimeoutMs }, (req, res) => {
+  const callers = drainServer.createDrainServer({ requestTimeout: requestTimeoutMs }, (req, res) => {
     serve(req, res).catch((err: unknown) => {
       settings.logger.error({ err }, 'request failed')
       if (res.headersSent) res.destroy()
@@ -98,13 +99,12 @@
     })
   })
 
+  const { server } = callers
+
   async function serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const route = parseRoute(req.method ?? '', req.url ?? '')
     if (!route.ok) return refuse(req, res, route.failure)
-    if (isDraining) {
-      res.setHeader('connection', 'close')
-      return refuse(req, res, { tag: 'shuttingDown', verdict: 'notRun', message: 'this entry is shutting down', retryAfterMs: shutdownRetryAfterMs })
-    }
+    if (isDraining) return refuse(req, res, { tag: 'shuttingDown', verdict: 'notRun', message: 'this entry is shutting down', retryAfterMs: shutdownRetryAfterMs })
     if (route.value.type === 'health') return answers.writeJson(res, 200, { state: 'live' })
     const client = callerHandlers.authorize(parseBearerToken(req))
     if (!client.ok) return refuse(req, res, client.failure)
@@ -182,9 +182,8 @@
 
   async function drain (): Promise<void> {
     isDraining = true
-    const closed = closeServer()
-    server.closeIdleConnections()
-    await closed
+    callers.startDraining()
+    await closeServer()
   }
 
   async function close (): Promise<void> {
--- a/packages/programs/front/src/client-listener.ts
+++ b/packages/programs/front/src/client-listener.ts
@@ -1,5 +1,6 @@
 /** Accepts client requests: checks their heads, reads their bodies and dispatches them by kind. */
-import * as http from 'node:http'
+import type * as http from 'node:http'
+import * as drainServer from '@eelgrasswind/drain-server'
 import * as identifyClient from '@eelgrasswind/identify-client'
 import type * as routeRequest from '@eelgrasswind/route-request'
 import * as checkHead from './check-head.js'
@@ -10,6 +11,7 @@
 import type * as inFlightRequests from './in-flight-requests.js'
 import * as routeTurn from './route-turn.js'
 import * as serveCall from './serve-call.js'
+import type * as shutdowns from './shutdown.js'
 
 /** Dependencies of the client listener. */
 export interface ClientListenerPorts extends routeTurn.RouteTurnPorts, limitGate.LimitGatePorts {
@@ -17,8 +19,7 @@
   readonly inFlightRequests: inFlightRequests.InFlightRequests
   /** Requests are refused once the store has not confirmed the routing for this long, in ms; `undefined` sets no limit. */
   readonly maxRoutingAgeMs: number | undefined
-  /** While true, answers carry `Connection: close`, so that clients connect to another process next. */
-  readonly isStopping: () => boolean
+  readonly shutdown: Pick<shutdowns.Shutdown, 'canFinish'>
 }
 
 /** Node.js refuses larger headers, in bytes, before the limit of the routing is checked. */
@@ -26,20 +27,22 @@
 /** Idle client connections are kept open for the published timeout times this factor, so that raising the timeout disconnects no client. */
 const keepAliveFactor = 1.5
 
+/** Retry-after during a shutdown, in ms: another process can serve the request now. */
+const shutdownRetryMs = 0
+
 /** Creates the HTTP server for clients, which does not listen yet. */
-export function createClientServer (ports: ClientListenerPorts): http.Server {
-  return http.createServer({ maxHeaderSize: serverMaxHeaderBytes, requestTimeout: 0 }, (req, res) => { handleRequest(ports, req, res) })
+export function createClientServer (ports: ClientListenerPorts): drainServer.DrainServer {
+  return drainServer.createDrainServer({ maxHeaderSize: serverMaxHeaderBytes, requestTimeout: 0 }, (req, res) => { handleRequest(ports, req, res) })
 }
 
 /** Applies the timeouts of a routing to the client connections. */
-export function applyBounds (server: http.Server, bounds: routeRequest.ClientBounds): void {
-  server.keepAliveTimeout = Math.round(bounds.idleTimeoutMs * keepAliveFactor)
-  server.headersTimeout = bounds.headerTimeoutMs
+export function applyBounds (clientServer: drainServer.DrainServer, bounds: routeRequest.ClientBounds): void {
+  clientServer.setKeepAliveTimeout(Math.round(bounds.idleTimeoutMs * keepAliveFactor))
+  clientServer.server.headersTimeout = bounds.headerTimeoutMs
 }
 
 function handleRequest (ports: ClientListenerPorts, req: http.IncomingMessage, res: http.ServerResponse): void {
   const arrivedAt = ports.timers.monotonic()
-  if (ports.isStopping()) res.setHeader('Connection', 'close')
   // HTTP/1.0 has no chunks: every end of the connection, also by the end of this process, would mark a streamed answer as complete.
   const reply = new inbound.Reply(res, req.httpVersion === '1.0')
   const routing = ports.routing.current
@@ -66,7 +69,13 @@
 async function serveRequest (ports: ClientListenerPorts, head: checkHead.CheckedHead, req: http.IncomingMessage, res: http.ServerResponse, reply: inbound.Reply, body: Buffer, arrivedAt: number): Promise<void> {
   const { decisions } = ports
   const { attempt, caller, kind, path, route, service, tokensPerEvent, version } = head
+  const deadlineAt = arrivedAt + Math.min(route.timeoutMs, attempt.deadlineMs ?? Infinity)
   ports.inFlightRequests.add(res, reply, attempt, kind, arrivedAt)
+  if (!ports.shutdown.canFinish(deadlineAt)) {
+    decisions.record({ event: 'refusedAtShutdown', request: attempt.id, route: route.name, neededMs: Math.round(deadlineAt - arrivedAt) })
+    reply.refuse({ type: 'shuttingDown', retryAfterMs: shutdownRetryMs })
+    return
+  }
   const request: inbound.InboundRequest = {
     attempt,
     method: req.method ?? 'GET',
@@ -77,7 +86,7 @@
     service,
     tokensPerEvent,
     caller,
-    deadlineAt: arrivedAt + Math.min(route.timeoutMs, attempt.deadlineMs ?? Infinity),
+    deadlineAt,
     reply
   }
   decisions.record({ event: 'routed', request: attempt.id, route: route.name, service, kind, account: identifyClient.getAccount(caller), version, leftMs: Math.round(request.deadlineAt - arrivedAt) })
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -1,5 +1,6 @@
 /** The front process: its listeners, its shards and its graceful shutdown. */
 import type * as decisionLog from '@eelgrasswind/decision-log'
+import * as drainServer from '@eelgrasswind/drain-server'
 import * as http from 'node:http'
 import * as ownShards from '@eelgrasswind/own-shards'
 import * as relayStore from '@eelgrasswind/relay-store'
@@ -25,6 +26,7 @@
 import * as retryBudget from './retry-budget.js'
 import * as routeTurn from './route-turn.js'
 import type * as settings from './settings.js'
+import * as shutdowns from './shutdown.js'
 import * as storeOutage from './store-outage.js'
 import * as upstreamCrashes from './upstream-crashes.js'
 import * as upstreamProbe from './upstream-probe.js'
@@ -88,10 +90,10 @@
   private readonly upstreams: upstreamView.UpstreamView
   private readonly limits: accountLimits.AccountLimits
   private readonly crashes: upstreamCrashes.UpstreamCrashes
-  private readonly clientServer: http.Server
+  private readonly clientServer: drainServer.DrainServer
   private readonly peerServer: http.Server
   private readonly readyServer: http.Server
-  private isStopping = false
+  private readonly shutdown = new shutdowns.Shutdown()
 
   constructor (private readonly cfg: settings.FrontSettings, private readonly ports: FrontPorts) {
     const { documents } = ports
@@ -137,7 +139,7 @@
       inFlightRequests: this.inFlightRequests,
       limits: this.limits,
       maxRoutingAgeMs: cfg.mostRoutingAgeMs,
-      isStopping: () => this.isStopping
+      shutdown: this.shutdown
     })
     this.peerServer = peerListener.createPeerServer({ ...turnPorts, directLog: ports.log, inFlightRequests: this.inFlightRequests, limits: this.limits, crashCalls: this.crashes }, peerKeepAliveMs)
     this.readyServer = http.createServer((_req, res) => {
@@ -148,7 +150,7 @@
 
   /** Whether the load balancer should send new clients to this process. */
   get isReady (): boolean {
-    return !this.isStopping && !this.failureDetector.isIsolated && this.routing.current !== undefined && this.upstreams.isLoaded && this.crashes.isLoaded
+    return !this.shutdown.hasBegun && !this.failureDetector.isIsolated && this.routing.current !== undefined && this.upstreams.isLoaded && this.crashes.isLoaded
   }
 
   get servedShardCount (): number {
@@ -169,7 +171,7 @@
 
   async start (): Promise<void> {
     await Promise.all([
-      listen(this.clientServer, this.cfg.clientAddress),
+      listen(this.clientServer.server, this.cfg.clientAddress),
       listen(this.peerServer, this.cfg.peerAddress),
       listen(this.readyServer, this.cfg.readyAddress),
       this.upstreams.start()
@@ -183,22 +185,33 @@
   /** Shuts down gracefully: hands over the shards, stops accepting clients, and resolves when the in-flight requests have ended or the time is up. */
   async stop (): Promise<void> {
     const { timers, decisions } = this.ports
-    if (this.isStopping) return
-    this.isStopping = true
+    if (this.shutdown.hasBegun) return
     const stopStartedAt = timers.monotonic()
-    decisions.record({ event: 'stopping', underWay: this.inFlightRequests.count })
-    await this.shards.leave()
     const shutdownTimeoutMs = this.cfg.graceMs - shutdownMarginMs
     const drainDeadlineAt = stopStartedAt + shutdownTimeoutMs
+    this.shutdown.begin(drainDeadlineAt)
+    this.clientServer.startDraining()
+    decisions.record({ event: 'stopping', underWay: this.inFlightRequests.count })
+    await this.shards.leave()
     const acceptUntil = stopStartedAt + Math.min(drainDelayMs, shutdownTimeoutMs * drainDelayShare)
     await timerService.sleep(timers, Math.max(0, acceptUntil - timers.monotonic()))
-    this.clientServer.close()
-    while (this.inFlightRequests.count > 0 && timers.monotonic() < drainDeadlineAt) await timerService.sleep(timers, drainPollMs)
+    this.clientServer.server.close()
+    await this.drainRequests(drainDeadlineAt)
     // A request that is read after this point would run and be cut off when the process exits.
-    closeServers([this.clientServer, this.peerServer])
+    closeServers([this.clientServer.server, this.peerServer])
     decisions.record({ event: 'stopped', underWay: this.inFlightRequests.count, tookMs: Math.round(timers.monotonic() - stopStartedAt) })
   }
 
+  /** Resolves once no request is open and clients have had the time to send their next one on a kept connection, or at the deadline, in monotonic ms. */
+  private async drainRequests (deadlineAt: number): Promise<void> {
+    const { timers } = this.ports
+    let idleSince = timers.monotonic()
+    while (timers.monotonic() < Math.min(deadlineAt, idleSince + drainServer.drainKeepAliveMs)) {
+      await timerService.sleep(timers, drainPollMs)
+      if (this.inFlightRequests.count > 0 || this.clientServer.openRequestCount > 0) idleSince = timers.monotonic()
+    }
+  }
+
   /** Stops at once without handing over shards, as tests need it. */
   close (): void {
     this.routing.stop()
@@ -206,7 +219,7 @@
     this.shards.close()
     this.limits.close()
     this.crashes.close()
-    closeServers([this.clientServer, this.peerServer, this.readyServer])
+    closeServers([this.clientServer.server, this.peerServer, this.readyServer])
     this.sender.close()
   }
 
--- a/packages/programs/front/src/inbound.ts
+++ b/packages/programs/front/src/inbound.ts
@@ -29,6 +29,8 @@
 /** Reasons why this process answers a request itself. Each determines the HTTP status, and with it whether the request may have run. */
 export type Refusal =
   | { readonly type: 'notReady', readonly retryAfterMs: number }
+  /** This process is shutting down, and may have to exit before the request ends. */
+  | { readonly type: 'shuttingDown', readonly retryAfterMs: number }
   | { readonly type: 'shardMoving', readonly retryAfterMs: number }
   | { readonly type: 'storeAway', readonly retryAfterMs: number }
   | { readonly type: 'upstreamsFull', readonly retryAfterMs: number }
@@ -53,6 +55,7 @@
 export function getRefusalStatus (refusal: Refusal): number {
   switch (refusal.type) {
     case 'notReady':
+    case 'shuttingDown':
     case 'shardMoving':
     case 'storeAway':
     case 'upstreamsFull':
