send-http, front: a wrong byte in an answer's status ends no process

Cause: the HTTP parser takes any three digits as a status, writeHead throws for one below 100, and it was called from the callback of the upstream's connection. Ruled out: names, values, reasons, framing.

Change: send-http fails an answer whose status is not 200 to 599 as malformed and never throws itself; what a callback of an exchange throws ends that exchange, is logged and counted, and its caller is answered; a reply whose head can't be written is refused with 502 and its upstream released; a request whose handling fails is answered at once instead of at its deadline.

--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -154,7 +154,8 @@
   | { readonly event: 'reachable', readonly peers: number }
   | { readonly event: 'shardUnreadable', readonly partition: PartitionField, readonly epoch: number, readonly err: unknown }
   /** An error that the code does not expect: a bug. */
-  | { readonly event: 'unexpected', readonly err: unknown }
+  /** A bug. `request`: the one that failed by it; `undefined` if it can't be told. */
+  | { readonly event: 'unexpected', readonly err: unknown, readonly request?: string | undefined }
   | { readonly event: 'peerCallFailed', readonly err: unknown }
 
 /** Any decision that is logged. */
--- a/packages/peers/send-http/src/send-http.test.ts
+++ b/packages/peers/send-http/src/send-http.test.ts
@@ -216,3 +216,56 @@
     t.match(await send(address), { ended: true }, whole.split('\r\n')[1]!)
   }
 })
+
+// Guards against answers that reach a server which refuses to send their status.
+tap.test('an answer with a status that no final answer has is malformed', async (t) => {
+  let status = ''
+  const address = await startServer(t, (socket, received) => {
+    if (!received.endsWith('hello')) return
+    socket.write(`HTTP/1.1 ${status} OK\r\nContent-Length: 0\r\n\r\n`)
+    // The client waits for a final answer behind an interim one.
+    if (status.startsWith('1')) socket.end()
+  })
+  for (let code = 0; code < 1_000; code += 1) {
+    status = String(code).padStart(3, '0')
+    const { ended, failure } = await send(address)
+    const isFinal = code >= 200 && code <= 599
+    if (isFinal !== ended || (!isFinal && failure?.verdict !== 'mayHaveRun')) t.fail(`status ${status}: ${JSON.stringify(failure)}`)
+  }
+  t.pass('all three-digit statuses')
+})
+
+// Guards against an error in the handling of one answer that ends the requests of others with the process.
+tap.test('a sink that throws fails its own exchange', async (t) => {
+  const address = await startServer(t, (socket, received) => { if (received.endsWith('hello')) socket.end(ok) })
+  for (const throwing of ['onHead', 'onData', 'onComplete', 'onFailed'] as const) {
+    const errors: unknown[] = []
+    const throwingSender = sendHttp.createSender({ idleTimeoutMs: 1_000, shortIdleTimeoutMs: 60, onSinkError: (err) => { errors.push(err) } })
+    const failure = await new Promise<sendHttp.SendFailure | undefined>((resolve) => {
+      const run = (name: string, result?: sendHttp.SendFailure): void => {
+        if (name === 'onComplete' || name === 'onFailed') resolve(result)
+        if (name === throwing) throw new Error(name)
+      }
+      throwingSender.send({ address: throwing === 'onFailed' ? '127.0.0.1:1' : address, method: 'POST', path: '/x', headers: ['Host', 'h', 'Content-Length', '5'], body: Buffer.from('hello'), connectTimeoutMs: 200, continueTimeoutMs: undefined, atMostOnce: false }, {
+        onHead: () => { run('onHead') },
+        onData: () => { run('onData') },
+        onComplete: () => { run('onComplete') },
+        onFailed: (result) => { run('onFailed', result) }
+      })
+    })
+    t.match(errors, [new Error(throwing)], throwing)
+    if (throwing === 'onHead' || throwing === 'onData') t.match(failure, { cause: 'unexpected', verdict: 'mayHaveRun' }, throwing)
+    throwingSender.close()
+  }
+})
+
+// Guards against a request that can't be written as HTTP and throws in the middle of another one's callback.
+tap.test('a request that can not be written fails without running', async (t) => {
+  const valid = { address: '127.0.0.1:1', method: 'POST', path: '/x', headers: ['Host', 'h', 'Content-Length', '0'], body: Buffer.alloc(0), connectTimeoutMs: 200, continueTimeoutMs: undefined, atMostOnce: false }
+  for (const change of [{ path: '/ x' }, { headers: ['Host', 'h', 'Last-Event-Id', 'a\u0000b'] }, { headers: ['Host', 'h', 'Last-Event-Id', '\u5b57'] }, { address: '127.0.0.1:99999' }, { method: 'P T' }]) {
+    const failure = await new Promise((resolve) => {
+      sender.send({ ...valid, ...change }, { onHead: () => {}, onData: () => {}, onComplete: () => { resolve(undefined) }, onFailed: resolve })
+    })
+    t.match(failure, { cause: 'invalid', verdict: 'notRun' }, JSON.stringify(change))
+  }
+})
--- a/packages/peers/send-http/src/send-http.ts
+++ b/packages/peers/send-http/src/send-http.ts
@@ -39,10 +39,13 @@
   readonly rawHeaders: readonly string[]
 }
 
+/** `invalid`: the request can't be written as HTTP. `unexpected`: a callback of the sink threw an error. */
+export type SendFailureCause = 'invalid' | 'refused' | 'connect' | 'unconfirmed' | 'reset' | 'malformed' | 'truncated' | 'cancelled' | 'unexpected'
+
 /** Why there is no complete answer, and whether the request may have run. */
 export interface SendFailure {
   readonly verdict: types.Verdict
-  readonly cause: 'refused' | 'connect' | 'unconfirmed' | 'reset' | 'malformed' | 'truncated' | 'cancelled'
+  readonly cause: SendFailureCause
   readonly detail: string
   /** Whether the connection had carried an earlier request. */
   readonly reused: boolean
@@ -50,7 +53,7 @@
   readonly answer?: messageFraming.AnswerEnd | undefined
 }
 
-/** Receives the answer. No callback follows `onComplete` or `onFailed`. */
+/** Receives the answer. No callback follows `onComplete` or `onFailed`. An error that `onHead` or `onData` throws fails the exchange. */
 export interface AnswerSink {
   readonly onHead: (head: AnswerHead) => void
   readonly onData: (chunk: Buffer) => void
@@ -68,7 +71,7 @@
   readonly resume: () => void
 }
 
-/** Sends requests over pooled connections. */
+/** Sends requests over pooled connections. Neither function throws. */
 export interface Sender {
   readonly send: (request: OutgoingRequest, sink: AnswerSink) => Exchange
   readonly close: () => void
@@ -83,6 +86,8 @@
    * shortest idle time after which connections are dropped.
    */
   readonly shortIdleTimeoutMs: number
+  /** Receives what a callback of a sink throws, so that it does not end the requests of others with the process. Without it the error is thrown to the process. */
+  readonly onSinkError?: (err: unknown) => void
 }
 
 /**
@@ -110,7 +115,7 @@
     }
   }
   return {
-    send: (request, sink) => startExchange(selectAgent(request), request, watchForDroppedConnection(sink)),
+    send: (request, sink) => startExchange(selectAgent(request), request, watchForDroppedConnection(sink), settings.onSinkError ?? throwToProcess),
     close: () => {
       unpooledAgent.destroy()
       defaultAgent.destroy()
@@ -131,10 +136,23 @@
   return new http.Agent({ keepAlive: true, scheduling: 'lifo', timeout: idleTimeoutMs, maxSockets: Infinity })
 }
 
-function startExchange (agent: http.Agent, request: OutgoingRequest, sink: AnswerSink): Exchange {
+function throwToProcess (err: unknown): void {
+  queueMicrotask(() => { throw err })
+}
+
+function startExchange (agent: http.Agent, request: OutgoingRequest, sink: AnswerSink, onSinkError: (err: unknown) => void): Exchange {
+  try {
+    return new HttpExchange(createRequest(agent, request), request, sink, onSinkError)
+  } catch (err) {
+    return new FailedExchange(sink, { verdict: 'notRun', cause: 'invalid', detail: (err as Error).message, reused: false })
+  }
+}
+
+/** Throws an error if the address, the path or a header can't be written as HTTP. */
+function createRequest (agent: http.Agent, request: OutgoingRequest): http.ClientRequest {
   const colon = request.address.lastIndexOf(':')
   const headers = request.continueTimeoutMs === undefined ? request.headers : [...request.headers, 'Expect', '100-continue']
-  const req = http.request({
+  return http.request({
     agent,
     host: request.address.slice(0, colon),
     port: Number(request.address.slice(colon + 1)),
@@ -144,9 +162,29 @@
     headers: headers as unknown as http.OutgoingHttpHeaders,
     setHost: false
   })
-  return new HttpExchange(req, request, sink)
 }
 
+/** A request that was not sent; the sink learns of it after `send` has returned. */
+class FailedExchange implements Exchange {
+  private isCancelled = false
+
+  constructor (sink: AnswerSink, failure: SendFailure) {
+    process.nextTick(() => { if (!this.isCancelled) sink.onFailed(failure) })
+  }
+
+  cancel (): void {
+    this.isCancelled = true
+  }
+
+  pause (): void {}
+
+  resume (): void {}
+}
+
+/** Status codes of a final answer; those of interim answers are consumed by the HTTP client. */
+const minFinalStatus = 200
+const maxFinalStatus = 599
+
 class HttpExchange implements Exchange {
   private socket: net.Socket | undefined
   private res: http.IncomingMessage | undefined
@@ -160,7 +198,7 @@
   /** Limits connecting first, then the wait for `100 Continue`. */
   private phaseTimer: NodeJS.Timeout | undefined
 
-  constructor (private readonly req: http.ClientRequest, private readonly request: OutgoingRequest, private readonly sink: AnswerSink) {
+  constructor (private readonly req: http.ClientRequest, private readonly request: OutgoingRequest, private readonly sink: AnswerSink, private readonly onSinkError: (err: unknown) => void) {
     req.on('socket', (socket) => {
       this.socket = socket
       connectionEnd.watchConnection(socket)
@@ -210,10 +248,15 @@
   private onResponse (res: http.IncomingMessage): void {
     if (this.isDone) return
     clearTimeout(this.phaseTimer)
+    const status = res.statusCode ?? 0
+    if (status < minFinalStatus || status > maxFinalStatus) {
+      this.failWith('malformed', `status ${status}`)
+      return
+    }
     this.res = res
     this.framing = messageFraming.getBodyFraming({
       method: this.request.method,
-      status: res.statusCode ?? 0,
+      status,
       transferEncoding: res.headers['transfer-encoding'],
       contentLength: res.headers['content-length']
     })
@@ -221,11 +264,21 @@
     if (!this.req.writableFinished) this.isUnfitForReuse = true
     res.on('data', (chunk: Buffer) => {
       this.bodyBytes += chunk.length
-      if (!this.isDone) this.sink.onData(chunk)
+      if (!this.isDone) this.notify(() => { this.sink.onData(chunk) })
     })
     res.on('end', () => { this.onEnd(res) })
     res.on('error', (err) => { this.onError(err) })
-    this.sink.onHead({ status: res.statusCode ?? 0, headers: res.headers, rawHeaders: res.rawHeaders })
+    this.notify(() => { this.sink.onHead({ status, headers: res.headers, rawHeaders: res.rawHeaders }) })
+  }
+
+  /** Runs a callback of the sink. An error that it throws would otherwise reach the parser of the HTTP client and end the process. */
+  private notify (run: () => void): void {
+    try {
+      run()
+    } catch (err) {
+      this.onSinkError(err)
+      this.failWith('unexpected', String(err))
+    }
   }
 
   private onEnd (res: http.IncomingMessage): void {
@@ -237,7 +290,7 @@
     }
     this.finish()
     if (this.isUnfitForReuse) this.req.destroy()
-    this.sink.onComplete(answer)
+    this.notify(() => { this.sink.onComplete(answer) })
   }
 
   private onError (err: Error): void {
@@ -258,7 +311,7 @@
     const answer = this.describeAnswer()
     this.finish()
     this.req.destroy()
-    this.sink.onFailed({ verdict: this.hasSent ? 'mayHaveRun' : 'notRun', cause: actualCause, detail, reused: this.req.reusedSocket, answer })
+    this.notify(() => { this.sink.onFailed({ verdict: this.hasSent ? 'mayHaveRun' : 'notRun', cause: actualCause, detail, reused: this.req.reusedSocket, answer }) })
   }
 
   private describeAnswer (): messageFraming.AnswerEnd | undefined {
--- a/packages/peers/service-client/src/service-client.test.ts
+++ b/packages/peers/service-client/src/service-client.test.ts
@@ -215,3 +215,20 @@
     }
   }
 })
+
+// Guards against a status outside those of final answers: it must neither end the process nor count as an answer.
+tap.test('a status that no final answer has is a failure', async (t) => {
+  for (const status of ['000', '001', '099', '101', '199', '600', '999']) {
+    const server = net.createServer((socket) => {
+      socket.on('error', () => {})
+      socket.once('data', () => { socket.end(`HTTP/1.1 ${status} OK\r\nx-request-id: r1\r\ncontent-length: 2\r\n\r\n{}`) })
+    })
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+    const client = serviceClient.createServiceClient({ upstream, address: `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`, maxAnswerBytes })
+    const timeout = new Promise((resolve) => { setTimeout(resolve, 2_000, 'no outcome') })
+    const result = await Promise.race([client.call({ requestId: 'r1', path: 'seats', body: null }, { signal: neverAborted }), timeout])
+    t.match(result, { ok: false, failure: { verdict: 'mayHaveRun' } }, status)
+    await client.close()
+    server.close()
+  }
+})
--- a/packages/programs/front/src/answer-stream.ts
+++ b/packages/programs/front/src/answer-stream.ts
@@ -132,6 +132,8 @@
     if (this.answerHead === undefined || !this.isRelaying || this.isFinished) return
     const { reply } = this.req
     if (!reply.headSent) reply.head(this.answerHead.status, this.ports.dialect.answerHeaders(this.answerHead.rawHeaders), 'upstream')
+    // The reply has ended if its head could not be written.
+    if (this.isFinished) return
     for (const raw of this.pendingChunks.splice(0)) this.write(raw)
     if (this.hasAnswerEnded) this.completeAnswer(this.answerHead)
   }
--- a/packages/programs/front/src/client-listener.ts
+++ b/packages/programs/front/src/client-listener.ts
@@ -44,7 +44,7 @@
 function handleRequest (ports: ClientListenerPorts, req: http.IncomingMessage, res: http.ServerResponse): void {
   const arrivedAt = ports.timers.monotonic()
   // HTTP/1.0 has no chunks: every end of the connection, also by the end of this process, would mark a streamed answer as complete.
-  const reply = new inbound.Reply(res, req.httpVersion === '1.0')
+  const reply = new inbound.Reply(res, (err) => { ports.decisions.record({ event: 'unexpected', err }) }, req.httpVersion === '1.0')
   const routing = ports.routing.current
   if (routing === undefined || !ports.crashes.isLoaded || ports.routing.ageMs > (ports.maxRoutingAgeMs ?? Infinity)) {
     reply.refuse({ type: 'notReady', retryAfterMs: checkHead.notReadyRetryAfterMs })
@@ -62,7 +62,12 @@
   }
   readRequest.readBody(req, routing.bounds.maxBodyBytes, (body) => {
     if (body === undefined) reply.refuse({ type: 'bodyTooLarge', limitBytes: routing.bounds.maxBodyBytes }, ['Connection', 'close'])
-    else void serveRequest(ports, checked, req, res, reply, body, arrivedAt)
+    else {
+      serveRequest(ports, checked, req, res, reply, body, arrivedAt).catch((err: unknown) => {
+        ports.decisions.record({ event: 'unexpected', err, request: checked.attempt.id })
+        reply.fail()
+      })
+    }
   })
 }
 
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -81,7 +81,7 @@
 
 /** One front process, from start to exit. */
 export class Front {
-  private readonly sender = sendHttp.createSender({ idleTimeoutMs: idleConnectionMs, shortIdleTimeoutMs: freshConnectionMs })
+  private readonly sender: sendHttp.Sender
   private readonly inFlightRequests: inFlightRequests.InFlightRequests
   private readonly peerCallPorts: peerCalls.PeerCallPorts
   private readonly shards: ownShards.ShardOwner
@@ -97,6 +97,7 @@
 
   constructor (private readonly cfg: settings.FrontSettings, private readonly ports: FrontPorts) {
     const { documents } = ports
+    this.sender = sendHttp.createSender({ idleTimeoutMs: idleConnectionMs, shortIdleTimeoutMs: freshConnectionMs, onSinkError: (err) => { ports.decisions.record({ event: 'unexpected', err }) } })
     this.inFlightRequests = new inFlightRequests.InFlightRequests(ports)
     this.peerCallPorts = { sender: this.sender, timers: ports.timers, decisions: ports.decisions }
     const log = this.createRelayedLog()
--- a/packages/programs/front/src/inbound.ts
+++ b/packages/programs/front/src/inbound.ts
@@ -103,8 +103,8 @@
   private isFinished = false
   private source: AnswerSource = 'front'
 
-  /** `isHolding`: whether answers are held back until they are whole. */
-  constructor (private readonly res: http.ServerResponse, private readonly isHolding = false) {
+  /** `onWriteError` receives the error if the head of an answer can't be written as HTTP. `isHolding`: whether answers are held back until they are whole. */
+  constructor (private readonly res: http.ServerResponse, private readonly onWriteError: (err: unknown) => void, private readonly isHolding = false) {
     res.on('close', () => {
       if (this.isFinished) return
       this.finish({ outcome: 'clientGone', status: res.statusCode })
@@ -134,7 +134,7 @@
     return this.res.headersSent
   }
 
-  /** Sets the listener that is called once if the client disconnects before the reply is complete. */
+  /** Sets the listener that is called once if the client disconnects before the reply is complete, or the answer can't be written. */
   onGone (listener: () => void): void {
     this.goneListener = listener
   }
@@ -160,11 +160,24 @@
   }
 
   private sendWhole (status: number, headers: readonly string[], body: Buffer): void {
+    if (!this.writeHead(status, [...headers, 'Content-Length', String(body.length)])) return
     this.finish({ outcome: 'whole', status })
-    this.res.writeHead(status, [...headers, 'Content-Length', String(body.length)])
     this.res.end(body)
   }
 
+  /** Returns false if the head can't be written; the request is then refused. */
+  private writeHead (status: number, headers: string[]): boolean {
+    try {
+      this.res.writeHead(status, headers)
+      return true
+    } catch (err) {
+      this.onWriteError(err)
+      this.refuse({ type: 'answerLost', detail: 'the answer can not be passed on' })
+      this.goneListener?.()
+      return false
+    }
+  }
+
   /** Begins an answer whose body follows. */
   head (status: number, headers: readonly string[], source: AnswerSource): void {
     if (this.isFinished || this.held !== undefined) return
@@ -174,8 +187,7 @@
       this.held = { status, headers, chunks: [] }
       return
     }
-    this.res.writeHead(status, [...headers])
-    this.res.flushHeaders()
+    if (this.writeHead(status, [...headers])) this.res.flushHeaders()
   }
 
   /** Returns false if the client reads too slowly: write more only after `onDrain`. */
@@ -211,6 +223,14 @@
     this.res.destroy()
   }
 
+  /** Ends a request that failed by a bug: whether it has run is unknown. */
+  fail (): void {
+    const { goneListener } = this
+    if (this.headSent) this.abort()
+    else this.refuse({ type: 'answerLost', detail: 'internal' })
+    goneListener?.()
+  }
+
   private finish (end: Omit<ReplyEnd, 'source'>): void {
     this.isFinished = true
     for (const listener of this.endListeners) listener({ ...end, source: this.source })
--- a/packages/programs/front/src/limit-gate.test.ts
+++ b/packages/programs/front/src/limit-gate.test.ts
@@ -33,7 +33,7 @@
     limits: { acquire: () => ({ type: 'admitted', term: 1 }), refund: () => { refunds += 1 } },
     decisions: decisionLog.createSilentDecisionLog()
   }
-  const reply = new inbound.Reply(new NullResponse() as unknown as http.ServerResponse)
+  const reply = new inbound.Reply(new NullResponse() as unknown as http.ServerResponse, (err) => { throw err })
   const head = { attempt: { id: 'r1' }, caller: { type: 'account', account }, kind, route: { name: 'roster' }, version: 1 } as unknown as checkHead.CheckedHead
   await limitGate.enforceAccountLimit(ports, head, reply)
   answer(reply)
--- a/packages/programs/front/src/peer-listener.ts
+++ b/packages/programs/front/src/peer-listener.ts
@@ -38,7 +38,7 @@
 /** Handles a forwarded turn. Its sender waits for `100 Continue`, and knows until then that the turn has not run. */
 function handleTurn (ports: PeerListenerPorts, req: http.IncomingMessage, res: http.ServerResponse): void {
   const arrivedAt = ports.timers.monotonic()
-  const reply = new inbound.Reply(res)
+  const reply = new inbound.Reply(res, (err) => { ports.decisions.record({ event: 'unexpected', err }) })
   const forwarded = forwardHeader.decode(req.headers)
   const decoded = ports.dialect.decodeAttempt(req.headers)
   if (forwarded === undefined || decoded.type === 'invalid' || decoded.attempt.turn === undefined) {
@@ -56,7 +56,7 @@
   ports.inFlightRequests.add(res, reply, attempt, 'passedOnTurn', arrivedAt)
   readRequest.readBody(req, Infinity, (body) => {
     if (body === undefined) return
-    void serveTurn.serveTurn(ports, {
+    serveTurn.serveTurn(ports, {
       ...forwarded,
       attempt,
       method: req.method ?? 'POST',
@@ -65,12 +65,15 @@
       body,
       deadlineAt: arrivedAt + (attempt.deadlineMs ?? forwarded.route.timeoutMs),
       reply
-    }, turn, shard)
+    }, turn, shard).catch((err: unknown) => {
+      ports.decisions.record({ event: 'unexpected', err, request: attempt.id })
+      reply.fail()
+    })
   })
 }
 
 function handleCall (ports: PeerListenerPorts, req: http.IncomingMessage, res: http.ServerResponse): void {
-  const reply = new inbound.Reply(res)
+  const reply = new inbound.Reply(res, (err) => { ports.decisions.record({ event: 'unexpected', err }) })
   if (!peerCalls.isPeerCall(req)) {
     reply.refuse({ type: 'unknownRoute' })
     return
