front: a stream is resumed only after an event whose id a header carries

Callers would see every request of a front cut off when a resumable stream breaks off behind an event with a control character, or one beyond Latin-1, in its id: it became Last-Event-Id of the next attempt, http.request threw, and the process ended. Also: events came twice where events have no ids, and a signed error answer that broke off went on with the events of another upstream.

Cause: the bytes behind "id:" were handed on unseen, an event without an id left an earlier one's in place, and whether to resume was decided from the route alone.

Change: resume-point decides from the last complete event; ids are kept byte by byte; comments are no events.

Red before: resumed-streams.test ends with ERR_INVALID_CHAR at its second case on.

--- a/packages/programs/front/src/answer-stream.ts
+++ b/packages/programs/front/src/answer-stream.ts
@@ -7,6 +7,7 @@
 import * as dispatch from './dispatch.js'
 import * as eventSplitter from './event-splitter.js'
 import type * as inbound from './inbound.js'
+import * as resumePoints from './resume-point.js'
 
 /** The request to send to the upstream. */
 export interface AnswerStreamOptions {
@@ -36,6 +37,7 @@
   private readonly pendingChunks: Buffer[] = []
   private readonly dispatch: dispatch.Dispatch
   private answerHead: sendHttp.AnswerHead | undefined
+  /** Id of the last complete event; `undefined` if it had none. */
   private lastEventId: string | undefined
   private isRelaying: boolean
   private hasAnswerEnded = false
@@ -52,7 +54,7 @@
     private readonly sink: AnswerStreamSink
   ) {
     this.isRelaying = isRelaying
-    this.dispatch = new dispatch.Dispatch(ports, req, { ...options, resumeAfter: () => this.lastEventId }, {
+    this.dispatch = new dispatch.Dispatch(ports, req, { ...options, resumePoint: () => this.findResumePoint() }, {
       head: (head, upstream) => { this.onHead(head, upstream) },
       data: (chunk) => { this.onData(chunk) },
       resumed: () => { this.events.reset() },
@@ -122,10 +124,16 @@
   }
 
   private addEvent (event: eventSplitter.StreamEvent): void {
+    this.pendingChunks.push(event.raw)
+    if (event.isComment) return
     this.eventCount += 1
     if (this.req.route.retain?.keepsTurns === true) this.eventData.push(event.data, lineFeed)
-    this.lastEventId = event.id ?? this.lastEventId
-    this.pendingChunks.push(event.raw)
+    this.lastEventId = event.id
+  }
+
+  private findResumePoint (): resumePoints.ResumePoint {
+    if (this.answerHead !== undefined && this.answerHead.status !== okStatus) return { type: 'never' }
+    return resumePoints.findResumePoint(this.eventCount, this.lastEventId)
   }
 
   private flush (): void {
--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -10,6 +10,7 @@
 import * as checkAnswer from './check-answer.js'
 import type * as dialects from './dialect.js'
 import type * as inbound from './inbound.js'
+import type * as resumePoints from './resume-point.js'
 import type * as retryBudget from './retry-budget.js'
 import type * as upstreamCrashes from './upstream-crashes.js'
 import type * as upstreamHealth from './upstream-health.js'
@@ -37,8 +38,8 @@
   readonly body: Uint8Array
   /** Which parts of the prompt an upstream may have cached; `undefined` if no part of the request can be cached. */
   readonly affinity: trackUpstreams.PromptAffinity | undefined
-  /** Returns the id of the last received event, for streams that another upstream can resume. */
-  readonly resumeAfter?: () => string | undefined
+  /** Where another upstream may continue the answer, for streams. */
+  readonly resumePoint?: () => resumePoints.ResumePoint
   /** Whether the sink passes on no part of an answer before its end, so that an answer that breaks off may be replaced. */
   readonly isBuffered?: boolean
 }
@@ -240,7 +241,7 @@
       address: upstream.listed.address,
       method: this.req.method,
       path: this.req.path,
-      headers: dialect.upstreamHeaders(this.req.rawHeaders, { deadlineMs: Math.floor(remainingMs), upstream: upstream.listed.name, bodyBytes: body.length, resumeAfter: this.options.resumeAfter?.(), caller: this.req.caller }),
+      headers: dialect.upstreamHeaders(this.req.rawHeaders, { deadlineMs: Math.floor(remainingMs), upstream: upstream.listed.name, bodyBytes: body.length, resumeAfter: this.getResumeId(), caller: this.req.caller }),
       body,
       connectTimeoutMs,
       continueTimeoutMs: undefined,
@@ -322,7 +323,14 @@
     const { repeatability, stream, maxAttempts } = this.req.route
     // The last permitted attempt keeps waiting, as its upstream may still answer.
     if (this.attemptCount >= maxAttempts) return false
-    return this.hasHead ? stream?.resumable === true : repeatability === 'idempotent'
+    if (!this.hasHead) return repeatability === 'idempotent'
+    return stream?.resumable === true && this.options.resumePoint?.().type !== 'never'
+  }
+
+  /** Id of the event after which the next attempt resumes the stream; `undefined` if it begins anew. */
+  private getResumeId (): string | undefined {
+    const point = this.options.resumePoint?.()
+    return point?.type === 'after' ? point.eventId : undefined
   }
 
   /** Rejects the answer to a resumed stream if it is not a stream, that is, if its status is not 200. */
--- a/packages/programs/front/src/event-splitter.ts
+++ b/packages/programs/front/src/event-splitter.ts
@@ -5,11 +5,14 @@
   readonly raw: Buffer
   /** The data lines joined by line feeds; empty if there are none. */
   readonly data: Buffer
-  /** `undefined` if the event has no id. */
+  /** One character for each byte; `undefined` if the event has no id. */
   readonly id: string | undefined
+  /** Consists of comments only, as servers send them to keep a connection alive. */
+  readonly isComment: boolean
 }
 
 const lineFeedByte = 0x0a
+const colonByte = 0x3a
 const dataField = 'data:'
 const idField = 'id:'
 
@@ -52,20 +55,22 @@
   return -1
 }
 
-function parseFields (raw: Buffer): { readonly data: Buffer, readonly id: string | undefined } {
+function parseFields (raw: Buffer): Omit<StreamEvent, 'raw'> {
   const lines: Buffer[] = []
   let id: string | undefined
+  let isComment = true
   let start = 0
   for (let end = raw.indexOf(lineFeedByte); end !== -1; end = raw.indexOf(lineFeedByte, start)) {
     const line = raw.subarray(start, raw[end - 1] === 0x0d ? end - 1 : end)
+    if (line.length > 0 && line[0] !== colonByte) isComment = false
     const data = parseFieldValue(line, dataField)
     if (data !== undefined) {
       if (lines.length > 0) lines.push(lineFeedBytes)
       lines.push(data)
-    } else id = parseFieldValue(line, idField)?.toString('utf8') ?? id
+    } else id = parseFieldValue(line, idField)?.toString('latin1') ?? id
     start = end + 1
   }
-  return { data: lines.length === 1 ? lines[0]! : Buffer.concat(lines), id }
+  return { data: lines.length === 1 ? lines[0]! : Buffer.concat(lines), id, isComment }
 }
 
 /** The value of a line that belongs to the field, without the one optional leading space; `undefined` for other lines. */
