front: after an error that belongs to no request the process is replaced, and its requests end

What throws within one request is contained since; this is for the rest: a timer, a signal, an event of a socket that belongs to no request.

Change: the process is no longer ready, gives up its shards without another record, lets requests in flight end as in a planned shutdown and exits with code 1. Going on would risk records from a half-changed ledger, ending at once cuts off everybody; docs/decisions/platform.md has the reasons. A second call of stop waits for the first one, so that a signal meanwhile does not end the process early.

Red before: signals.test "after an unexpected error ..." (on the process is gone at once). Now it passes, also with a SIGTERM during the shutdown.

--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -94,6 +94,7 @@
   private readonly peerServer: http.Server
   private readonly readyServer: http.Server
   private readonly shutdown = new shutdowns.Shutdown()
+  private pendingStop: Promise<void> | undefined
 
   constructor (private readonly cfg: settings.FrontSettings, private readonly ports: FrontPorts) {
     const { documents } = ports
@@ -184,9 +185,19 @@
   }
 
   /** Shuts down gracefully: hands over the shards, stops accepting clients, and resolves when the in-flight requests have ended or the time is up. */
-  async stop (): Promise<void> {
+  stop (): Promise<void> {
+    this.pendingStop ??= this.drainAndClose()
+    return this.pendingStop
+  }
+
+  /** Stops after an unexpected error: what this process has in memory may be wrong, so its shards are given up without further records; requests in flight still end. */
+  stopAfterError (): Promise<void> {
+    this.shards.abandon()
+    return this.stop()
+  }
+
+  private async drainAndClose (): Promise<void> {
     const { timers, decisions } = this.ports
-    if (this.shutdown.hasBegun) return
     const stopStartedAt = timers.monotonic()
     const shutdownTimeoutMs = this.cfg.graceMs - shutdownMarginMs
     const drainDeadlineAt = stopStartedAt + shutdownTimeoutMs
--- a/packages/programs/front/src/run-front.ts
+++ b/packages/programs/front/src/run-front.ts
@@ -29,6 +29,7 @@
 
 const invalidSettingsExitCode = 1
 const failedStopExitCode = 1
+const unexpectedErrorExitCode = 1
 /** Timeout for writing the last log lines at exit, in ms; they are lost if nothing reads them. */
 const flushTimeoutMs = 200
 
@@ -56,10 +57,10 @@
 }
 
 function handleSignals (ports: RunFrontPorts, frontProcess: front.Front, decisions: decisionLog.DecisionLog): void {
-  const shutDown = async (): Promise<void> => {
-    let code = 0
+  const shutDown = async (stop: () => Promise<void>, exitCode: number): Promise<void> => {
+    let code = exitCode
     try {
-      await frontProcess.stop()
+      await stop()
     } catch (err) {
       decisions.record({ event: 'failedToStop', err })
       code = failedStopExitCode
@@ -68,12 +69,17 @@
     process.exit(code)
   }
   ports.signals.setHandlers({
-    onShutdown: () => { void shutDown() },
+    onShutdown: () => { void shutDown(() => frontProcess.stop(), 0) },
     onReload: () => { reload(ports, decisions) },
     onIgnored: (signal) => { decisions.record({ event: 'signalIgnored', signal }) }
   })
   // A bug in the handling of one request must not stop the others: it is logged, and the process keeps running.
   process.on('unhandledRejection', (err) => { decisions.record({ event: 'unexpected', err }) })
+  // An error outside any request may have left shared state half changed: the process is replaced once its requests have ended.
+  process.on('uncaughtException', (err) => {
+    decisions.record({ event: 'unexpected', err })
+    void shutDown(() => frontProcess.stopAfterError(), unexpectedErrorExitCode)
+  })
 }
 
 /** Addresses and shards can't change in a running process: the new settings are validated now and take effect after a restart. */
--- a/packages/state/own-shards/src/shard-owner.ts
+++ b/packages/state/own-shards/src/shard-owner.ts
@@ -109,6 +109,12 @@
     for (const shard of this.ownedShards.values()) shard.close()
   }
 
+  /** Stops owning all shards at once, without further records; `leave` then releases them for their next owners. */
+  abandon (): void {
+    this.isStopped = true
+    for (const shard of this.ownedShards.values()) shard.close()
+  }
+
   /** The shard that a program belongs to, by the hash of its id. */
   getPartition (program: types.ProgramId): shardLog.Partition {
     const { topics, partitionsPerTopic } = this.settings
