front: answers whose bytes do not end are cut off, and cost others little

Callers would see requests at sound upstreams slow down to a twentieth, or the front killed for its memory, while the bytes of one upstream do not end, in a head or a body.

Cause: what is buffered, or read without being anything, had no bound but the deadline: held bodies, incomplete events (searched again with each chunk), interim answers, digits of a chunk size, bytes on idle connections; and one read delivers up to 2 MB, for which the requests of others wait.

--- a/packages/decide/track-upstreams/src/choose-upstream.ts
+++ b/packages/decide/track-upstreams/src/choose-upstream.ts
@@ -44,9 +44,9 @@
  */
 const holderLoadMargin = 0.375
 
-/** Selects an upstream that was not tried yet and is not leaving; `undefined` if there is none. */
+/** Selects an upstream that was not tried yet, is not leaving and not blocked; `undefined` if there is none. */
 export function chooseUpstream (input: ChooseInput): list.Upstream | undefined {
-  const usable = input.candidates.filter((upstream) => !upstream.listed.leaving && !input.tried.has(upstream.listed.id))
+  const usable = input.candidates.filter((upstream) => !upstream.listed.leaving && upstream.blockedUntil <= input.now && !input.tried.has(upstream.listed.id))
   const pool = selectHealthiest(usable, input.now)
   if (input.affinity === undefined) return chooseForCall(pool, input)
   return chooseForPrompt(pool, input.affinity, input)
--- a/packages/decide/track-upstreams/src/upstream-list.ts
+++ b/packages/decide/track-upstreams/src/upstream-list.ts
@@ -23,6 +23,8 @@
   failures: number
   /** End of the backoff after failures, monotonic ms; before it the upstream is used only if there is no other. */
   avoidUntil: number
+  /** End of the time in which it gets no request at all, because the bytes of an answer did not end, monotonic ms. */
+  blockedUntil: number
   /** When data was last received from it, monotonic ms. */
   lastActivityAt: number
   /** End of its ejection by outlier detection, monotonic ms. */
@@ -68,7 +70,7 @@
       return
     }
     this.remove(listed.id)
-    const upstream: Upstream = { listed, running: 0, failures: 0, avoidUntil: 0, lastActivityAt: 0, ejectedUntil: 0, fullUntil: 0 }
+    const upstream: Upstream = { listed, running: 0, failures: 0, avoidUntil: 0, blockedUntil: 0, lastActivityAt: 0, ejectedUntil: 0, fullUntil: 0 }
     this.upstreams.set(listed.id, upstream)
     this.services.set(listed.service, [...this.getByService(listed.service), upstream])
   }
@@ -89,6 +91,12 @@
   upstream.avoidUntil = now + backoffMs
 }
 
+/** Records an answer whose bytes did not end: unlike other failures it costs the requests at all other upstreams. */
+export function noteEndlessAnswer (upstream: Upstream, now: number): void {
+  noteFailure(upstream, now)
+  upstream.blockedUntil = upstream.avoidUntil
+}
+
 /** Records that the upstream sent nothing for so long that its host is likely down. */
 export function noteUnresponsive (upstream: Upstream, now: number): void {
   upstream.failures += 1
@@ -109,4 +117,5 @@
 export function noteSuccess (upstream: Upstream): void {
   upstream.failures = 0
   upstream.avoidUntil = 0
+  upstream.blockedUntil = 0
 }
--- a/packages/peers/send-http/src/send-http.test.ts
+++ b/packages/peers/send-http/src/send-http.test.ts
@@ -32,7 +32,7 @@
   return new Promise((resolve) => {
     let status: number | undefined
     let text = ''
-    sender.send({ address, method: 'POST', path: '/x', headers: ['Host', 'h', 'Content-Length', String(body.length)], body, connectTimeoutMs: 200, continueTimeoutMs: options.continueTimeoutMs, atMostOnce: options.atMostOnce ?? false }, {
+    sender.send({ address, method: 'POST', path: '/x', headers: ['Host', 'h', 'Content-Length', String(body.length)], body, connectTimeoutMs: 200, continueTimeoutMs: options.continueTimeoutMs, atMostOnce: options.atMostOnce ?? false, maxAnswerBytes: 1_000_000 }, {
       onHead: (head) => { status = head.status },
       onData: (chunk) => { text += chunk.toString() },
       onComplete: () => { resolve({ status, body: text, ended: true, failure: undefined }) },
@@ -196,7 +196,7 @@
     })
     const result = await new Promise((resolve) => {
       let bytes = 0
-      const exchange = sender.send({ address, method: 'POST', path: '/x', headers: ['Host', 'h', 'Content-Length', '5'], body: Buffer.from('hello'), connectTimeoutMs: 200, continueTimeoutMs: undefined, atMostOnce: false }, {
+      const exchange = sender.send({ address, method: 'POST', path: '/x', headers: ['Host', 'h', 'Content-Length', '5'], body: Buffer.from('hello'), connectTimeoutMs: 200, continueTimeoutMs: undefined, atMostOnce: false, maxAnswerBytes: 1_000_000 }, {
         onHead: () => {
           exchange.pause()
           setTimeout(() => { exchange.resume() }, 50)
@@ -217,6 +217,68 @@
   }
 })
 
+// Guards against bytes without end behind a whole answer: they were read for as long as the connection was idle.
+tap.test('a connection that receives bytes while no request uses it is closed', async (t) => {
+  let isClosed = false
+  const address = await startServer(t, (socket, received) => {
+    if (!received.endsWith('hello')) return
+    socket.write(ok)
+    socket.on('close', () => { isClosed = true })
+    setTimeout(() => { socket.write('more') }, 20)
+  })
+  t.match(await send(address), { body: 'ok', ended: true })
+  await new Promise((resolve) => { setTimeout(resolve, 100) })
+  t.ok(isClosed)
+})
+
+// Guards against a large answer that keeps the requests of others waiting, and against one that is cut short by that.
+tap.test('a large answer is delivered whole, with pauses for others, also if its reader pauses', async (t) => {
+  const size = 900_000
+  const address = await startServer(t, (socket, received) => {
+    if (received.endsWith('hello')) socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${size}\r\n\r\n${'x'.repeat(size)}`)
+  })
+  for (const isPausing of [false, true]) {
+    const received = await new Promise((resolve) => {
+      let bytes = 0
+      const exchange = sender.send({ address, method: 'POST', path: '/x', headers: ['Host', 'h', 'Content-Length', '5'], body: Buffer.from('hello'), connectTimeoutMs: 200, continueTimeoutMs: undefined, atMostOnce: false, maxAnswerBytes: size }, {
+        onHead: () => {},
+        onData: (chunk) => {
+          bytes += chunk.length
+          if (!isPausing) return
+          exchange.pause()
+          setTimeout(() => { exchange.resume() }, 1)
+        },
+        onComplete: () => { resolve(bytes) },
+        onFailed: ({ cause, detail }) => { resolve(`${cause}: ${detail}, ${bytes} bytes`) }
+      })
+    })
+    t.equal(received, size)
+  }
+})
+
+// Guards against bytes without end, wherever in an answer they come.
+tap.test('an answer beyond its limits fails, by its body, its framing or its interim answers', async (t) => {
+  const chunked = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+  const cases: readonly (readonly [string, string, sendHttp.SendFailureCause])[] = [
+    ['HTTP/1.1 200 OK\r\nContent-Length: 1000001\r\n\r\n', 'x', 'tooLarge'],
+    ['HTTP/1.1 200 OK\r\n\r\n', 'x'.repeat(10_000), 'endless'],
+    [chunked, `2710\r\n${'x'.repeat(10_000)}\r\n`, 'endless'],
+    [chunked, '0'.repeat(10_000), 'endless'],
+    [chunked, `${'0'.repeat(10_000)}1\r\nx\r\n`, 'endless'],
+    ['', 'HTTP/1.1 103 Early Hints\r\n\r\n', 'endless'],
+    ['', 'HTTP/1.1 100 Continue\r\n\r\n', 'endless']
+  ]
+  for (const [begin, repeated, cause] of cases) {
+    const address = await startServer(t, (socket, received) => {
+      if (!received.endsWith('hello')) return
+      socket.write(begin)
+      const writeMore = (): void => { if (!socket.destroyed) socket.write(repeated, () => { setImmediate(writeMore) }) }
+      writeMore()
+    })
+    t.match(await send(address), { ended: false, failure: { cause, verdict: 'mayHaveRun' } }, `${cause}: ${begin.slice(0, 40)} ${repeated.slice(0, 20)}`)
+  }
+})
+
 // Guards against answers that reach a server which refuses to send their status.
 tap.test('an answer with a status that no final answer has is malformed', async (t) => {
   let status = ''
@@ -246,7 +308,7 @@
         if (name === 'onComplete' || name === 'onFailed') resolve(result)
         if (name === throwing) throw new Error(name)
       }
-      throwingSender.send({ address: throwing === 'onFailed' ? '127.0.0.1:1' : address, method: 'POST', path: '/x', headers: ['Host', 'h', 'Content-Length', '5'], body: Buffer.from('hello'), connectTimeoutMs: 200, continueTimeoutMs: undefined, atMostOnce: false }, {
+      throwingSender.send({ address: throwing === 'onFailed' ? '127.0.0.1:1' : address, method: 'POST', path: '/x', headers: ['Host', 'h', 'Content-Length', '5'], body: Buffer.from('hello'), connectTimeoutMs: 200, continueTimeoutMs: undefined, atMostOnce: false, maxAnswerBytes: 1_000_000 }, {
         onHead: () => { run('onHead') },
         onData: () => { run('onData') },
         onComplete: () => { run('onComplete') },
@@ -261,7 +323,7 @@
 
 // Guards against a request that can't be written as HTTP and throws in the middle of another one's callback.
 tap.test('a request that can not be written fails without running', async (t) => {
-  const valid = { address: '127.0.0.1:1', method: 'POST', path: '/x', headers: ['Host', 'h', 'Content-Length', '0'], body: Buffer.alloc(0), connectTimeoutMs: 200, continueTimeoutMs: undefined, atMostOnce: false }
+  const valid = { address: '127.0.0.1:1', method: 'POST', path: '/x', headers: ['Host', 'h', 'Content-Length', '0'], body: Buffer.alloc(0), connectTimeoutMs: 200, continueTimeoutMs: undefined, atMostOnce: false, maxAnswerBytes: 1_000_000 }
   for (const change of [{ path: '/ x' }, { headers: ['Host', 'h', 'Last-Event-Id', 'a\u0000b'] }, { headers: ['Host', 'h', 'Last-Event-Id', '\u5b57'] }, { address: '127.0.0.1:99999' }, { method: 'P T' }]) {
     const failure = await new Promise((resolve) => {
       sender.send({ ...valid, ...change }, { onHead: () => {}, onData: () => {}, onComplete: () => { resolve(undefined) }, onFailed: resolve })
--- a/packages/peers/send-http/src/send-http.ts
+++ b/packages/peers/send-http/src/send-http.ts
@@ -3,6 +3,7 @@
 import type * as net from 'node:net'
 import * as messageFraming from '@eelgrasswind/message-framing'
 import type * as types from '@eelgrasswind/types'
+import * as connectionBytes from './connection-bytes.js'
 import * as connectionEnd from './connection-end.js'
 
 /** A request to send. */
@@ -29,6 +30,8 @@
   readonly atMostOnce: boolean
   /** Whether to open a new connection, which shows that the server's process is alive. */
   readonly newConnection?: boolean
+  /** Limit of the answer's body, in bytes. */
+  readonly maxAnswerBytes: number
 }
 
 /** Status and headers of an HTTP answer. */
@@ -39,8 +42,11 @@
   readonly rawHeaders: readonly string[]
 }
 
-/** `invalid`: the request can't be written as HTTP. `unexpected`: a callback of the sink threw an error. */
-export type SendFailureCause = 'invalid' | 'refused' | 'connect' | 'unconfirmed' | 'reset' | 'malformed' | 'truncated' | 'cancelled' | 'unexpected'
+/**
+ * `invalid`: the request can't be written as HTTP. `tooLarge`: the head declares a body beyond its limit. `endless`: the
+ * body, or the bytes around it, went on beyond their limits. `unexpected`: a callback of the sink threw an error.
+ */
+export type SendFailureCause = 'invalid' | 'refused' | 'connect' | 'unconfirmed' | 'reset' | 'malformed' | 'tooLarge' | 'endless' | 'truncated' | 'cancelled' | 'unexpected'
 
 /** Why there is no complete answer, and whether the request may have run. */
 export interface SendFailure {
@@ -181,6 +187,17 @@
   resume (): void {}
 }
 
+/** Limit of the interim answers (status 1xx) to one request: more than any server sends. */
+const maxInterimAnswers = 16
+/**
+ * Limits of the bytes of an answer that are not its body: a fixed number, for heads, interim answers and what was read
+ * but not delivered yet, plus a multiple of the body, as each chunk of it may have only one byte.
+ */
+const maxFramingBytes = 262_144
+const maxFramingFactor = 8
+/** After this many bytes of a body the event loop serves other connections first, in bytes: a single read may deliver 2 MB. */
+const maxBytesPerTurn = 131_072
+
 /** Status codes of a final answer; those of interim answers are consumed by the HTTP client. */
 const minFinalStatus = 200
 const maxFinalStatus = 599
@@ -190,6 +207,13 @@
   private res: http.IncomingMessage | undefined
   private framing: messageFraming.BodyFraming = 'none'
   private bodyBytes = 0
+  /** All bytes received, with those of heads and chunk framing. */
+  private receivedBytes = 0
+  private interimAnswers = 0
+  /** Bytes of the body since the event loop last served other connections. */
+  private turnBytes = 0
+  private isYielding = false
+  private isPausedBySink = false
   private isDone = false
   private isConnected = false
   /** Whether anything was sent that the server may act on. */
@@ -202,10 +226,12 @@
     req.on('socket', (socket) => {
       this.socket = socket
       connectionEnd.watchConnection(socket)
+      connectionBytes.startReceiving(socket, (bytes) => { this.onBytes(bytes) })
       if (socket.connecting) socket.once('connect', () => { this.onConnect() })
       else this.onConnect()
     })
     this.phaseTimer = setTimeout(() => { this.failWith('connect', 'connection not established within the connect timeout') }, request.connectTimeoutMs)
+    req.on('information', () => { this.onInterimAnswer() })
     req.on('response', (res) => { this.onResponse(res) })
     req.on('error', (err) => { this.onError(err) })
     req.on('close', () => { this.failWith('reset', 'connection closed') })
@@ -230,11 +256,48 @@
   }
 
   pause (): void {
+    this.isPausedBySink = true
     this.res?.pause()
   }
 
   resume (): void {
-    this.res?.resume()
+    this.isPausedBySink = false
+    if (!this.isYielding) this.res?.resume()
+  }
+
+  private onBytes (bytes: number): void {
+    this.receivedBytes += bytes
+    if (this.receivedBytes > maxFramingBytes + (1 + maxFramingFactor) * this.bodyBytes) this.failWith('endless', 'too many bytes around the body of the answer')
+  }
+
+  private onInterimAnswer (): void {
+    this.interimAnswers += 1
+    if (this.interimAnswers > maxInterimAnswers) this.failWith('endless', `more than ${maxInterimAnswers} interim answers`)
+  }
+
+  private onBody (res: http.IncomingMessage, chunk: Buffer): void {
+    this.bodyBytes += chunk.length
+    if (this.isDone) return
+    const { maxAnswerBytes } = this.request
+    if (this.bodyBytes > maxAnswerBytes) {
+      this.failWith('endless', `the answer exceeds ${maxAnswerBytes} bytes`)
+      return
+    }
+    this.yieldIfBusy(res, chunk.length)
+    this.notify(() => { this.sink.onData(chunk) })
+  }
+
+  /** Stops reading until the event loop has served other connections. */
+  private yieldIfBusy (res: http.IncomingMessage, bytes: number): void {
+    this.turnBytes += bytes
+    if (this.turnBytes < maxBytesPerTurn || this.isYielding) return
+    this.isYielding = true
+    res.pause()
+    setImmediate(() => {
+      this.turnBytes = 0
+      this.isYielding = false
+      if (!this.isPausedBySink) res.resume()
+    })
   }
 
   private onConnect (): void {
@@ -253,6 +316,10 @@
       this.failWith('malformed', `status ${status}`)
       return
     }
+    if (Number(res.headers['content-length'] ?? 0) > this.request.maxAnswerBytes) {
+      this.failWith('tooLarge', `a body of ${res.headers['content-length']} bytes`)
+      return
+    }
     this.res = res
     this.framing = messageFraming.getBodyFraming({
       method: this.request.method,
@@ -262,10 +329,7 @@
     })
     // The answer arrived before the request was fully written: later bytes of this request would corrupt the next one on the connection.
     if (!this.req.writableFinished) this.isUnfitForReuse = true
-    res.on('data', (chunk: Buffer) => {
-      this.bodyBytes += chunk.length
-      if (!this.isDone) this.notify(() => { this.sink.onData(chunk) })
-    })
+    res.on('data', (chunk: Buffer) => { this.onBody(res, chunk) })
     res.on('end', () => { this.onEnd(res) })
     res.on('error', (err) => { this.onError(err) })
     this.notify(() => { this.sink.onHead({ status, headers: res.headers, rawHeaders: res.rawHeaders }) })
@@ -322,6 +386,7 @@
 
   private finish (): void {
     this.isDone = true
+    if (this.socket !== undefined) connectionBytes.stopReceiving(this.socket)
     clearTimeout(this.phaseTimer)
   }
 }
--- a/packages/programs/front/src/answer-stream.ts
+++ b/packages/programs/front/src/answer-stream.ts
@@ -28,13 +28,30 @@
 }
 
 const lineFeed = Buffer.from('\n')
+/** Limit of an event, in bytes: an event of a model holds a few tokens. */
+const maxEventBytes = 262_144
+/** Limit of the comments between two events, in bytes: servers send a few bytes now and then. */
+const maxCommentBytes = 16_384
+/** Limit of the bytes that are held back until the turn's reservation is stored. */
+const maxPendingBytes = 262_144
 const okStatus = 200
 
+function computeMaxEvents ({ attempt, tokensPerEvent }: inbound.InboundRequest): number {
+  const maxTokens = attempt.turn?.maxTokens ?? 0
+  return maxTokens === 0 ? Infinity : Math.ceil(maxTokens / Math.max(1, tokensPerEvent))
+}
+
 /** One streamed answer, from sending the request to the end of the last event. */
 export class AnswerStream {
   private readonly events = new eventSplitter.EventSplitter()
   private readonly eventData: Buffer[] = []
   private readonly pendingChunks: Buffer[] = []
+  private pendingBytes = 0
+  private isAwaitingDrain = false
+  /** Bytes of comments since the last event. */
+  private commentBytes = 0
+  /** Most events that the tokens of a turn fill; no limit where the request names none. */
+  private readonly maxEvents: number
   private readonly dispatch: dispatch.Dispatch
   private answerHead: sendHttp.AnswerHead | undefined
   /** Id of the last complete event; `undefined` if it had none. */
@@ -54,9 +71,10 @@
     private readonly sink: AnswerStreamSink
   ) {
     this.isRelaying = isRelaying
+    this.maxEvents = computeMaxEvents(req)
     this.dispatch = new dispatch.Dispatch(ports, req, { ...options, resumePoint: () => this.findResumePoint() }, {
       head: (head, upstream) => { this.onHead(head, upstream) },
-      data: (chunk) => { this.onData(chunk) },
+      data: (chunk) => this.onData(chunk),
       resumed: () => { this.events.reset() },
       findDefect: (answer) => this.findDefect(answer),
       end: () => {
@@ -92,6 +110,7 @@
   /** Relays the buffered part of the answer, and whatever arrives from now on. */
   startRelaying (): void {
     this.isRelaying = true
+    this.dispatch.resume()
     this.flush()
   }
 
@@ -114,18 +133,40 @@
     this.flush()
   }
 
-  private onData (chunk: Buffer): void {
+  /** Returns why the stream has more bytes than it can have, if it has. */
+  private onData (chunk: Buffer): string | undefined {
     if (this.answerHead?.status !== okStatus) {
-      this.pendingChunks.push(chunk)
-      return
+      this.addPending(chunk)
+      this.flush()
+      return undefined
     }
-    for (const event of this.events.push(chunk)) this.addEvent(event)
+    for (const event of this.events.push(chunk)) {
+      if (!event.isComment && this.eventCount >= this.maxEvents) return `more than ${this.maxEvents} events`
+      this.addEvent(event)
+      if (this.commentBytes > maxCommentBytes) return `more than ${maxCommentBytes} bytes of comments`
+    }
+    if (this.events.pendingBytes > maxEventBytes) return `an event exceeds ${maxEventBytes} bytes`
     this.flush()
+    return undefined
+  }
+
+  /** Adds bytes to be relayed, together with those before them in the same chunk. While they are held back, the upstream has to wait beyond a limit. */
+  private addPending (chunk: Buffer): void {
+    const last = this.pendingChunks.at(-1)
+    const isNext = last !== undefined && last.buffer === chunk.buffer && last.byteOffset + last.length === chunk.byteOffset
+    if (isNext) this.pendingChunks[this.pendingChunks.length - 1] = Buffer.from(last.buffer, last.byteOffset, last.length + chunk.length)
+    else this.pendingChunks.push(chunk)
+    this.pendingBytes += chunk.length
+    if (!this.isRelaying && this.pendingBytes > maxPendingBytes) this.dispatch.pause()
   }
 
   private addEvent (event: eventSplitter.StreamEvent): void {
-    this.pendingChunks.push(event.raw)
-    if (event.isComment) return
+    this.addPending(event.raw)
+    if (event.isComment) {
+      this.commentBytes += event.raw.length
+      return
+    }
+    this.commentBytes = 0
     this.eventCount += 1
     if (this.req.route.retain?.keepsTurns === true) this.eventData.push(event.data, lineFeed)
     this.lastEventId = event.id
@@ -142,14 +183,19 @@
     if (!reply.headSent) reply.head(this.answerHead.status, this.ports.dialect.answerHeaders(this.answerHead.rawHeaders), 'upstream')
     // The reply has ended if its head could not be written.
     if (this.isFinished) return
+    this.pendingBytes = 0
     for (const raw of this.pendingChunks.splice(0)) this.write(raw)
     if (this.hasAnswerEnded) this.completeAnswer(this.answerHead)
   }
 
   private write (raw: Buffer): void {
-    if (this.req.reply.data(raw)) return
+    if (this.req.reply.data(raw) || this.isAwaitingDrain) return
+    this.isAwaitingDrain = true
     this.dispatch.pause()
-    this.req.reply.onDrain(() => { this.dispatch.resume() })
+    this.req.reply.onDrain(() => {
+      this.isAwaitingDrain = false
+      this.dispatch.resume()
+    })
   }
 
   /** A run begins with its first event, so a stream that has none and no mark of its end broke off. */
--- a/packages/programs/front/src/client-listener.ts
+++ b/packages/programs/front/src/client-listener.ts
@@ -5,6 +5,7 @@
 import type * as routeRequest from '@eelgrasswind/route-request'
 import * as checkHead from './check-head.js'
 import type * as currentRouting from './current-routing.js'
+import type * as heldAnswers from './held-answers.js'
 import * as inbound from './inbound.js'
 import * as limitGate from './limit-gate.js'
 import * as readRequest from './read-request.js'
@@ -20,6 +21,7 @@
   /** Requests are refused once the store has not confirmed the routing for this long, in ms; `undefined` sets no limit. */
   readonly maxRoutingAgeMs: number | undefined
   readonly shutdown: Pick<shutdowns.Shutdown, 'canFinish'>
+  readonly heldAnswers: heldAnswers.HeldAnswers
 }
 
 /** Node.js refuses larger headers, in bytes, before the limit of the routing is checked. */
--- a/packages/programs/front/src/dispatch.test.ts
+++ b/packages/programs/front/src/dispatch.test.ts
@@ -108,10 +108,11 @@
       crashes,
       retryBudget: new retryBudget.RetryBudget(),
       peerLoads: new trackUpstreams.PeerLoads(),
-      listAgeMs: () => 0
+      listAgeMs: () => 0,
+      maxAnswerBytes: 1_000
     }, req, { body: req.body, isBuffered, affinity: { holder: preferred as types.UpstreamId, sharedPrefix: undefined } }, {
       head: () => {},
-      data: () => {},
+      data: () => undefined,
       resumed: () => { resumedCount += 1 },
       findDefect: () => defects.shift(),
       end: () => { result = 'whole' },
--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -31,6 +31,8 @@
   readonly peerLoads: trackUpstreams.PeerLoads
   /** Age of the upstream list, in ms. */
   readonly listAgeMs: () => number
+  /** Limit of the body of an answer, in bytes. */
+  readonly maxAnswerBytes: number
 }
 
 /** Request body and upstream preference of a dispatch. */
@@ -48,7 +50,8 @@
 export interface DispatchSink {
   /** Head of an accepted answer: signed, and for this request id. Where answers are buffered, a further head replaces what was received before. */
   readonly head: (head: sendHttp.AnswerHead, upstream: types.UpstreamId) => void
-  readonly data: (chunk: Buffer) => void
+  /** Returns why the answer has more bytes than it can have, if it has; the upstream is then left. */
+  readonly data: (chunk: Buffer) => string | undefined
   /** Another upstream resumes the stream after the last complete event; discard any partial event. */
   readonly resumed?: () => void
   readonly end: () => void
@@ -219,9 +222,10 @@
       if (isAwaitingFirstBytes) health.noteFirstBytes(upstream, this.req.route, timers.monotonic() - sentAt)
       isAwaitingFirstBytes = false
     }
-    const failAttempt = (failure: errors.Failure, reused?: boolean): void => {
+    const failAttempt = (failure: errors.Failure, reused?: boolean, isEndless = false): void => {
       this.silenceTimer?.cancel()
-      health.noteFailure(upstream)
+      if (isEndless) health.noteEndlessAnswer(upstream)
+      else health.noteFailure(upstream)
       if (failure.verdict !== 'notRun') this.noteBroken(isAccepted || reused === false)
       if (!isAccepted || this.canFailOver()) {
         this.onAttemptFailed(upstream, failure, reused)
@@ -246,6 +250,7 @@
       connectTimeoutMs,
       continueTimeoutMs: undefined,
       atMostOnce: this.req.route.repeatability === 'atMostOnce',
+      maxAnswerBytes: this.ports.maxAnswerBytes,
       newConnection
     }, {
       onHead: (head) => {
@@ -273,7 +278,10 @@
         if (!isAccepted) return
         noteFirstBytes()
         this.restartSilenceTimer(upstream, now, streamSilenceMs)
-        this.sink.data(chunk)
+        const defect = this.sink.data(chunk)
+        if (defect === undefined) return
+        this.exchange?.cancel()
+        failAttempt({ tag: 'answerBroken', verdict: 'mayHaveRun', message: defect, detail: 'endless' }, undefined, true)
       },
       onComplete: (answer) => {
         if (!isAccepted) return
@@ -294,7 +302,7 @@
       onFailed: (failure) => {
         if (isAccepted && failure.answer !== undefined) this.recordAnswerEnd(id, failure.answer, false)
         if (failure.verdict !== 'notRun') {
-          failAttempt({ tag: 'answerBroken', verdict: 'mayHaveRun', message: failure.cause, detail: failure.detail }, failure.reused)
+          failAttempt({ tag: 'answerBroken', verdict: 'mayHaveRun', message: failure.cause, detail: failure.detail }, failure.reused, failure.cause === 'endless')
           return
         }
         // A request that was never sent does not use up an attempt.
--- a/packages/programs/front/src/forward-turn.ts
+++ b/packages/programs/front/src/forward-turn.ts
@@ -52,7 +52,8 @@
       connectTimeoutMs,
       continueTimeoutMs: confirmTimeoutMs,
       // The owner's `100 Continue` shows that the connection is alive.
-      atMostOnce: false
+      atMostOnce: false,
+      maxAnswerBytes: ports.maxAnswerBytes
     }, {
       onHead: (head) => {
         lastReceivedAt = timers.monotonic()
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -14,6 +14,7 @@
 import type * as crashReports from './crash-reports.js'
 import * as currentRouting from './current-routing.js'
 import type * as dialects from './dialect.js'
+import * as heldAnswers from './held-answers.js'
 import * as memberName from './member-name.js'
 import * as meterCall from './meter-call.js'
 import * as peerCalls from './peer-calls.js'
@@ -141,7 +142,8 @@
       inFlightRequests: this.inFlightRequests,
       limits: this.limits,
       maxRoutingAgeMs: cfg.mostRoutingAgeMs,
-      shutdown: this.shutdown
+      shutdown: this.shutdown,
+      heldAnswers: new heldAnswers.HeldAnswers()
     })
     this.peerServer = peerListener.createPeerServer({ ...turnPorts, directLog: ports.log, inFlightRequests: this.inFlightRequests, limits: this.limits, crashCalls: this.crashes }, peerKeepAliveMs)
     this.readyServer = http.createServer((_req, res) => {
@@ -289,7 +291,8 @@
       peerLoads: upstreams.peerLoads,
       health: upstreams.health,
       crashes: this.crashes,
-      listAgeMs: () => upstreams.ageMs()
+      listAgeMs: () => upstreams.ageMs(),
+      maxAnswerBytes: this.cfg.maxAnswerBytes
     }
   }
 
--- a/packages/programs/front/src/peer-calls.ts
+++ b/packages/programs/front/src/peer-calls.ts
@@ -92,6 +92,8 @@
   /** No tokens are reserved for the turn, so it can't be stored. */
   | { readonly type: 'unknown' }
 
+/** Limit of a call and of its answer, in bytes: a long chain of turns, or a page of the store that is relayed. */
+export const maxCallBytes = 16_777_216
 const peerCallPath = '/peer-call'
 const connectTimeoutMs = 200
 const okStatus = 200
@@ -144,7 +146,8 @@
     body,
     connectTimeoutMs,
     continueTimeoutMs: undefined,
-    atMostOnce: false
+    atMostOnce: false,
+    maxAnswerBytes: maxCallBytes
   }, timeoutMs)
   if (outcome.type === 'failed') return { type: 'none', ended: outcome.failure.cause === 'refused' }
   const answer = outcome.status === okStatus ? decodeAnswer<Answer>(ports, outcome.body) : undefined
--- a/packages/programs/front/src/peer-listener.ts
+++ b/packages/programs/front/src/peer-listener.ts
@@ -54,8 +54,11 @@
   }
   res.writeContinue()
   ports.inFlightRequests.add(res, reply, attempt, 'passedOnTurn', arrivedAt)
-  readRequest.readBody(req, Infinity, (body) => {
-    if (body === undefined) return
+  readRequest.readBody(req, peerCalls.maxCallBytes, (body) => {
+    if (body === undefined) {
+      reply.refuse({ type: 'bodyTooLarge', limitBytes: peerCalls.maxCallBytes }, ['Connection', 'close'])
+      return
+    }
     serveTurn.serveTurn(ports, {
       ...forwarded,
       attempt,
@@ -78,8 +81,11 @@
     reply.refuse({ type: 'unknownRoute' })
     return
   }
-  readRequest.readBody(req, Infinity, (body) => {
-    if (body === undefined) return
+  readRequest.readBody(req, peerCalls.maxCallBytes, (body) => {
+    if (body === undefined) {
+      reply.refuse({ type: 'bodyTooLarge', limitBytes: peerCalls.maxCallBytes }, ['Connection', 'close'])
+      return
+    }
     answerCall(ports, body).then(
       (answer) => { reply.send(200, [], peerCalls.encodeAnswer(answer)) },
       (err: unknown) => {
--- a/packages/programs/front/src/serve-call.ts
+++ b/packages/programs/front/src/serve-call.ts
@@ -2,8 +2,14 @@
 import type * as sendHttp from '@eelgrasswind/send-http'
 import * as answerStream from './answer-stream.js'
 import * as dispatch from './dispatch.js'
+import type * as heldAnswers from './held-answers.js'
 import type * as inbound from './inbound.js'
 
+/** Dependencies for serving calls. */
+export interface CallPorts extends dispatch.DispatchPorts {
+  readonly heldAnswers: heldAnswers.HeldAnswers
+}
+
 /** Serves a stream that is not retained and does not count towards a program's budget. */
 export function serveStream (ports: dispatch.DispatchPorts, req: inbound.InboundRequest): void {
   const stream = new answerStream.AnswerStream(ports, req, { body: req.body, affinity: undefined }, true, {
@@ -13,17 +19,24 @@
 }
 
 /** Sends a call, buffers the whole answer and relays it; a truncated answer is not relayed, and is requested again where that is safe. */
-export function serveCall (ports: dispatch.DispatchPorts, req: inbound.InboundRequest): void {
+export function serveCall (ports: CallPorts, req: inbound.InboundRequest): void {
   const { reply } = req
   const { timers } = ports
   let head: sendHttp.AnswerHead | undefined
   let chunks: Buffer[] = []
+  const held = ports.heldAnswers.hold()
+  reply.onEnd(held.release)
   const dispatched = new dispatch.Dispatch(ports, req, { body: req.body, affinity: undefined, isBuffered: true }, {
     head: (answer) => {
       head = answer
       chunks = []
+      held.release()
+    },
+    data: (chunk) => {
+      if (!held.tryAdd(chunk.length)) return 'no memory is left to hold the answer'
+      chunks.push(chunk)
+      return undefined
     },
-    data: (chunk) => { chunks.push(chunk) },
     end: () => {
       deadlineTimer.cancel()
       if (head !== undefined) reply.send(head.status, ports.dialect.answerHeaders(head.rawHeaders), Buffer.concat(chunks))
--- a/packages/programs/front/src/upstream-health.ts
+++ b/packages/programs/front/src/upstream-health.ts
@@ -41,6 +41,12 @@
     this.recordMark(upstream.listed.id, 'failed')
   }
 
+  /** The bytes of an answer did not end; the upstream gets no requests for a while. */
+  noteEndlessAnswer (upstream: trackUpstreams.Upstream): void {
+    trackUpstreams.noteEndlessAnswer(upstream, this.ports.timers.monotonic())
+    this.recordMark(upstream.listed.id, 'failed')
+  }
+
   /** The upstream sent nothing for so long that its host has probably failed. */
   noteUnresponsive (upstream: trackUpstreams.Upstream): void {
     trackUpstreams.noteUnresponsive(upstream, this.ports.timers.monotonic())
