turn-ledger: a refused turn leaves no copy of a chain in memory

Cause: the chain of another shard was copied into the ledger's memory before the turn was admitted; a refusal dropped the writes and left the copy. Later turns found the copy, wrote none, and were stored without their predecessors.

Change: admitTurn takes the copy, adds it only with the admission, and returns its writes with the admission's. Turns and chains are a module of their own.

--- a/packages/programs/front/src/serve-turn.ts
+++ b/packages/programs/front/src/serve-turn.ts
@@ -56,7 +56,7 @@
   const admission = shard.ledger.admitTurn(request, now)
   switch (admission.type) {
     case 'admitted':
-      new TurnRun(ports, req, turn, request, shard, admission).start([])
+      new TurnRun(ports, req, turn, request, shard, admission).start()
       return
     case 'overBudget':
       await refuseOverBudget(ports, req, request, shard, admission)
@@ -71,15 +71,14 @@
   else req.reply.refuse({ type: 'shardMoving', retryAfterMs: shardRetryMs })
 }
 
-/** Handles a previous turn that this shard doesn't have: imports its chain from another program's shard, or refuses the turn. */
+/** Handles a previous turn that this shard doesn't have: copies its chain from another program's shard, or refuses the turn. */
 async function continueFromOtherShard (ports: TurnPorts, req: inbound.InboundRequest, turn: dialects.TurnFields, request: turnLedger.TurnRequest, shard: ownShards.OwnedShard): Promise<void> {
   const previous = request.previous
   const found = previous === undefined ? undefined : await timerService.withTimeout(ports.timers, findChain.findChainAtOwners(ports, { turn: previous, account: request.account }), confirmTimeoutMs)
   if (found?.type === 'found' && shard.state === 'serving') {
-    const importedWrites = shard.ledger.importChain(found.chain)
-    const admission = shard.ledger.admitTurn(request, ports.timers.now() as types.EpochMs)
+    const admission = shard.ledger.admitTurn(request, ports.timers.now() as types.EpochMs, found.chain)
     if (admission.type === 'admitted') {
-      new TurnRun(ports, req, turn, request, shard, admission).start(importedWrites)
+      new TurnRun(ports, req, turn, request, shard, admission).start()
       return
     }
   }
@@ -112,9 +111,8 @@
     ports.decisions.record({ event: 'turnAdmitted', request: req.attempt.id, program: turn.program, previous: turn.previous, epoch: shard.epoch, promptBytes: body.length, covered: admission.isCovered, budgetTokens: request.budgetTokens, maxTokens: request.maxTokens })
   }
 
-  /** Starts the turn. `importedWrites` are the ledger writes of a chain imported from another shard. */
-  start (importedWrites: readonly turnLedger.LedgerWrite[]): void {
-    const writes = [...importedWrites, ...this.admission.writes]
+  start (): void {
+    const { writes } = this.admission
     if (writes.length > 0) void this.shard.commit(writes).then((commit) => { this.onReservationCommitted(commit) })
     this.answer.start()
   }
--- a/packages/state/turn-ledger/src/turn-ledger.test.ts
+++ b/packages/state/turn-ledger/src/turn-ledger.test.ts
@@ -44,14 +44,26 @@
   const otherLedger = new turnLedger.TurnLedger()
   const request = { ...createRequest('x', 'b'), program: 'other' as types.ProgramId }
   t.equal(otherLedger.admitTurn(request, now).type, 'unknownPrevious')
-  const writes = otherLedger.importChain(ledger.exportChain('b' as records.TurnId, undefined)!)
-  t.same(writes.map(({ key }) => key).sort(), ['ta', 'tb'])
-  t.equal(otherLedger.admitTurn(request, now).type, 'admitted')
+  const admission = otherLedger.admitTurn(request, now, ledger.exportChain('b' as records.TurnId, undefined)!)
+  if (admission.type !== 'admitted') throw new Error(admission.type)
+  t.same(admission.writes.map(({ key }) => key).sort(), ['pother', 'ta', 'tb'])
   t.equal(readPrompt(otherLedger, 'b'), readPrompt(ledger, 'b'))
   t.equal(ledger.exportChain('c' as records.TurnId, undefined), undefined)
   t.end()
 })
 
+// Guards against a copy that only the memory of the owner has: later turns would build on it, and be lost with the owner.
+tap.test('a refused turn leaves no copy of the chain that it asked for', (t) => {
+  const ledger = new turnLedger.TurnLedger()
+  runTurn(ledger, 'a')
+  const otherLedger = new turnLedger.TurnLedger()
+  const chain = ledger.exportChain('a' as records.TurnId, undefined)!
+  const spent = { ...createRequest('x', 'a', 10), program: 'other' as types.ProgramId }
+  t.equal(otherLedger.admitTurn(spent, now, chain).type, 'overBudget')
+  t.equal(otherLedger.admitTurn({ ...spent, budgetTokens: 400 }, now).type, 'unknownPrevious')
+  t.end()
+})
+
 tap.test('only its own account can continue a chain, also after a copy or a reload from records', (t) => {
   const ledger = new turnLedger.TurnLedger()
   const account = 'coaches' as types.AccountId
--- a/packages/state/turn-ledger/src/turn-ledger.ts
+++ b/packages/state/turn-ledger/src/turn-ledger.ts
@@ -5,6 +5,7 @@
 import type * as types from '@eelgrasswind/types'
 import * as coverage from './coverage.js'
 import * as records from './records.js'
+import * as turnChains from './turn-chains.js'
 
 /** A keyed record to append; without a value it removes the key. */
 export interface LedgerWrite {
@@ -14,12 +15,6 @@
   readonly counts?: types.ProgramId
 }
 
-/** A kept turn with its id, as copied between shards. */
-export interface StoredTurn {
-  readonly turn: records.TurnId
-  readonly record: records.TurnRecord
-}
-
 /** A request to run a turn. */
 export interface TurnRequest {
   readonly turn: records.TurnId
@@ -81,17 +76,13 @@
   hasUnwrittenChange: boolean
 }
 
-interface TurnState extends records.TurnRecord {
-  keepUntil: types.EpochMs
-}
-
 /** Assumed bound on the clock skew between two owners, in ms; records are kept this much longer than promised. */
 const maxClockSkewMs = 10_000
 
 /** In-memory state of one shard; each new owner rebuilds it from the stored records. */
 export class TurnLedger {
   private readonly programs = new Map<types.ProgramId, ProgramState>()
-  private readonly turns = new Map<records.TurnId, TurnState>()
+  private readonly chains = new turnChains.TurnChains()
   private allowance: records.AllowanceRecord = { isActive: false, takenOverAt: 0 as types.EpochMs }
 
   /**
@@ -102,7 +93,7 @@
     const parsed = records.parseKey(key)
     switch (parsed.type) {
       case 'turn':
-        this.turns.set(parsed.turn, { ...records.decodeTurn(value) })
+        this.chains.load(parsed.turn, records.decodeTurn(value))
         return
       case 'program': {
         this.programs.set(parsed.program, restoreProgram(records.decodeProgram(value)))
@@ -137,22 +128,26 @@
     }
   }
 
-  /** Checks whether a turn may run and, if so, reserves its tokens. */
-  admitTurn (request: TurnRequest, now: types.EpochMs): Admission {
-    const chain = this.readChain(request.previous, request.account)
+  /**
+   * Checks whether a turn may run and, if so, reserves its tokens. `copies`: the chain that it continues from, newest
+   * first, from the shard that has it; they are added only if the turn is admitted, as a refusal stores nothing.
+   */
+  admitTurn (request: TurnRequest, now: types.EpochMs, copies: readonly turnChains.StoredTurn[] = []): Admission {
+    const chain = this.chains.read(request.previous, request.account, copies)
     if (chain === undefined) return { type: 'unknownPrevious' }
     const program = this.programs.get(request.program) ?? this.createProgram(request, now)
     const usedTokens = sumUsedTokens(program)
     if (request.budgetTokens !== undefined && usedTokens + request.maxTokens > request.budgetTokens) {
       return { type: 'overBudget', spentTokens: program.spentTokens, openTokens: usedTokens - program.spentTokens }
     }
+    const copyWrites = this.chains.addCopies(copies)
     program.openTurns.set(request.turn, request.maxTokens)
     program.keepUntil = extendKeepUntil(program.keepUntil, now, request.retainMs)
     program.hasUnwrittenChange = true
     this.programs.set(request.program, program)
     const isCovered = request.budgetTokens !== undefined && sumUsedTokens(program) <= program.coverage.guaranteedTokens
-    const writes = this.needsRecord(request, program, isCovered) ? [this.createAdvanceWrite(program, request)] : []
-    return { type: 'admitted', chain, writes, isCovered }
+    const advanceWrites = this.needsRecord(request, program, isCovered) ? [this.createAdvanceWrite(program, request)] : []
+    return { type: 'admitted', chain, writes: [...copyWrites, ...advanceWrites], isCovered }
   }
 
   /** Whether no turn of the program has run yet, as far as this ledger knows. */
@@ -173,7 +168,7 @@
 
   /** Settles a turn that has a reservation in this ledger. */
   settleTurn (request: TurnRequest, end: TurnEnd, now: types.EpochMs): SettleOutcome {
-    if (this.turns.has(request.turn)) return { type: 'alreadyKept' }
+    if (this.chains.has(request.turn)) return { type: 'alreadyKept' }
     const program = this.programs.get(request.program)
     if (program === undefined || !program.openTurns.delete(request.turn)) return { type: 'unknown' }
     program.hasUnwrittenChange = true
@@ -188,7 +183,7 @@
     }
     // No write is needed: without a record of its end, a turn counts with its token limit, which stored records cover.
     if (!request.keeps || end.type !== 'whole') return { type: 'settled', writes: [] }
-    return { type: 'settled', writes: [this.storeTurn(request, end, now), this.createAdvanceWrite(program, request)] }
+    return { type: 'settled', writes: [this.addTurn(request, end, now), this.createAdvanceWrite(program, request)] }
   }
 
   /**
@@ -196,8 +191,8 @@
    * and have been handed out. Returns `unknown` if the chain that the turn continues is not in this ledger.
    */
   adoptTurn (request: TurnRequest, end: Extract<TurnEnd, { type: 'whole' }>, now: types.EpochMs): SettleOutcome {
-    if (this.turns.has(request.turn)) return { type: 'alreadyKept' }
-    if (this.readChain(request.previous, request.account) === undefined) return { type: 'unknown' }
+    if (this.chains.has(request.turn)) return { type: 'alreadyKept' }
+    if (this.chains.read(request.previous, request.account) === undefined) return { type: 'unknown' }
     const program = this.programs.get(request.program) ?? this.createProgram(request, now)
     this.programs.set(request.program, program)
     program.keepUntil = extendKeepUntil(program.keepUntil, now, request.retainMs)
@@ -207,12 +202,7 @@
 
   /** Drops turns and programs past their retention; the writes remove them from the store. */
   removeExpired (now: types.EpochMs): readonly LedgerWrite[] {
-    const writes: LedgerWrite[] = []
-    for (const [turn, state] of this.turns) {
-      if (state.keepUntil >= now) continue
-      this.turns.delete(turn)
-      writes.push({ key: records.turnKey(turn), value: undefined })
-    }
+    const writes: LedgerWrite[] = this.chains.removeExpired(now)
     for (const [id, program] of this.programs) {
       // Retention is longer than any turn: turns that are still open now were left unsettled by a former owner.
       if (program.keepUntil >= now) continue
@@ -222,76 +212,19 @@
     return writes
   }
 
-  private storeTurn (request: TurnRequest, end: Extract<TurnEnd, { type: 'whole' }>, now: types.EpochMs): LedgerWrite {
-    const keepUntil = extendKeepUntil(now, now, request.retainMs)
-    const state: TurnState = { program: request.program, account: request.account, previous: request.previous, input: end.input, output: end.output, keepUntil }
-    this.turns.set(request.turn, state)
-    this.extendChainRetention(request.previous, keepUntil)
-    return { key: records.turnKey(request.turn), value: records.encodeTurn(state) }
-  }
-
-  /** Extends the retention of a turn and its predecessors to that of a turn that continues from it. */
-  private extendChainRetention (turn: records.TurnId | undefined, keepUntil: types.EpochMs): void {
-    let currentId = turn
-    while (currentId !== undefined) {
-      const state = this.turns.get(currentId)
-      if (state === undefined) return
-      if (state.keepUntil < keepUntil) state.keepUntil = keepUntil
-      currentId = state.previous
-    }
+  private addTurn (request: TurnRequest, end: Extract<TurnEnd, { type: 'whole' }>, now: types.EpochMs): LedgerWrite {
+    const { program, account, previous } = request
+    return this.chains.add(request.turn, { program, account, previous, input: end.input, output: end.output, keepUntil: extendKeepUntil(now, now, request.retainMs) })
   }
 
-  /**
-   * Must be called once after all records are loaded: stored retention times are those of each turn alone, without
-   * later turns of its chain.
-   */
+  /** Must be called once after all records are loaded. */
   extendLoadedChains (): void {
-    for (const state of [...this.turns.values()]) this.extendChainRetention(state.previous, state.keepUntil)
-  }
-
-  /**
-   * Returns a turn of an account with its predecessors, newest first, for a program of another shard; `undefined` if
-   * not all are in this ledger.
-   */
-  exportChain (turn: records.TurnId, account: types.AccountId | undefined): StoredTurn[] | undefined {
-    if (!this.canContinue(turn, account)) return undefined
-    const chain: StoredTurn[] = []
-    let currentId: records.TurnId | undefined = turn
-    while (currentId !== undefined) {
-      const record = this.turns.get(currentId)
-      if (record === undefined) return undefined
-      chain.push({ turn: currentId, record })
-      currentId = record.previous
-    }
-    return chain
-  }
-
-  /** Adds a copy of another shard's chain; the writes make it durable in this shard. */
-  importChain (chain: readonly StoredTurn[]): LedgerWrite[] {
-    return chain.filter(({ turn }) => !this.turns.has(turn)).map(({ turn, record }) => {
-      this.turns.set(turn, { ...record })
-      return { key: records.turnKey(turn), value: records.encodeTurn(record) }
-    })
+    this.chains.extendLoaded()
   }
 
-  /** Whether the turn exists and belongs to the account: only its own account may continue a chain. */
-  private canContinue (turn: records.TurnId, account: types.AccountId | undefined): boolean {
-    const state = this.turns.get(turn)
-    return state !== undefined && state.account === account
-  }
-
-  /** The prompt parts of an account's chain, oldest first; `undefined` if a turn is missing or belongs to another account. */
-  private readChain (turn: records.TurnId | undefined, account: types.AccountId | undefined): Uint8Array[] | undefined {
-    if (turn !== undefined && !this.canContinue(turn, account)) return undefined
-    const parts: Uint8Array[] = []
-    let currentId = turn
-    while (currentId !== undefined) {
-      const state = this.turns.get(currentId)
-      if (state === undefined) return undefined
-      parts.push(state.output, state.input)
-      currentId = state.previous
-    }
-    return parts.reverse()
+  /** Returns a turn of an account with its predecessors, newest first, for a program of another shard; `undefined` if not all are in this ledger. */
+  exportChain (turn: records.TurnId, account: types.AccountId | undefined): turnChains.StoredTurn[] | undefined {
+    return this.chains.export(turn, account)
   }
 
   /**
