turn-ledger: a chain is kept while a turn that builds on it is under way

Cause: a chain that is copied again left out the turns that the shard had already, with the times of their older copies; nothing kept what a turn in flight builds on; and a missing predecessor was passed over in silence. So a turn was stored, and answered as complete, without the chain that it continues.

Change: a turn that this owner has admitted keeps its program and its chain until it ends; copies extend the turns that the shard has already; a completed turn whose chain lacks a turn is not kept (its answer breaks off, and an error is logged); a loaded shard reports incomplete chains.

--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -79,6 +79,8 @@
   /** `pendingBytes`: bytes of an incomplete event. */
   | RequestFields & { readonly event: 'streamBroken', readonly ran: boolean, readonly events: number, readonly pendingBytes: number, readonly reason: string, readonly detail?: string | undefined }
   | TurnFields & { readonly event: 'turnSettledElsewhere' }
+  /** A completed turn that can't be kept, as a turn of the chain that it continues is missing. */
+  | TurnFields & { readonly event: 'chainIncomplete', readonly epoch: number, readonly previous: string | undefined }
   | TurnFields & { readonly event: 'turnNotKept', readonly epoch: number }
   | RequestFields & { readonly event: 'ended', readonly program?: types.ProgramId | undefined, readonly kind: RequestKind, readonly outcome: RequestOutcome, readonly status: number, readonly reason?: string, readonly firstMs?: number | undefined, readonly tookMs: number }
 
@@ -152,6 +154,8 @@
   | { readonly event: 'storeDirect', readonly peer: string }
   | { readonly event: 'cutOff', readonly peers: number }
   | { readonly event: 'reachable', readonly peers: number }
+  /** Loaded turns that can't be continued: a turn of their chain is missing. `first`: one of them. */
+  | { readonly event: 'chainsIncomplete', readonly partition: PartitionField, readonly epoch: number, readonly turns: number, readonly first: string }
   | { readonly event: 'shardUnreadable', readonly partition: PartitionField, readonly epoch: number, readonly err: unknown }
   /** An error that the code does not expect: a bug. */
   /** A bug. `request`: the one that failed by it; `undefined` if it can't be told. */
@@ -192,6 +196,7 @@
   answerEnded: { level: 'info', message: 'end of an answer that its framing does not mark' },
   streamBroken: { level: 'warn', message: 'stream ended without a complete answer' },
   turnSettledElsewhere: { level: 'info', message: 'turn stored by the next owner of its shard' },
+  chainIncomplete: { level: 'error', message: 'turn not kept: the chain that it continues is incomplete' },
   turnNotKept: { level: 'warn', message: 'turn could not be stored; its answer is cut off' },
   ended: { level: 'info', message: 'request ended' },
   started: { level: 'info', message: 'started' },
@@ -233,6 +238,7 @@
   storeDirect: { level: 'info', message: 'the store serves this process again' },
   cutOff: { level: 'warn', message: 'cut off from the other processes; releasing the shards of this process' },
   reachable: { level: 'info', message: 'the other processes answer again' },
+  chainsIncomplete: { level: 'error', message: 'turns of the shard can not be continued: their chains are incomplete' },
   shardUnreadable: { level: 'error', message: 'invalid record in the shard; the shard is not served' },
   unexpected: { level: 'error', message: 'unexpected error' },
   peerCallFailed: { level: 'error', message: 'peer call failed' }
--- a/packages/programs/front/src/settle-turn.ts
+++ b/packages/programs/front/src/settle-turn.ts
@@ -54,7 +54,7 @@
 
 /** Stores a turn in a shard of this process. */
 export async function settleLocally (
-  ports: Pick<SettlePorts, 'timers'>,
+  ports: Pick<SettlePorts, 'timers' | 'decisions'>,
   shard: ownShards.OwnedShard,
   request: turnLedger.TurnRequest,
   end: peerCalls.SettleCall['end']
@@ -64,6 +64,10 @@
   const settled = shard.ledger.settleTurn(request, end, now)
   const outcome = settled.type === 'unknown' ? shard.ledger.adoptTurn(request, end, now) : settled
   if (outcome.type === 'unknown') return { type: 'unknown' }
+  if (outcome.type === 'chainIncomplete') {
+    ports.decisions.record({ event: 'chainIncomplete', request: request.turn, program: request.program, previous: request.previous, epoch: shard.epoch })
+    return { type: 'unknown' }
+  }
   const commit = await shard.commit(outcome.type === 'settled' ? outcome.writes : [])
   return commit.type === 'committed' ? { type: 'kept' } : { type: 'notOwner' }
 }
--- a/packages/state/own-shards/src/owned-shard.ts
+++ b/packages/state/own-shards/src/owned-shard.ts
@@ -129,7 +129,8 @@
         this.ledger.loadRecord(key, value)
         recordCount += 1
       })
-      this.ledger.extendLoadedChains()
+      const incomplete = this.ledger.extendLoadedChains()
+      if (incomplete.length > 0) this.ports.decisions.record({ event: 'chainsIncomplete', partition: this.partition, epoch: this.epoch, turns: incomplete.length, first: incomplete[0]! })
       return recordCount
     } catch (err) {
       this.ports.decisions.record({ event: 'shardUnreadable', partition: this.partition, epoch: this.epoch, err })
--- a/packages/state/turn-ledger/src/turn-chains.ts
+++ b/packages/state/turn-ledger/src/turn-chains.ts
@@ -18,6 +18,7 @@
   keepUntil: types.EpochMs
 }
 
+/** No turn is in the shard without all of its predecessors, and none is kept longer than they are. */
 export class TurnChains {
   private readonly turns = new Map<records.TurnId, TurnState>()
 
@@ -29,9 +30,12 @@
     this.turns.set(turn, { ...record })
   }
 
-  /** Completes the retention of loaded turns: a stored one is that of the turn alone, without later turns of its chain. */
-  extendLoaded (): void {
-    for (const state of this.turns.values()) this.extendRetention(state.previous, state.keepUntil)
+  /**
+   * Completes the retention of loaded turns: a stored one is that of the turn alone, without later turns of its chain.
+   * Returns the turns whose chain lacks a predecessor.
+   */
+  extendLoaded (): records.TurnId[] {
+    return [...this.turns].filter(([, state]) => !this.extendRetention(state.previous, state.keepUntil)).map(([turn]) => turn)
   }
 
   /**
@@ -48,22 +52,28 @@
     return this.collect(turn, account, [])
   }
 
-  /** Adds copies of a chain of another shard, but for those that the shard has already. */
+  /** Adds copies of a chain of another shard. Those that the shard has already are kept as long as the copies. */
   addCopies (copies: readonly StoredTurn[]): TurnWrite[] {
-    return copies.filter(({ turn }) => !this.turns.has(turn)).map(({ turn, record }) => this.put(turn, record))
+    const writes: TurnWrite[] = []
+    for (const { turn, record } of copies) {
+      const state = this.turns.get(turn)
+      if (state === undefined) writes.push(this.put(turn, record))
+      else if (state.keepUntil < record.keepUntil) state.keepUntil = record.keepUntil
+    }
+    return writes
   }
 
-  /** Adds a turn that has completed, and keeps its chain as long. */
-  add (turn: records.TurnId, record: records.TurnRecord): TurnWrite {
-    this.extendRetention(record.previous, record.keepUntil)
-    return this.put(turn, record)
+  /** Adds a turn that has completed, and keeps its chain as long; `undefined` if a predecessor is missing. */
+  add (turn: records.TurnId, record: records.TurnRecord): TurnWrite | undefined {
+    return this.extendRetention(record.previous, record.keepUntil) ? this.put(turn, record) : undefined
   }
 
-  /** Removes the turns past their retention. */
-  removeExpired (now: types.EpochMs): TurnWrite[] {
+  /** Removes the turns past their retention, except for `continued` ones and their predecessors. */
+  removeExpired (now: types.EpochMs, continued: Iterable<records.TurnId>): TurnWrite[] {
+    const held = this.collectChains(continued)
     const writes: TurnWrite[] = []
     for (const [turn, state] of this.turns) {
-      if (state.keepUntil >= now) continue
+      if (state.keepUntil >= now || held.has(turn)) continue
       this.turns.delete(turn)
       writes.push({ key: records.turnKey(turn), value: undefined })
     }
@@ -89,14 +99,27 @@
     return chain
   }
 
-  /** Keeps a turn and its predecessors at least until a time. */
-  private extendRetention (turn: records.TurnId | undefined, keepUntil: types.EpochMs): void {
+  /** Keeps a turn and its predecessors at least until a time. Returns false if one of them is missing. */
+  private extendRetention (turn: records.TurnId | undefined, keepUntil: types.EpochMs): boolean {
     let currentId = turn
     while (currentId !== undefined) {
       const state = this.turns.get(currentId)
-      if (state === undefined) return
+      if (state === undefined) return false
       if (state.keepUntil < keepUntil) state.keepUntil = keepUntil
       currentId = state.previous
     }
+    return true
+  }
+
+  private collectChains (turns: Iterable<records.TurnId>): Set<records.TurnId> {
+    const collected = new Set<records.TurnId>()
+    for (const turn of turns) {
+      let currentId: records.TurnId | undefined = turn
+      while (currentId !== undefined && !collected.has(currentId)) {
+        collected.add(currentId)
+        currentId = this.turns.get(currentId)?.previous
+      }
+    }
+    return collected
   }
 }
--- a/packages/state/turn-ledger/src/turn-ledger.test.ts
+++ b/packages/state/turn-ledger/src/turn-ledger.test.ts
@@ -64,6 +64,39 @@
   t.end()
 })
 
+// Guards against a chain with a hole: an older copy of its first turn expired before the turns that were copied later.
+tap.test('a copy keeps the turns of its chain that the shard has already as long as itself', (t) => {
+  const ledger = new turnLedger.TurnLedger()
+  const otherLedger = new turnLedger.TurnLedger()
+  const other = 'other' as types.ProgramId
+  const later = now + 50_000 as types.EpochMs
+  runTurn(ledger, 'a')
+  otherLedger.admitTurn({ ...createRequest('x', 'a'), program: other }, now, ledger.exportChain('a' as records.TurnId, undefined))
+  otherLedger.settleTurn({ ...createRequest('x', 'a'), program: other }, createWholeEnd('x'), now)
+  ledger.admitTurn(createRequest('b', 'a'), later)
+  ledger.settleTurn(createRequest('b', 'a'), createWholeEnd('b'), later)
+  const request = { ...createRequest('y', 'b'), program: other }
+  t.equal(otherLedger.admitTurn(request, later, ledger.exportChain('b' as records.TurnId, undefined)).type, 'admitted')
+  otherLedger.settleTurn(request, { type: 'broken' }, later)
+  otherLedger.removeExpired(now + 75_000 as types.EpochMs)
+  t.equal(otherLedger.exportChain('b' as records.TurnId, undefined)?.length, 2)
+  t.end()
+})
+
+// Guards against turns that are answered as complete although nothing can continue them.
+tap.test('a turn whose chain is incomplete is not kept, and is reported when it is loaded', (t) => {
+  const ledger = new turnLedger.TurnLedger()
+  const [aWrite] = runTurn(ledger, 'a')
+  const [bWrite] = runTurn(ledger, 'b', 'a')
+  const successor = new turnLedger.TurnLedger()
+  successor.loadRecord(bWrite!.key, bWrite!.value!)
+  t.same(successor.extendLoadedChains(), ['b'])
+  t.equal(successor.adoptTurn(createRequest('c', 'b'), createWholeEnd('c'), now).type, 'unknown')
+  successor.loadRecord(aWrite!.key, aWrite!.value!)
+  t.same(successor.extendLoadedChains(), [])
+  t.end()
+})
+
 tap.test('only its own account can continue a chain, also after a copy or a reload from records', (t) => {
   const ledger = new turnLedger.TurnLedger()
   const account = 'coaches' as types.AccountId
--- a/packages/state/turn-ledger/src/turn-ledger.ts
+++ b/packages/state/turn-ledger/src/turn-ledger.ts
@@ -53,6 +53,8 @@
   | { readonly type: 'alreadyKept' }
   /** This ledger has no reservation for the turn. */
   | { readonly type: 'unknown' }
+  /** The chain that the turn continues lacks a turn, so it could not be continued. Its tokens are counted. */
+  | { readonly type: 'chainIncomplete' }
 
 /** How a turn ended. */
 export type TurnEnd =
@@ -83,6 +85,8 @@
 export class TurnLedger {
   private readonly programs = new Map<types.ProgramId, ProgramState>()
   private readonly chains = new turnChains.TurnChains()
+  /** Turns that this owner has admitted and that have not ended: neither their programs nor their chains expire meanwhile. */
+  private readonly turnsInFlight = new Map<records.TurnId, Pick<TurnRequest, 'program' | 'previous'>>()
   private allowance: records.AllowanceRecord = { isActive: false, takenOverAt: 0 as types.EpochMs }
 
   /**
@@ -141,6 +145,7 @@
       return { type: 'overBudget', spentTokens: program.spentTokens, openTokens: usedTokens - program.spentTokens }
     }
     const copyWrites = this.chains.addCopies(copies)
+    this.turnsInFlight.set(request.turn, request)
     program.openTurns.set(request.turn, request.maxTokens)
     program.keepUntil = extendKeepUntil(program.keepUntil, now, request.retainMs)
     program.hasUnwrittenChange = true
@@ -169,6 +174,7 @@
   /** Settles a turn that has a reservation in this ledger. */
   settleTurn (request: TurnRequest, end: TurnEnd, now: types.EpochMs): SettleOutcome {
     if (this.chains.has(request.turn)) return { type: 'alreadyKept' }
+    this.turnsInFlight.delete(request.turn)
     const program = this.programs.get(request.program)
     if (program === undefined || !program.openTurns.delete(request.turn)) return { type: 'unknown' }
     program.hasUnwrittenChange = true
@@ -183,7 +189,9 @@
     }
     // No write is needed: without a record of its end, a turn counts with its token limit, which stored records cover.
     if (!request.keeps || end.type !== 'whole') return { type: 'settled', writes: [] }
-    return { type: 'settled', writes: [this.addTurn(request, end, now), this.createAdvanceWrite(program, request)] }
+    const turnWrite = this.addTurn(request, end, now)
+    if (turnWrite === undefined) return { type: 'chainIncomplete' }
+    return { type: 'settled', writes: [turnWrite, this.createAdvanceWrite(program, request)] }
   }
 
   /**
@@ -202,24 +210,26 @@
 
   /** Drops turns and programs past their retention; the writes remove them from the store. */
   removeExpired (now: types.EpochMs): readonly LedgerWrite[] {
-    const writes: LedgerWrite[] = this.chains.removeExpired(now)
+    const inFlight = [...this.turnsInFlight.values()]
+    const writes: LedgerWrite[] = this.chains.removeExpired(now, inFlight.flatMap(({ previous }) => previous ?? []))
+    const programsInFlight = new Set(inFlight.map(({ program }) => program))
     for (const [id, program] of this.programs) {
-      // Retention is longer than any turn: turns that are still open now were left unsettled by a former owner.
-      if (program.keepUntil >= now) continue
+      // Turns that are open without being in flight here were left unsettled by a former owner.
+      if (program.keepUntil >= now || programsInFlight.has(id)) continue
       this.programs.delete(id)
       if (program.coverage.hasWrittenRecord) writes.push({ key: records.programKey(id), value: undefined })
     }
     return writes
   }
 
-  private addTurn (request: TurnRequest, end: Extract<TurnEnd, { type: 'whole' }>, now: types.EpochMs): LedgerWrite {
+  private addTurn (request: TurnRequest, end: Extract<TurnEnd, { type: 'whole' }>, now: types.EpochMs): LedgerWrite | undefined {
     const { program, account, previous } = request
     return this.chains.add(request.turn, { program, account, previous, input: end.input, output: end.output, keepUntil: extendKeepUntil(now, now, request.retainMs) })
   }
 
-  /** Must be called once after all records are loaded. */
-  extendLoadedChains (): void {
-    this.chains.extendLoaded()
+  /** Must be called once after all records are loaded. Returns the turns that can't be continued, as their chain is incomplete. */
+  extendLoadedChains (): records.TurnId[] {
+    return this.chains.extendLoaded()
   }
 
   /** Returns a turn of an account with its predecessors, newest first, for a program of another shard; `undefined` if not all are in this ledger. */
