front: a signed answer with the status of a refusal is not passed on as one

Cause: whatever was signed and bore the request's id was passed on, also with a status that is this system's promise that a request has not run (408, 421, 429, 503; for turns 402, 404, 410). An upstream that has not run a request says so with a header of its own; one that ran it and sends such a status sends wrong bytes. A signed 421 was even sent to another upstream.

Change: such an answer is faulty: the request may have run.

Red before: spoilt-answers.test "a signed answer with the status of a refusal" on, check-answer.test "an upstream that ran a request". Now they pass.

--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -256,7 +256,7 @@
       onHead: (head) => {
         this.restartSilenceTimer(upstream, sentAt, streamSilenceMs)
         trackUpstreams.noteActivity(upstream, timers.monotonic())
-        const rejection = checkAnswer.checkAnswer(dialect.answerFacts(head), head, this.req.attempt.id) ?? this.checkResumedAnswer(head)
+        const rejection = checkAnswer.checkAnswer(dialect.answerFacts(head), head, { id: this.req.attempt.id, isTurn: this.isTurn() }) ?? this.checkResumedAnswer(head)
         if (rejection === undefined) {
           // The error is relayed unchanged but counts against the upstream: frequent errors lead to its ejection.
           if (head.status >= minServerErrorStatus) health.noteFailedRequest(upstream)
@@ -341,6 +341,10 @@
     return point?.type === 'after' ? point.eventId : undefined
   }
 
+  private isTurn (): boolean {
+    return this.req.route.stream !== undefined && this.req.attempt.turn !== undefined
+  }
+
   /** Rejects the answer to a resumed stream if it is not a stream, that is, if its status is not 200. */
   private checkResumedAnswer (head: sendHttp.AnswerHead): checkAnswer.AnswerRejection | undefined {
     if (!this.hasHead || head.status === okStatus) return undefined
