--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -70,6 +70,8 @@
   | RequestFields & { readonly event: 'timedOut', readonly ran: boolean }
   /** The connection to an upstream broke while it ran the request, or the upstream was given up as silent; `evidence` says whether the upstream has ended. `ended`: ends that are known under it, over all attempts, with one that is reserved for this send. `sentAgoMs`: time from the send to the break. */
   | RequestFields & { readonly event: 'upstreamBroke', readonly fingerprint: types.RequestFingerprint, readonly upstream: types.UpstreamId, readonly evidence: 'alive' | 'ended' | 'unreachable', readonly wasAlive: boolean, readonly ended: number, readonly sentAgoMs: number, readonly tookMs: number }
+  /** The answer of an upstream that was sent the request is no longer awaited. `sentAgoMs`: time since the send; `quietMs`: time since the upstream last sent anything to this process, for any request. */
+  | RequestFields & { readonly event: 'sendGivenUp', readonly upstream: types.UpstreamId, readonly why: 'clientGone' | 'deadline' | 'fault', readonly sentAgoMs: number, readonly quietMs: number }
   /** Not sent to an upstream, as too many have ended under it: `ends` as in `crashLimitReached`. `ran`: an earlier attempt may have run. */
   | RequestFields & { readonly event: 'crashLimited', readonly fingerprint: types.RequestFingerprint, readonly ends: readonly string[], readonly retryAfterMs: number, readonly ran: boolean }
   | RequestFields & { readonly event: 'upstreamSilent', readonly upstream: types.UpstreamId, readonly afterMs: number }
@@ -105,6 +107,8 @@
   | { readonly event: 'upstreamGone', readonly upstream: types.UpstreamId, readonly graceMs: number }
   /** From now on the request is refused. `ends`: the upstreams that ended under it, and `send ATTEMPT` for a send that may end the last one. */
   | { readonly event: 'crashLimitReached', readonly fingerprint: types.RequestFingerprint, readonly ends: readonly string[], readonly source: 'own' | 'peer' }
+  /** After its start the process has asked its peers which requests ended upstreams. `asked`, `answered`: numbers of peers; `counts`: of requests that it learned of. */
+  | { readonly event: 'crashCountsLoaded', readonly asked: number, readonly answered: number, readonly counts: number }
   /** `marks` and `requests`: counts of all processes within the window that the decision is based on. */
   | { readonly event: 'upstreamEjected', readonly upstream: types.UpstreamId, readonly mark: string, readonly marks: number, readonly requests: number, readonly forMs: number, readonly source: 'own' | 'peer' }
   | { readonly event: 'loadReportUnreadable', readonly from: string, readonly err: unknown }
@@ -189,6 +193,7 @@
   sent: { level: 'info', message: 'sent to an upstream' },
   sendFailed: { level: 'warn', message: 'no usable answer from the upstream' },
   upstreamBroke: { level: 'warn', message: 'connection broke under a request; examined whether its upstream has ended' },
+  sendGivenUp: { level: 'info', message: 'answer of an upstream no longer awaited' },
   crashLimited: { level: 'warn', message: 'not sent: too many upstreams have ended under this request' },
   upstreamSilent: { level: 'warn', message: 'no data from the upstream; new requests avoid it' },
   timedOut: { level: 'warn', message: 'request timed out' },
@@ -210,6 +215,7 @@
   upstream: { level: 'info', message: 'upstream listed' },
   upstreamGone: { level: 'info', message: 'upstream no longer listed' },
   crashLimitReached: { level: 'warn', message: 'too many upstreams have ended under a request; it is refused' },
+  crashCountsLoaded: { level: 'info', message: 'asked the other processes which requests have ended upstreams' },
   upstreamEjected: { level: 'warn', message: 'upstream fails or is slow far more often than usual; new requests avoid it' },
   loadReportUnreadable: { level: 'warn', message: 'invalid load report from another process' },
   loadNotShared: { level: 'warn', message: 'load report could not be sent' },
--- a/packages/programs/front/src/answer-stream.ts
+++ b/packages/programs/front/src/answer-stream.ts
@@ -119,7 +119,7 @@
     if (this.isFinished) return
     this.markFinished()
     const { mayHaveRun } = this
-    this.dispatch.cancel(refusal?.type === 'answerLost')
+    this.dispatch.cancel(toCancelReason(refusal))
     this.ports.decisions.record({ event: 'streamBroken', request: this.req.attempt.id, ran: mayHaveRun, events: this.eventCount, pendingBytes: this.events.pendingBytes, reason: refusal?.type ?? 'clientGone', detail: refusal !== undefined && 'detail' in refusal ? refusal.detail : undefined })
     this.sink.onFailed?.()
     if (refusal === undefined) return
@@ -221,3 +221,11 @@
     this.deadlineTimer?.cancel()
   }
 }
+
+function toCancelReason (refusal: inbound.Refusal | undefined): dispatch.CancelReason {
+  switch (refusal?.type) {
+    case undefined: return 'clientGone'
+    case 'timeout': return 'deadline'
+    default: return 'fault'
+  }
+}
--- a/packages/programs/front/src/crash-reports.ts
+++ b/packages/programs/front/src/crash-reports.ts
@@ -87,10 +87,10 @@
     for (const address of addresses) void this.ports.callPeer(address, { ...emptyCall, answered: [request] }, callTimeoutMs)
   }
 
-  /** Asks a peer for the requests that it refuses, or whose next end reaches the limit; none without an answer. */
-  async fetchCounts (address: string, ownAddress: string): Promise<readonly limitCrashes.CrashCount[]> {
+  /** Asks a peer for the requests that it refuses, or whose next end reaches the limit; `undefined` without an answer. */
+  async fetchCounts (address: string, ownAddress: string): Promise<readonly limitCrashes.CrashCount[] | undefined> {
     const answer = await this.ports.callPeer(address, { ...emptyCall, newPeer: ownAddress }, callTimeoutMs)
-    return answer?.counts ?? []
+    return answer?.counts
   }
 
   private joinCall (address: string, report: limitCrashes.CrashReport): Promise<CrashCallAnswer | undefined> {
--- a/packages/programs/front/src/dispatch.test.ts
+++ b/packages/programs/front/src/dispatch.test.ts
@@ -279,7 +279,7 @@
     startExamination()
     timers.advance(50)
     t.equal(getResult(), undefined)
-    if (isCancelled) started.cancel()
+    if (isCancelled) started.cancel('clientGone')
     finishExamination(false)
     t.equal(getResult(), isCancelled ? undefined : 'answerLost')
   }
@@ -295,21 +295,21 @@
   const started = cancelled.run('a')
   cancelled.timers.advance(1_000)
   t.same(cancelled.broken, [])
-  started.cancel()
+  started.cancel('clientGone')
   t.same(cancelled.broken, ['a'])
   t.end()
 })
 
 // Guards against an end that was not counted: the request was given up at the same moment.
 tap.test('an upstream is examined if the request is cancelled because of a fault, or is suspected', (t) => {
-  for (const [isFaulty, isSuspected, examined] of [[true, false, ['a']], [false, true, ['a']], [false, false, []]] as const) {
+  for (const [why, isSuspected, examined] of [['fault', false, ['a']], ['clientGone', true, ['a']], ['clientGone', false, []]] as const) {
     const { timers, broken, suspect, run } = fixture({ a: 'resets' }, 'atMostOnce')
     if (isSuspected) suspect()
     const started = run('a')
     timers.advance(5)
-    started.cancel(isFaulty)
+    started.cancel(why)
     t.same(broken, examined)
-    started.cancel(isFaulty)
+    started.cancel(why)
     t.same(broken, examined, 'once')
   }
   t.end()
--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -68,6 +68,9 @@
   readonly mayHaveRun: boolean
 }
 
+/** Why a request is cancelled: its client has disconnected, its deadline has passed, or this process can't serve it any more. */
+export type CancelReason = 'clientGone' | 'deadline' | 'fault'
+
 /** Connect timeout for an upstream, in ms. A network round trip takes about 1 ms, so only an unreachable host takes longer. */
 const connectTimeoutMs = 250
 /** Retry-after when every upstream is full, in ms: about the duration of one request to a plain service. */
@@ -133,9 +136,9 @@
     this.startAttempt()
   }
 
-  /** Cancels the request; the sink is not called again. `isFaulty`: it is given up because of a fault, which its upstream may share. */
-  cancel (isFaulty = false): void {
-    if (!this.isFinished && this.isInFlight && (isFaulty || this.isSilent || this.ports.crashes.isSuspected(this.req))) this.noteBroken()
+  /** Cancels the request; the sink is not called again. */
+  cancel (why: CancelReason): void {
+    if (!this.isFinished && this.isInFlight) this.noteGivenUp(why)
     this.ports.crashes.release(this.req)
     this.isFinished = true
     this.isCancelled = true
@@ -391,6 +394,15 @@
     this.ports.crashes.noteBroken(this.req, { ...this.lastSend, wasAlive: wasAlive || this.lastSend.wasAlive })
   }
 
+  /** The current attempt is cancelled. A fault that it is cancelled for may be shared by its upstream. */
+  private noteGivenUp (why: CancelReason): void {
+    if (this.lastSend === undefined) return
+    const { upstream, sentAt } = this.lastSend
+    const now = this.ports.timers.monotonic()
+    this.ports.decisions.record({ event: 'sendGivenUp', request: this.req.attempt.id, upstream: upstream.listed.id, why, sentAgoMs: Math.round(now - sentAt), quietMs: Math.round(now - upstream.lastActivityAt) })
+    if (why === 'fault' || this.isSilent || this.ports.crashes.isSuspected(this.req)) this.noteBroken()
+  }
+
   /** Updates the health of the upstream by why its answer was rejected. */
   private noteRejection (upstream: trackUpstreams.Upstream, reason: checkAnswer.AnswerRejection['reason']): void {
     const { health, timers } = this.ports
--- a/packages/programs/front/src/serve-call.ts
+++ b/packages/programs/front/src/serve-call.ts
@@ -48,13 +48,13 @@
   })
   const deadlineTimer = timers.after(req.deadlineAt - timers.monotonic(), () => {
     const { mayHaveRun: ran } = dispatched
-    dispatched.cancel()
+    dispatched.cancel('deadline')
     ports.decisions.record({ event: 'timedOut', request: req.attempt.id, ran })
     reply.refuse({ type: 'timeout' })
   })
   reply.onGone(() => {
     deadlineTimer.cancel()
-    dispatched.cancel()
+    dispatched.cancel('clientGone')
   })
   dispatched.start()
 }
--- a/packages/programs/front/src/upstream-crashes.ts
+++ b/packages/programs/front/src/upstream-crashes.ts
@@ -270,8 +270,10 @@
 
   private async load (): Promise<void> {
     const answers = await Promise.all(this.listOtherMembers().map((peer) => this.reporter.fetchCounts(peer, this.ports.address)))
-    for (const count of answers.flat()) this.mergeCount(count)
+    const counts = answers.flatMap((answer) => answer ?? [])
+    for (const count of counts) this.mergeCount(count)
     this.hasLoaded = true
+    this.ports.decisions.record({ event: 'crashCountsLoaded', asked: answers.length, answered: answers.filter((answer) => answer !== undefined).length, counts: counts.length })
   }
 
   private getFingerprint (req: inbound.InboundRequest): types.RequestFingerprint {
