front: an upstream that ends after its request was given up counts as ended under it

What callers saw: a request under which three upstreams had ended was sent to others, up to 17 ended.

Cause: an end counted only if it could be seen at one moment, by one look 5 ms after the connection of that request broke. A send that was given up (its client left, its deadline passed) was not looked at, and one that was found alive was never looked at again. The class: a single look is taken for a verdict.

Change: a send that had no proper answer stays open until the deadline that its upstream was told, and half a second more (1 to 10 s; a quarter of a second after a failure as the answer). Its upstream is watched by the connections that are open anyway; one idle connection is opened where there is none. If they are closed by the other side, or another request finds the address refusing connections or taken by another incarnation, the end counts under all open sends. An upstream that closes all its connections at one moment has ended even if its address takes connections again; if there was only one, the end is counted until the upstream answers. The end that is reserved for a last send is kept while that is open. A failure as the answer does not show that the upstream goes on. Ends of open sends within 100 ms of each other are one crash. Rejected answers are read to their end, so that their connections stay.

Ruled out: sends of one attempt that are not added up.

--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -69,9 +69,11 @@
   }
   | RequestFields & { readonly event: 'timedOut', readonly ran: boolean }
   /** The connection to an upstream broke while it ran the request, or the upstream was given up as silent; `evidence` says whether the upstream has ended. `ended`: ends that are known under it, over all attempts, with one that is reserved for this send. `sentAgoMs`: time from the send to the break. */
-  | RequestFields & { readonly event: 'upstreamBroke', readonly fingerprint: types.RequestFingerprint, readonly upstream: types.UpstreamId, readonly evidence: 'alive' | 'ended' | 'unreachable', readonly wasAlive: boolean, readonly ended: number, readonly sentAgoMs: number, readonly tookMs: number }
+  | RequestFields & { readonly event: 'upstreamBroke', readonly fingerprint: types.RequestFingerprint, readonly upstream: types.UpstreamId, readonly evidence: 'alive' | 'unclear' | 'ended' | 'unreachable', readonly wasAlive: boolean, readonly ended: number, readonly sentAgoMs: number, readonly tookMs: number }
   /** The answer of an upstream that was sent the request is no longer awaited. `sentAgoMs`: time since the send; `quietMs`: time since the upstream last sent anything to this process, for any request. */
   | RequestFields & { readonly event: 'sendGivenUp', readonly upstream: types.UpstreamId, readonly why: 'clientGone' | 'deadline' | 'fault', readonly sentAgoMs: number, readonly quietMs: number }
+  /** An upstream has ended some time after the answer to the request was given up; the fields are those of `upstreamBroke`. */
+  | RequestFields & { readonly event: 'upstreamEndedLater', readonly fingerprint: types.RequestFingerprint, readonly upstream: types.UpstreamId, readonly evidence: 'alive' | 'unclear' | 'ended' | 'unreachable', readonly ended: number, readonly sentAgoMs: number }
   /** Not sent to an upstream, as too many have ended under it: `ends` as in `crashLimitReached`. `ran`: an earlier attempt may have run. */
   | RequestFields & { readonly event: 'crashLimited', readonly fingerprint: types.RequestFingerprint, readonly ends: readonly string[], readonly retryAfterMs: number, readonly ran: boolean }
   | RequestFields & { readonly event: 'upstreamSilent', readonly upstream: types.UpstreamId, readonly afterMs: number }
@@ -194,6 +196,7 @@
   sendFailed: { level: 'warn', message: 'no usable answer from the upstream' },
   upstreamBroke: { level: 'warn', message: 'connection broke under a request; examined whether its upstream has ended' },
   sendGivenUp: { level: 'info', message: 'answer of an upstream no longer awaited' },
+  upstreamEndedLater: { level: 'warn', message: 'upstream ended after a request to it was given up' },
   crashLimited: { level: 'warn', message: 'not sent: too many upstreams have ended under this request' },
   upstreamSilent: { level: 'warn', message: 'no data from the upstream; new requests avoid it' },
   timedOut: { level: 'warn', message: 'request timed out' },
--- a/packages/decide/limit-crashes/src/crash-records.ts
+++ b/packages/decide/limit-crashes/src/crash-records.ts
@@ -14,6 +14,10 @@
   readonly endedAgoMs: number
   /** Whether the upstream was alive when the request was sent, as a new connection or a part of the answer showed. */
   readonly wasAlive: boolean
+  /** Whether the request was given up some time before the upstream ended, which other requests may have brought about since. */
+  readonly wasGivenUp?: boolean
+  /** The attempt of a client that the send belongs to; its sends follow one another. */
+  readonly attempt?: string
 }
 
 /** The id of an upstream; a number behind it tells further ends of the same one, which has started again in between. A reserved end has the id of its attempt. */
@@ -32,6 +36,11 @@
   return { request, end: `${reservedPrefix}${attempt}` }
 }
 
+/** Creates a reservation for an end that a send to the upstream may have brought about. */
+export function createSendReservation (request: types.RequestFingerprint, attempt: string, upstream: types.UpstreamId): Reservation {
+  return createReservation(request, `${attempt} to ${upstream}`)
+}
+
 /** The ends of upstreams under a request, reserved ones included. */
 export interface CrashCount {
   readonly request: types.RequestFingerprint
@@ -82,6 +91,8 @@
   readonly ends: ReadonlyMap<EndId, number>
   /** Monotonic ms. */
   readonly lastEndedAt: number
+  /** The attempt under which the last end came about, where this process knows it. */
+  readonly lastAttempt?: string | undefined
 }
 
 /** Remembers the ends of upstreams by request. All times passed in are monotonic ms of this process. */
@@ -100,13 +111,14 @@
   }
 
   /**
-   * Counts an end. Requests that several clients can make run at several upstreams at the same time, which a crash of
-   * a rack ends together: then an end counts only if the one before was not the same crash.
+   * Counts an end. Requests that several clients can make, and requests that were given up, run at several upstreams at
+   * the same time, which a crash of a rack ends together: then an end counts only if the one before was not the same crash.
    */
   noteEnd (report: CrashReport, now: number): void {
     const known = this.find(report.request, now)
     const sentAt = now - report.sentAgoMs
-    if (known !== undefined && !report.isExclusive && !isLaterCrash(report, known, now)) return
+    const mayShareCrash = !report.isExclusive || report.wasGivenUp === true
+    if (known !== undefined && mayShareCrash && !isLaterCrash(report, known, now)) return
     this.add(report, [createEndId(report.upstream, sentAt, known)], now - report.endedAgoMs, now)
   }
 
@@ -126,9 +138,9 @@
     this.add(count, isLonger ? count.ends : count.ends.filter(isReserved), endedAt, now)
   }
 
-  /** Counts an end that a send may bring about. */
-  reserve ({ request, end }: Reservation, now: number): void {
-    this.add({ request, isExclusive: this.find(request, now)?.isExclusive ?? true }, [end], now, now)
+  /** Counts an end that a send may bring about, or may have brought about. */
+  reserve ({ request, end }: Reservation, now: number, isExclusive = this.find(request, now)?.isExclusive ?? true): void {
+    this.add({ request, isExclusive }, [end], now, now)
   }
 
   /** Takes a reserved end back. */
@@ -177,11 +189,11 @@
     this.records.set(record.request, { ...record, ends: new Map([...record.ends].filter(([end]) => isReserved(end))) })
   }
 
-  private add ({ request, isExclusive }: Pick<CrashRecord, 'request' | 'isExclusive'>, ends: readonly EndId[], endedAt: number, now: number): void {
+  private add ({ request, isExclusive, attempt }: Pick<CrashReport, 'request' | 'isExclusive' | 'attempt'>, ends: readonly EndId[], endedAt: number, now: number): void {
     const known = this.find(request, now)
     const lastEndedAt = Math.max(endedAt, known?.lastEndedAt ?? -Infinity)
     const added = ends.filter((end) => known?.ends.has(end) !== true).map((end): [EndId, number] => [end, endedAt])
-    this.records.set(request, { request, isExclusive, ends: new Map([...known?.ends ?? [], ...added]), lastEndedAt })
+    this.records.set(request, { request, isExclusive, ends: new Map([...known?.ends ?? [], ...added]), lastEndedAt, lastAttempt: attempt ?? known?.lastAttempt })
     this.emptyFrom = Math.max(this.emptyFrom, lastEndedAt + this.limits.memoryMs)
   }
 
@@ -209,10 +221,12 @@
 }
 
 /** Whether an end can't be part of the crash that brought about the one before: its upstream was alive after that, or ended much later. */
-function isLaterCrash ({ sentAgoMs, endedAgoMs, wasAlive }: CrashReport, { lastEndedAt }: CrashRecord, now: number): boolean {
-  if (now - sentAgoMs < lastEndedAt) return false
-  // Reports of an earlier release do not say it.
-  return wasAlive !== false || now - endedAgoMs - lastEndedAt >= simultaneousMs
+function isLaterCrash ({ sentAgoMs, endedAgoMs, wasAlive, wasGivenUp, attempt }: CrashReport, { ends, lastAttempt }: CrashRecord, now: number): boolean {
+  const lastEndedAt = Math.max(-Infinity, ...[...ends].filter(([end]) => !isReserved(end)).map(([, endedAt]) => endedAt))
+  // Reports of an earlier release do not say whether it was alive.
+  const wasAliveAfterwards = wasAlive !== false && now - sentAgoMs >= lastEndedAt
+  const isNextSend = wasAlive && wasGivenUp !== true && attempt !== undefined && attempt === lastAttempt
+  return wasAliveAfterwards || isNextSend || now - endedAgoMs - lastEndedAt >= simultaneousMs
 }
 
 /** Counts of an earlier release do not say it, and are added up. */
--- a/packages/peers/send-http/src/probe-connection.ts
+++ b/packages/peers/send-http/src/probe-connection.ts
@@ -1,40 +1,85 @@
 /** Finds out whether a process has ended, by whether one listens at its address. */
 import * as net from 'node:net'
 import * as timerService from '@eelgrasswind/timer-service'
+import type * as openConnections from './open-connections.js'
 
 /** Outcome of a connection attempt. `refused` shows that the host is up and no process listens there. */
 export type ConnectionProbe = 'accepted' | 'refused' | 'noAnswer'
 
-/** What an examination found. `unreachable`: the host takes no connection, so its process has ended as far as the caller can tell. */
-export type ProcessEvidence = 'alive' | 'ended' | 'unreachable'
+/**
+ * What an examination found. `unclear`: a new connection is taken, but no earlier one is left that would show that it is
+ * still the same process. `unreachable`: the host takes no connection, so its process has ended as far as the caller can tell.
+ */
+export type ProcessEvidence = 'alive' | 'unclear' | 'ended' | 'unreachable'
+
+/** Whether the process has ended, as far as the evidence shows. */
+export function hasEnded (evidence: ProcessEvidence): boolean {
+  return evidence === 'ended' || evidence === 'unreachable'
+}
 
 /** Delay before the examination, in ms: a process that ends closes its connections and its listener one after the other. */
 const probeDelayMs = 5
 /** Timeout of the connection attempt, in ms: a host that is up answers within one round trip, whatever its process does. */
 const probeTimeoutMs = 60
 
-/** Examines whether the process at an address has ended, after a connection to it broke just now. */
-export async function examineBreak (timers: timerService.TimerService, address: string): Promise<ProcessEvidence> {
+/**
+ * Examines whether the process at an address has ended, after a connection to it broke just now. One that takes a new
+ * connection has ended if it closed all others at that moment: then another process has taken its place.
+ */
+export async function examineBreak (timers: timerService.TimerService, address: string, connections?: openConnections.OpenConnections): Promise<ProcessEvidence> {
+  const before = connections?.list(address) ?? []
   await timerService.sleep(timers, probeDelayMs)
+  const hasLostAll = connections !== undefined && before.every((socket) => socket.destroyed)
+  const hasClosedSeveral = connections !== undefined && connections.countClosedByPeer(address) > 1
   switch (await probeConnection(address, probeTimeoutMs)) {
-    case 'accepted': return 'alive'
+    case 'accepted':
+      if (!hasLostAll) return 'alive'
+      return hasClosedSeveral ? 'ended' : 'unclear'
     case 'refused': return 'ended'
     case 'noAnswer': return 'unreachable'
   }
 }
 
+/** Outcome of opening an idle connection; `connection` closes it again. */
+export type IdleConnection = { readonly outcome: 'accepted', readonly close: () => void } | { readonly outcome: 'refused' | 'noAnswer' }
+
+/** Opens a connection that stays idle, so that its end shows the end of the process at the address. `noAnswer` after the timeout, in ms, and for errors other than a refusal. */
+export function openIdleConnection (address: string, timeoutMs: number, connections: openConnections.OpenConnections): Promise<IdleConnection> {
+  return connect(address, timeoutMs, (socket) => {
+    socket.on('error', () => {})
+    // Without a reader the end of the connection is not noticed.
+    socket.resume()
+    connections.add(address, socket)
+    return { outcome: 'accepted', close: () => { socket.destroy() } }
+  })
+}
+
 /** Opens a connection and closes it at once. `noAnswer` after the timeout, in ms, and for errors other than a refusal. */
-export function probeConnection (address: string, timeoutMs: number): Promise<ConnectionProbe> {
+export async function probeConnection (address: string, timeoutMs: number): Promise<ConnectionProbe> {
+  const { outcome } = await connect(address, timeoutMs, (socket): { readonly outcome: ConnectionProbe } => {
+    socket.destroy()
+    return { outcome: 'accepted' }
+  })
+  return outcome
+}
+
+/** Opens a connection and resolves with what `onConnect` returns for it. */
+function connect<Accepted> (address: string, timeoutMs: number, onConnect: (socket: net.Socket) => Accepted): Promise<Accepted | { readonly outcome: 'refused' | 'noAnswer' }> {
   const colon = address.lastIndexOf(':')
   return new Promise((resolve) => {
     const socket = net.connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)) })
-    const finish = (outcome: ConnectionProbe): void => {
+    const fail = (outcome: 'refused' | 'noAnswer'): void => {
       clearTimeout(timer)
       socket.destroy()
-      resolve(outcome)
+      resolve({ outcome })
     }
-    const timer = setTimeout(() => { finish('noAnswer') }, timeoutMs)
-    socket.on('connect', () => { finish('accepted') })
-    socket.on('error', (err: NodeJS.ErrnoException) => { finish(err.code === 'ECONNREFUSED' ? 'refused' : 'noAnswer') })
+    const onError = (err: NodeJS.ErrnoException): void => { fail(err.code === 'ECONNREFUSED' ? 'refused' : 'noAnswer') }
+    const timer = setTimeout(() => { fail('noAnswer') }, timeoutMs)
+    socket.on('error', onError)
+    socket.on('connect', () => {
+      clearTimeout(timer)
+      socket.off('error', onError)
+      resolve(onConnect(socket))
+    })
   })
 }
--- a/packages/peers/send-http/src/send-http.ts
+++ b/packages/peers/send-http/src/send-http.ts
@@ -5,6 +5,7 @@
 import type * as types from '@eelgrasswind/types'
 import * as connectionBytes from './connection-bytes.js'
 import * as connectionEnd from './connection-end.js'
+import * as openConnections from './open-connections.js'
 
 /** A request to send. */
 export interface OutgoingRequest {
@@ -72,6 +73,8 @@
 export interface Exchange {
   /** Closes the connection. The sink gets no further callback. */
   readonly cancel: () => void
+  /** The same, but reads the rest of a short answer, so that its connection can be used again. */
+  readonly discard: () => void
   /** Stops reading the answer until `resume`. */
   readonly pause: () => void
   readonly resume: () => void
@@ -83,6 +86,12 @@
   readonly close: () => void
 }
 
+/** A sender that tells which connections are open. */
+export interface PooledSender extends Sender {
+  /** The connections that are open now, idle ones included. */
+  readonly connections: openConnections.OpenConnections
+}
+
 /** Idle timeouts of pooled connections. */
 export interface SenderSettings {
   /** Time after which an idle connection is closed, in ms. Well below the idle timeout of every upstream. */
@@ -100,9 +109,10 @@
  * Creates a sender with three Node.js agents: one with the default idle timeout, one with the short one, one for new connections. The first two reuse the most
  * recently used connection first, so that the longest idle connections time out.
  */
-export function createSender (settings: SenderSettings): Sender {
+export function createSender (settings: SenderSettings): PooledSender {
   const defaultAgent = createAgent(settings.idleTimeoutMs)
   const shortIdleAgent = createAgent(settings.shortIdleTimeoutMs)
+  const connections = new openConnections.OpenConnections()
   const unpooledAgent = new http.Agent({ keepAlive: true, maxFreeSockets: 0, maxSockets: Infinity })
   let avoidIdleUntilMs = -Infinity
   const selectAgent = ({ newConnection, atMostOnce }: OutgoingRequest): http.Agent => {
@@ -121,7 +131,8 @@
     }
   }
   return {
-    send: (request, sink) => startExchange(selectAgent(request), request, watchForDroppedConnection(sink), settings.onSinkError ?? throwToProcess),
+    send: (request, sink) => startExchange(selectAgent(request), request, watchForDroppedConnection(sink), connections, settings.onSinkError ?? throwToProcess),
+    connections,
     close: () => {
       unpooledAgent.destroy()
       defaultAgent.destroy()
@@ -146,9 +157,9 @@
   queueMicrotask(() => { throw err })
 }
 
-function startExchange (agent: http.Agent, request: OutgoingRequest, sink: AnswerSink, onSinkError: (err: unknown) => void): Exchange {
+function startExchange (agent: http.Agent, request: OutgoingRequest, sink: AnswerSink, connections: openConnections.OpenConnections, onSinkError: (err: unknown) => void): Exchange {
   try {
-    return new HttpExchange(createRequest(agent, request), request, sink, onSinkError)
+    return new HttpExchange(createRequest(agent, request), request, sink, connections, onSinkError)
   } catch (err) {
     return new FailedExchange(sink, { verdict: 'notRun', cause: 'invalid', detail: (err as Error).message, reused: false })
   }
@@ -182,6 +193,10 @@
     this.isCancelled = true
   }
 
+  discard (): void {
+    this.isCancelled = true
+  }
+
   pause (): void {}
 
   resume (): void {}
@@ -198,6 +213,15 @@
 /** After this many bytes of a body the event loop serves other connections first, in bytes: a single read may deliver 2 MB. */
 const maxBytesPerTurn = 131_072
 
+/** The rest of an answer of up to this size, in bytes, is read although nobody needs it. */
+const maxDiscardedBytes = 16_384
+/** Timeout for reading it, in ms. */
+const discardTimeoutMs = 250
+
+function isShort ({ headers }: http.IncomingMessage): boolean {
+  return Number(headers['content-length'] ?? Infinity) <= maxDiscardedBytes
+}
+
 /** Status codes of a final answer; those of interim answers are consumed by the HTTP client. */
 const minFinalStatus = 200
 const maxFinalStatus = 599
@@ -222,7 +246,7 @@
   /** Limits connecting first, then the wait for `100 Continue`. */
   private phaseTimer: NodeJS.Timeout | undefined
 
-  constructor (private readonly req: http.ClientRequest, private readonly request: OutgoingRequest, private readonly sink: AnswerSink, private readonly onSinkError: (err: unknown) => void) {
+  constructor (private readonly req: http.ClientRequest, private readonly request: OutgoingRequest, private readonly sink: AnswerSink, private readonly connections: openConnections.OpenConnections, private readonly onSinkError: (err: unknown) => void) {
     req.on('socket', (socket) => {
       this.socket = socket
       connectionEnd.watchConnection(socket)
@@ -255,6 +279,21 @@
     this.req.destroy()
   }
 
+  discard (): void {
+    const { req, res } = this
+    if (res === undefined || !req.writableFinished || !isShort(res)) {
+      this.cancel()
+      return
+    }
+    this.isDone = true
+    clearTimeout(this.phaseTimer)
+    const timeout = setTimeout(() => { this.cancel() }, discardTimeoutMs).unref()
+    // At the end, as its connection may serve another request right after.
+    res.once('end', () => { this.finish() })
+    res.once('close', () => { clearTimeout(timeout) })
+    res.resume()
+  }
+
   pause (): void {
     this.isPausedBySink = true
     this.res?.pause()
@@ -303,6 +342,7 @@
   private onConnect (): void {
     this.isConnected = true
     clearTimeout(this.phaseTimer)
+    if (this.socket !== undefined) this.connections.add(this.request.address, this.socket)
     const { continueTimeoutMs } = this.request
     if (continueTimeoutMs === undefined) this.hasSent = true
     else if (!this.isDone) this.phaseTimer = setTimeout(() => { this.failWith('unconfirmed', 'no 100 Continue within the time limit') }, continueTimeoutMs)
--- a/packages/programs/front/src/dispatch.test.ts
+++ b/packages/programs/front/src/dispatch.test.ts
@@ -65,11 +65,15 @@
           if (behaviour === 'answers' || behaviour === 'errors') sink.onComplete({ framing: 'length', connection: 'open', bodyBytes: 0 })
       }
     })
-    return { cancel: () => { cancelled.push(request.address) }, pause: () => {}, resume: () => {} }
+    return { cancel: () => { cancelled.push(request.address) }, discard: () => { cancelled.push(request.address) }, pause: () => {}, resume: () => {} }
   }
   const req = { attempt: { id, deadlineMs: 2_000, turn: undefined }, method: 'GET', path: '/', rawHeaders: [], body: Buffer.alloc(0), route: { ...createRoute(repeatability), stream }, service, tokensPerEvent: 1, deadlineAt: timers.monotonic() + 2_000 } as unknown as inbound.InboundRequest
   /** Upstreams that broke under the request; their examination lasts until `finishExamination`. */
   const broken: string[] = []
+  const givenUp: string[] = []
+  const failedAnswers: string[] = []
+  const ended: string[] = []
+  let answeredCount = 0
   let isExamining = false
   let isLimited = false
   let isSuspected = false
@@ -78,7 +82,11 @@
     isLoaded: true,
     isSuspected: () => isSuspected,
     noteBroken: (_req, { upstream: { listed } }) => { broken.push(listed.id) },
-    noteAnswered: () => {},
+    noteGivenUp: (_req, { upstream: { listed } }) => { givenUp.push(listed.id) },
+    noteFailedAnswer: (_req, { upstream: { listed } }) => { failedAnswers.push(listed.id) },
+    noteEnded: ({ listed }) => { ended.push(listed.id) },
+    noteAlive: () => {},
+    noteAnswered: () => { answeredCount += 1 },
     permitSend: (_req, done) => {
       const decide = (): void => { done(isLimited ? { fingerprint: 'f' as types.RequestFingerprint, ends: ['x', 'y', 'z'], retryAfterMs: 20_000 } : undefined) }
       if (isExamining) waiting.push(decide)
@@ -121,7 +129,7 @@
     started.start()
     return started
   }
-  return { timers, upstreams, sentTo, cancelled, marks, broken, startExamination, finishExamination, suspect: () => { isSuspected = true }, run, getResult: () => result, getResumedCount: () => resumedCount }
+  return { timers, upstreams, sentTo, cancelled, marks, broken, givenUp, failedAnswers, ended, getAnsweredCount: () => answeredCount, startExamination, finishExamination, suspect: () => { isSuspected = true }, run, getResult: () => result, getResumedCount: () => resumedCount }
 }
 
 tap.test('an idempotent request fails over from an unresponsive upstream', (t) => {
@@ -324,3 +332,31 @@
   }
   t.end()
 })
+
+// Guards against an end that was not counted: its upstream ended after the answer was given up.
+tap.test('a send whose answer is given up is watched; at the deadline its upstream is examined unless it has sent anything since', (t) => {
+  for (const [why, isQuiet, examined, watched] of [['clientGone', true, [], ['a']], ['deadline', true, ['a'], []], ['deadline', false, [], ['a']]] as const) {
+    const { timers, upstreams, broken, givenUp, run } = fixture({ a: 'unresponsive' }, 'atMostOnce')
+    const started = run('a')
+    timers.advance(5)
+    if (!isQuiet) trackUpstreams.noteActivity(upstreams.get('a' as types.UpstreamId)!, timers.monotonic())
+    started.cancel(why)
+    t.same([broken, givenUp], [examined, watched], why)
+  }
+  t.end()
+})
+
+// Guards against an end that was not counted: its upstream answered with a failure right before.
+tap.test('an upstream that answers with a failure may end because of the request; only a success shows that it goes on', (t) => {
+  for (const behaviour of ['wrongRequest', 'errors'] as const) {
+    const { timers, failedAnswers, getAnsweredCount, run } = fixture({ a: behaviour }, 'atMostOnce')
+    run('a')
+    timers.advance(20)
+    t.same([failedAnswers, getAnsweredCount()], [['a'], 0], behaviour)
+  }
+  const { timers, ended, getAnsweredCount, run } = fixture({ a: 'refusesConnections', b: 'answers' }, 'atMostOnce')
+  run('a')
+  timers.advance(30)
+  t.same([ended, getAnsweredCount()], [['a'], 1], 'a refused connection shows that an upstream has ended')
+  t.end()
+})
--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -220,16 +220,17 @@
     const sentAt = timers.monotonic()
     this.restartSilenceTimer(upstream, sentAt, this.computeSilenceTimeoutMs())
     let isAccepted = false
+    let status = 0
     let isAwaitingFirstBytes = true
     const noteFirstBytes = (): void => {
       if (isAwaitingFirstBytes) health.noteFirstBytes(upstream, this.req.route, timers.monotonic() - sentAt)
       isAwaitingFirstBytes = false
     }
-    const failAttempt = (failure: errors.Failure, reused?: boolean, isEndless = false): void => {
+    const failAttempt = (failure: errors.Failure, reused?: boolean, isEndless = false, isClosedByPeer = false): void => {
       this.silenceTimer?.cancel()
       if (isEndless) health.noteEndlessAnswer(upstream)
       else health.noteFailure(upstream)
-      if (failure.verdict !== 'notRun') this.noteBroken(isAccepted || reused === false)
+      if (failure.verdict !== 'notRun') this.noteBroken(isAccepted || reused === false, isClosedByPeer)
       if (!isAccepted || this.canFailOver()) {
         this.onAttemptFailed(upstream, failure, reused)
         return
@@ -263,14 +264,16 @@
         if (rejection === undefined) {
           // The error is relayed unchanged but counts against the upstream: frequent errors lead to its ejection.
           if (head.status >= minServerErrorStatus) health.noteFailedRequest(upstream)
+          crashes.noteAlive(id, sentAt)
           isAccepted = true
+          status = head.status
           this.mayHaveStarted = true
           this.relayHead(head, id)
           return
         }
-        // The body of a rejected answer is not read.
+        // The body of a rejected answer is not needed.
         this.silenceTimer?.cancel()
-        this.exchange?.cancel()
+        this.exchange?.discard()
         this.noteRejection(upstream, rejection.reason)
         this.onAttemptFailed(upstream, rejection.failure)
       },
@@ -298,18 +301,19 @@
         noteFirstBytes()
         this.releaseSlot?.()
         trackUpstreams.noteSuccess(upstream)
-        crashes.noteAnswered(this.req)
+        this.noteAnswered(status)
         crashes.release(this.req)
         this.sink.end()
       },
       onFailed: (failure) => {
         if (isAccepted && failure.answer !== undefined) this.recordAnswerEnd(id, failure.answer, false)
         if (failure.verdict !== 'notRun') {
-          failAttempt({ tag: 'answerBroken', verdict: 'mayHaveRun', message: failure.cause, detail: failure.detail }, failure.reused, failure.cause === 'endless')
+          failAttempt({ tag: 'answerBroken', verdict: 'mayHaveRun', message: failure.cause, detail: failure.detail }, failure.reused, failure.cause === 'endless', failure.cause === 'reset' || failure.cause === 'truncated')
           return
         }
         // A request that was never sent does not use up an attempt.
         this.attemptCount -= 1
+        if (failure.cause === 'refused') crashes.noteEnded(upstream)
         failAttempt({ tag: 'upstreamUnavailable', verdict: 'notRun', message: failure.detail, retryAfterMs: 0 }, failure.reused)
       }
     })
@@ -389,9 +393,9 @@
   }
 
   /** The last attempt ended without an answer, and its upstream may have ended. */
-  private noteBroken (wasAlive = false): void {
+  private noteBroken (wasAlive = false, isClosedByPeer = false): void {
     if (this.lastSend === undefined) return
-    this.ports.crashes.noteBroken(this.req, { ...this.lastSend, wasAlive: wasAlive || this.lastSend.wasAlive })
+    this.ports.crashes.noteBroken(this.req, { ...this.lastSend, wasAlive: wasAlive || this.lastSend.wasAlive, isClosedByPeer })
   }
 
   /** The current attempt is cancelled. A fault that it is cancelled for may be shared by its upstream. */
@@ -400,16 +404,33 @@
     const { upstream, sentAt } = this.lastSend
     const now = this.ports.timers.monotonic()
     this.ports.decisions.record({ event: 'sendGivenUp', request: this.req.attempt.id, upstream: upstream.listed.id, why, sentAgoMs: Math.round(now - sentAt), quietMs: Math.round(now - upstream.lastActivityAt) })
-    if (why === 'fault' || this.isSilent || this.ports.crashes.isSuspected(this.req)) this.noteBroken()
+    const isQuiet = upstream.lastActivityAt < sentAt
+    if (why === 'fault' || this.isSilent || (why === 'deadline' && isQuiet) || this.ports.crashes.isSuspected(this.req)) this.noteBroken()
+    else this.ports.crashes.noteGivenUp(this.req, this.lastSend)
+  }
+
+  /** The upstream answered the request whole, which shows that it goes on unless the answer is a failure. */
+  private noteAnswered (status: number): void {
+    if (status >= minServerErrorStatus) this.noteFailedAnswer()
+    else this.ports.crashes.noteAnswered(this.req)
+  }
+
+  /** The upstream answered with a failure; the answer was read, or is not read further. */
+  private noteFailedAnswer (): void {
+    if (this.lastSend !== undefined) this.ports.crashes.noteFailedAnswer(this.req, { ...this.lastSend, wasAlive: true })
   }
 
   /** Updates the health of the upstream by why its answer was rejected. */
   private noteRejection (upstream: trackUpstreams.Upstream, reason: checkAnswer.AnswerRejection['reason']): void {
-    const { health, timers } = this.ports
+    const { crashes, health, timers } = this.ports
     switch (reason) {
       case 'full': return trackUpstreams.noteQueueFull(upstream, timers.monotonic())
-      case 'replaced': return health.noteFailure(upstream)
-      case 'faulty': return health.noteFailedRequest(upstream)
+      case 'replaced':
+        health.noteFailure(upstream)
+        return crashes.noteEnded(upstream)
+      case 'faulty':
+        health.noteFailedRequest(upstream)
+        return this.noteFailedAnswer()
     }
   }
 
--- a/packages/programs/front/src/forward-turn.test.ts
+++ b/packages/programs/front/src/forward-turn.test.ts
@@ -15,7 +15,7 @@
   let pingCount = 0
   const send: sendHttp.Sender['send'] = (_request, sink) => {
     playAnswer(sink, timers)
-    return { cancel: () => { isCancelled = true }, pause: () => {}, resume: () => {} }
+    return { cancel: () => { isCancelled = true }, discard: () => {}, pause: () => {}, resume: () => {} }
   }
   const reply = {
     head: (status: number) => { replyEvents.push(`head ${status}`) },
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -77,12 +77,14 @@
 const suspendGraceMs = 600
 /** Timeout of an announcement, in ms; no code waits for its answer. */
 const announceTimeoutMs = 500
+/** Timeout for opening a connection to watch an upstream, in ms: the examination of one that broke takes no longer. */
+const idleConnectionTimeoutMs = 60
 /** Idle timeout of connections between front processes on the called side, in ms: longer than on the calling side. */
 const peerKeepAliveMs = 10 * idleConnectionMs
 
 /** One front process, from start to exit. */
 export class Front {
-  private readonly sender: sendHttp.Sender
+  private readonly sender: sendHttp.PooledSender
   private readonly inFlightRequests: inFlightRequests.InFlightRequests
   private readonly peerCallPorts: peerCalls.PeerCallPorts
   private readonly shards: ownShards.ShardOwner
@@ -298,10 +300,13 @@
 
   private createCrashes (): upstreamCrashes.UpstreamCrashes {
     const { timers } = this.ports
-    const probe = new upstreamProbe.UpstreamProbe({ upstreams: this.upstreams.list, examineBreak: (address) => sendHttp.examineBreak(timers, address) })
+    const { connections } = this.sender
+    const probe = new upstreamProbe.UpstreamProbe({ upstreams: this.upstreams.list, examineBreak: (address) => sendHttp.examineBreak(timers, address, connections) })
     return new upstreamCrashes.UpstreamCrashes({
       ...this.ports,
       probe,
+      connections,
+      openIdleConnection: (address) => sendHttp.openIdleConnection(address, idleConnectionTimeoutMs, connections),
       address: this.cfg.peerAddress,
       members: () => this.shards.listMembers().map(memberName.parsePeerAddress),
       otherPeers: () => this.upstreams.peerLoads.peers,
--- /dev/null
+++ b/packages/programs/front/src/reserved-ends.ts
@@ -0,0 +1,80 @@
+/** Ends of upstreams that are counted before they are known, and taken back if their upstreams go on. */
+import * as limitCrashes from '@eelgrasswind/limit-crashes'
+import type * as timerService from '@eelgrasswind/timer-service'
+import type * as types from '@eelgrasswind/types'
+import type * as crashReports from './crash-reports.js'
+
+/** Dependencies of `ReservedEnds`. */
+export interface ReservedEndPorts {
+  readonly timers: timerService.TimerService
+  readonly records: limitCrashes.CrashRecords
+  readonly reporter: Pick<crashReports.CrashReporter, 'announce'>
+  /** Applies what a peer has counted. */
+  readonly mergeCount: (count: limitCrashes.CrashCount) => void
+}
+
+/** An end that this process has reserved. */
+export interface ReservedEnd {
+  readonly reservation: limitCrashes.Reservation
+  /** The processes that were told. */
+  readonly receivers: readonly string[]
+  /** Resolves once they have answered, or the time is up. */
+  readonly announced: Promise<void>
+}
+
+/** Reserves ends at this process and others. */
+export class ReservedEnds {
+  constructor (private readonly ports: ReservedEndPorts) {}
+
+  /** Counts an end here and tells the receivers, which may know of ends that this process does not. `isRelayed`: they are to tell others, too. */
+  reserve (reservation: limitCrashes.Reservation, isExclusive: boolean, receivers: readonly string[], isRelayed: boolean): ReservedEnd {
+    const { records, reporter, mergeCount } = this.ports
+    const now = this.ports.timers.monotonic()
+    records.reserve(reservation, now, isExclusive)
+    const count = records.get(reservation.request, now)
+    const announced = reporter.announce(receivers, { counts: count === undefined ? [] : [count] }, isRelayed).then((counts) => {
+      for (const other of counts) if (other.request === reservation.request) mergeCount(limitCrashes.omitReservedEnds(other))
+    })
+    return { reservation, receivers, announced }
+  }
+
+  /** Takes an end back. Resolves once those that were told of it have answered, or the time is up. */
+  async withdraw ({ reservation, receivers, announced }: ReservedEnd, isRelayed: boolean): Promise<void> {
+    this.ports.records.withdraw(reservation, this.ports.timers.monotonic())
+    // A withdrawal that overtook the announcement would have no effect.
+    await announced
+    await this.ports.reporter.announce(receivers, { withdrawn: [reservation] }, isRelayed)
+  }
+}
+
+/** Ends that upstreams may have come to as their connections broke, until these have shown that they go on. */
+export class UnclearEnds {
+  private readonly byUpstream = new Map<types.UpstreamId, Map<ReservedEnd, number>>()
+
+  /** `onResolved`: takes the end back. */
+  constructor (private readonly onResolved: (end: ReservedEnd) => void) {}
+
+  /** Whether there are none, so that no answer needs to be looked at. */
+  get isEmpty (): boolean {
+    return this.byUpstream.size === 0
+  }
+
+  /** `brokeAt`: monotonic ms. */
+  add (upstream: types.UpstreamId, end: ReservedEnd, brokeAt: number): void {
+    const ofUpstream = this.byUpstream.get(upstream) ?? new Map<ReservedEnd, number>()
+    this.byUpstream.set(upstream, ofUpstream.set(end, brokeAt))
+  }
+
+  /** An upstream has answered a request that was sent at that time, in monotonic ms. */
+  noteAlive (upstream: types.UpstreamId, sentAt: number): void {
+    for (const [end, brokeAt] of [...this.byUpstream.get(upstream) ?? []]) if (sentAt > brokeAt) this.resolve(upstream, end)
+  }
+
+  /** Has no effect for an end that is resolved already. */
+  resolve (upstream: types.UpstreamId, end: ReservedEnd): void {
+    const ofUpstream = this.byUpstream.get(upstream)
+    if (ofUpstream?.delete(end) !== true) return
+    if (ofUpstream.size === 0) this.byUpstream.delete(upstream)
+    this.onResolved(end)
+  }
+}
--- a/packages/programs/front/src/serve-unretained.test.ts
+++ b/packages/programs/front/src/serve-unretained.test.ts
@@ -22,7 +22,7 @@
   const send: sendHttp.Sender['send'] = (request, sink) => {
     calls.push(peerCalls.decodeCall(Buffer.from(request.body)))
     if (answer === 'refused') timers.after(1, () => { sink.onFailed({ verdict: 'notRun', cause: 'refused', reused: false, detail: '' }) })
-    return { cancel () {}, pause () {}, resume () {} }
+    return { cancel () {}, discard () {}, pause () {}, resume () {} }
   }
   const ports = { sender: { send, close () {} }, timers, decisions: decisionLog.createSilentDecisionLog() } as unknown as serveUnretained.UnretainedPorts
   const outcome = serveUnretained.reserveTokens(ports, { type: 'peer', address: 'peer:1' }, call)
--- a/packages/programs/front/src/upstream-crashes.test.ts
+++ b/packages/programs/front/src/upstream-crashes.test.ts
@@ -1,6 +1,6 @@
 import tap from 'tap'
 import type * as decisionLog from '@eelgrasswind/decision-log'
-import type * as sendHttp from '@eelgrasswind/send-http'
+import * as sendHttp from '@eelgrasswind/send-http'
 import * as timerService from '@eelgrasswind/timer-service'
 import type * as trackUpstreams from '@eelgrasswind/track-upstreams'
 import type * as types from '@eelgrasswind/types'
@@ -26,6 +26,8 @@
       timers,
       decisions: { record: (decision) => { decisions.push(decision) } },
       probe: { examine: async () => evidence },
+      connections: new sendHttp.OpenConnections(),
+      openIdleConnection: async () => ({ outcome: 'accepted', close: () => {} }),
       address: name,
       members: () => members,
       otherPeers: () => members.includes(name) ? names : [],
@@ -59,7 +61,7 @@
 
 /** One attempt of a client at a request; without a program, other clients may make the same one. */
 function createAttempt (path: string, program: string | null = 'p'): inbound.InboundRequest {
-  return { attempt: { id: `${path}-${Math.random()}`, program: (program ?? undefined) as types.ProgramId | undefined, session: 's', turn: undefined }, caller: { type: 'anyone' }, method: 'GET', path, route: { host: 'h' }, body: Buffer.alloc(0) } as unknown as inbound.InboundRequest
+  return { attempt: { id: `${path}-${Math.random()}`, program: (program ?? undefined) as types.ProgramId | undefined, session: 's', turn: undefined }, caller: { type: 'anyone' }, method: 'GET', path, route: { host: 'h' }, body: Buffer.alloc(0), deadlineAt: 0 } as unknown as inbound.InboundRequest
 }
 
 const names = ['a', 'b', 'c', 'd', 'e', 'f']
--- a/packages/programs/front/src/upstream-crashes.ts
+++ b/packages/programs/front/src/upstream-crashes.ts
@@ -2,16 +2,18 @@
 import type * as decisionLog from '@eelgrasswind/decision-log'
 import * as identifyClient from '@eelgrasswind/identify-client'
 import * as limitCrashes from '@eelgrasswind/limit-crashes'
+import * as sendHttp from '@eelgrasswind/send-http'
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as trackUpstreams from '@eelgrasswind/track-upstreams'
 import type * as types from '@eelgrasswind/types'
 import * as crashReports from './crash-reports.js'
 import type * as inbound from './inbound.js'
-import type * as upstreamProbe from './upstream-probe.js'
+import type * as openSends from './open-sends.js'
+import * as reservedEnds from './reserved-ends.js'
+import * as sendWatch from './send-watch.js'
 
 /** Dependencies of `UpstreamCrashes`. */
-export interface UpstreamCrashPorts extends crashReports.CrashReporterPorts {
-  readonly probe: Pick<upstreamProbe.UpstreamProbe, 'examine'>
+export interface UpstreamCrashPorts extends crashReports.CrashReporterPorts, sendWatch.SendWatchPorts {
   readonly decisions: decisionLog.DecisionLog
   /** Address of this process for its peers, IP:PORT. */
   readonly address: string
@@ -22,7 +24,7 @@
 }
 
 /** What dispatching a request needs. */
-export type CrashLimit = Pick<UpstreamCrashes, 'isLoaded' | 'isSuspected' | 'noteBroken' | 'noteAnswered' | 'permitSend' | 'release'>
+export type CrashLimit = Pick<UpstreamCrashes, 'isLoaded' | 'isSuspected' | 'noteBroken' | 'noteGivenUp' | 'noteFailedAnswer' | 'noteEnded' | 'noteAlive' | 'noteAnswered' | 'permitSend' | 'release'>
 
 /** A send under which an upstream may have ended. */
 export interface BrokenSend {
@@ -31,6 +33,8 @@
   readonly sentAt: number
   /** Whether a new connection, or a part of the answer, showed that the upstream was alive. */
   readonly wasAlive: boolean
+  /** Whether the upstream closed the connection. */
+  readonly isClosedByPeer?: boolean
 }
 
 /** Why a request must not be sent to an upstream. */
@@ -60,14 +64,22 @@
   /** Unfinished examinations by request. */
   private readonly examinations = new Map<types.RequestFingerprint, Set<Promise<void>>>()
   /** Ends that this process has reserved for its sends, with the announcement of each. */
-  private readonly reservations = new Map<inbound.InboundRequest, { readonly reservation: limitCrashes.Reservation, readonly announced: Promise<void> }>()
+  private readonly reservations = new Map<inbound.InboundRequest, reservedEnds.ReservedEnd>()
+  private readonly reservedEnds: reservedEnds.ReservedEnds
+  private readonly unclearEnds: reservedEnds.UnclearEnds
   /** Addresses of processes that have just started, with the time until which they are remembered, in monotonic ms. */
   private readonly startedPeers = new Map<string, number>()
+  /** Until when a reserved end is kept, as its send is open, monotonic ms. */
+  private readonly openUntil = new WeakMap<inbound.InboundRequest, number>()
+  private readonly sends: sendWatch.SendWatch
   private startTimer: timerService.Subscription | undefined
   private hasLoaded = false
 
   constructor (private readonly ports: UpstreamCrashPorts) {
     this.reporter = new crashReports.CrashReporter(ports)
+    this.reservedEnds = new reservedEnds.ReservedEnds({ timers: ports.timers, records: this.records, reporter: this.reporter, mergeCount: (count) => { this.mergeCount(count) } })
+    this.unclearEnds = new reservedEnds.UnclearEnds((end) => { void this.reservedEnds.withdraw(end, false) })
+    this.sends = new sendWatch.SendWatch(ports, (ended, evidence) => { for (const open of ended) void this.reportOpenSend(open, evidence) })
   }
 
   /** Whether this process has asked its peers, after its start, which requests they refuse. Until then it takes no requests. */
@@ -88,6 +100,7 @@
 
   close (): void {
     this.startTimer?.cancel()
+    this.sends.close()
   }
 
   /** The connection broke, or the upstream was given up as silent, while it ran the request. */
@@ -102,6 +115,26 @@
     pending.add(examination)
   }
 
+  /** The answer is no longer awaited, and nothing is wrong with the upstream as far as is known. */
+  noteGivenUp (req: inbound.InboundRequest, send: BrokenSend): void {
+    this.openUntil.set(req, this.sends.keepOpen(this.describeSend(req, send), req.deadlineAt))
+  }
+
+  /** The upstream has answered the request with a failure, and may end because of it. */
+  noteFailedAnswer (req: inbound.InboundRequest, send: BrokenSend): void {
+    this.sends.keepAnsweredOpen(this.describeSend(req, send))
+  }
+
+  /** Another incarnation has taken the place of the upstream, or its address refuses connections. */
+  noteEnded (upstream: trackUpstreams.Upstream): void {
+    this.sends.noteEnded(upstream, 'ended')
+  }
+
+  /** An upstream answers a request that was sent at that time, in monotonic ms. */
+  noteAlive (upstream: types.UpstreamId, sentAt: number): void {
+    if (!this.unclearEnds.isEmpty) this.unclearEnds.noteAlive(upstream, sentAt)
+  }
+
   /** An upstream has answered the request and goes on. */
   noteAnswered (req: inbound.InboundRequest): void {
     const now = this.ports.timers.monotonic()
@@ -133,8 +166,14 @@
   /** The request is sent to no further upstream. Calls `done` once all ends under it are reported, and reserved ones withdrawn: at once if there are none. */
   release (req: inbound.InboundRequest, done: () => void = () => {}): void {
     this.whenExamined(req, () => {
-      if (this.reservations.has(req)) void this.withdraw(req).then(done)
-      else done()
+      const openMs = (this.openUntil.get(req) ?? 0) - this.ports.timers.monotonic()
+      if (!this.reservations.has(req)) done()
+      else if (openMs <= 0) void this.withdraw(req).then(done)
+      else {
+        // The upstream may still end because of the send that the end is reserved for.
+        this.ports.timers.after(openMs, () => { void this.withdraw(req) })
+        done()
+      }
     })
   }
 
@@ -174,36 +213,42 @@
     return !this.records.isEmpty(now) && !this.reservations.has(req) && this.records.isLastSend(this.getFingerprint(req), now)
   }
 
-  /** Announces the end that the next send may bring about. Those that are told may know of ends that this process does not. */
+  /** Announces the end that the next send may bring about. */
   private async reserveEnd (req: inbound.InboundRequest): Promise<void> {
-    const now = this.ports.timers.monotonic()
-    const request = this.getFingerprint(req)
-    const reservation = limitCrashes.createReservation(request, req.attempt.id)
-    this.records.reserve(reservation, now)
-    const count = this.records.get(request, now)
-    const announced = this.reporter.announce(this.listPeers(), { counts: count === undefined ? [] : [count] }, true).then((counts) => {
-      for (const other of counts) if (other.request === request) this.mergeCount(limitCrashes.omitReservedEnds(other))
-    })
-    this.reservations.set(req, { reservation, announced })
-    await announced
+    const reservation = limitCrashes.createReservation(this.getFingerprint(req), req.attempt.id)
+    const reserved = this.reservedEnds.reserve(reservation, isExclusive(req), this.listPeers(), true)
+    this.reservations.set(req, reserved)
+    await reserved.announced
   }
 
   private async withdraw (req: inbound.InboundRequest): Promise<void> {
     const reserved = this.reservations.get(req)
     if (reserved === undefined) return
     this.reservations.delete(req)
-    this.records.withdraw(reserved.reservation, this.ports.timers.monotonic())
-    // A withdrawal that overtook the announcement would have no effect.
+    await this.reservedEnds.withdraw(reserved, true)
+  }
+
+  /** Counts an end that can't be told from a lost connection, until the upstream answers or the send is no longer open. */
+  private async reserveUnclearEnd (req: inbound.InboundRequest, { upstream }: BrokenSend, brokeAt: number): Promise<void> {
+    const { timers } = this.ports
+    const { id } = upstream.listed
+    const request = this.getFingerprint(req)
+    const reservation = limitCrashes.createSendReservation(request, req.attempt.id, id)
+    const isLast = this.records.isLastSend(request, timers.monotonic())
+    const reserved = this.reservedEnds.reserve(reservation, isExclusive(req), isLast ? this.listPeers() : this.listKeepers(request), false)
+    this.unclearEnds.add(id, reserved, brokeAt)
+    timers.after(Math.max(0, (this.openUntil.get(req) ?? 0) - timers.monotonic()), () => { this.unclearEnds.resolve(id, reserved) })
     await reserved.announced
-    await this.reporter.announce(this.listPeers(), { withdrawn: [reserved.reservation] }, true)
   }
 
   private async examine (req: inbound.InboundRequest, fingerprint: types.RequestFingerprint, send: BrokenSend): Promise<void> {
-    const { probe, timers, decisions } = this.ports
+    const { timers, decisions } = this.ports
     const { upstream, sentAt } = send
     const brokeAt = timers.monotonic()
-    const evidence = await probe.examine(upstream)
-    if (evidence !== 'alive') await this.report(fingerprint, send, isExclusive(req), brokeAt)
+    const evidence = await this.sends.examine(upstream)
+    if (sendHttp.hasEnded(evidence)) await this.report({ ...this.describeSend(req, send), wasGivenUp: false }, brokeAt)
+    else this.noteGivenUp(req, send)
+    if (evidence === 'unclear' && send.isClosedByPeer === true) await this.reserveUnclearEnd(req, send, brokeAt)
     decisions.record({
       event: 'upstreamBroke',
       request: req.attempt.id,
@@ -217,10 +262,24 @@
     })
   }
 
-  private async report (request: types.RequestFingerprint, { upstream, sentAt, wasAlive }: BrokenSend, isExclusiveRequest: boolean, endedAt: number): Promise<void> {
+  /** The upstream of a send that was given up has ended. */
+  private async reportOpenSend (open: openSends.OpenSend, evidence: sendHttp.ProcessEvidence): Promise<void> {
+    const { timers, decisions } = this.ports
+    const { attempt, fingerprint, send } = open
+    const endedAt = timers.monotonic()
+    await this.report(open, endedAt)
+    const ended = this.records.get(fingerprint, timers.monotonic())?.ends.length ?? 0
+    decisions.record({ event: 'upstreamEndedLater', request: attempt, fingerprint, upstream: send.upstream.listed.id, evidence, ended, sentAgoMs: Math.round(endedAt - send.sentAt) })
+  }
+
+  private describeSend (req: inbound.InboundRequest, send: BrokenSend): sendWatch.SendToWatch {
+    return { attempt: req.attempt.id, fingerprint: this.getFingerprint(req), isExclusive: isExclusive(req), send }
+  }
+
+  private async report ({ attempt, fingerprint: request, isExclusive, wasGivenUp, send: { upstream, sentAt, wasAlive } }: Omit<openSends.OpenSend, 'until'>, endedAt: number): Promise<void> {
     const { timers } = this.ports
     const now = timers.monotonic()
-    const report: limitCrashes.CrashReport = { request, upstream: upstream.listed.id, isExclusive: isExclusiveRequest, sentAgoMs: now - sentAt, endedAgoMs: now - endedAt, wasAlive }
+    const report: limitCrashes.CrashReport = { request, upstream: upstream.listed.id, isExclusive, sentAgoMs: now - sentAt, endedAgoMs: now - endedAt, wasAlive, wasGivenUp, attempt }
     const wasLimited = this.isLimited(request)
     this.records.noteEnd(report, now)
     for (const count of await this.reporter.report(this.listKeepers(request), report)) this.records.merge(count, timers.monotonic())
--- a/packages/programs/front/src/upstream-probe.ts
+++ b/packages/programs/front/src/upstream-probe.ts
@@ -1,5 +1,5 @@
 /** Examines whether an upstream has ended after a connection to it broke. */
-import type * as sendHttp from '@eelgrasswind/send-http'
+import * as sendHttp from '@eelgrasswind/send-http'
 import type * as trackUpstreams from '@eelgrasswind/track-upstreams'
 import type * as types from '@eelgrasswind/types'
 
@@ -30,6 +30,6 @@
     const { id, address } = upstream.listed
     const evidence = await this.ports.examineBreak(address)
     // Another incarnation may already listen there.
-    return evidence === 'alive' && this.ports.upstreams.get(id) === undefined ? 'ended' : evidence
+    return !sendHttp.hasEnded(evidence) && this.ports.upstreams.get(id) === undefined ? 'ended' : evidence
   }
 }
--- a/packages/programs/guard-upstream/src/send-dispatch.ts
+++ b/packages/programs/guard-upstream/src/send-dispatch.ts
@@ -58,7 +58,7 @@
 async function describeBreak (upstream: upstreamStates.UpstreamState, failure: errors.Failure, timers: timerService.TimerService): Promise<errors.Failure> {
   if (failure.tag !== 'answerBroken') return failure
   const evidence = await sendHttp.examineBreak(timers, new URL(upstream.target.address).host)
-  return evidence === 'alive' ? failure : { ...failure, detail: errors.upstreamEndedDetail }
+  return sendHttp.hasEnded(evidence) ? { ...failure, detail: errors.upstreamEndedDetail } : failure
 }
 
 /** Sends a dispatch. The signal and the timeout abort the request; after the timeout the failure is `timeout`. */
