front: what is counted of ended upstreams outlives the processes that counted it

Cause: counts are in the memory of up to three owners of shards. Those that end leave the group, those that start ask only the group, and with each change of the group others count. A process that was suspended hears of what it missed only while the others try again. The class: state that must last is kept where it does not.

Change: each process writes the ends that it sees to the store, under a key of its own, 20 ms after a change; a process that starts, or was suspended for more than a second, reads them and asks all others that it knows before it sends anything. When the owners of shards change, each tells the new ones what it has counted. ShardLog.put appends without a fence.

Ruled out: calls of the reporter that time out.

Red tests of upstream-crashes: a start after all others have gone, new owners of shards, a suspension.

--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -109,8 +109,9 @@
   | { readonly event: 'upstreamGone', readonly upstream: types.UpstreamId, readonly graceMs: number }
   /** From now on the request is refused. `ends`: the upstreams that ended under it, and `send ATTEMPT` for a send that may end the last one. */
   | { readonly event: 'crashLimitReached', readonly fingerprint: types.RequestFingerprint, readonly ends: readonly string[], readonly source: 'own' | 'peer' }
-  /** After its start the process has asked its peers which requests ended upstreams. `asked`, `answered`: numbers of peers; `counts`: of requests that it learned of. */
-  | { readonly event: 'crashCountsLoaded', readonly asked: number, readonly answered: number, readonly counts: number }
+  /** After its start, or a suspension, the process has asked its peers and the store which requests ended upstreams. `asked`, `answered`: numbers of peers; `counts`, `stored`: numbers of requests that peers and the store told of. */
+  | { readonly event: 'crashCountsLoaded', readonly asked: number, readonly answered: number, readonly counts: number, readonly stored: number | undefined }
+  | { readonly event: 'crashCountsUnreadable', readonly key: string, readonly err: unknown }
   /** `marks` and `requests`: counts of all processes within the window that the decision is based on. */
   | { readonly event: 'upstreamEjected', readonly upstream: types.UpstreamId, readonly mark: string, readonly marks: number, readonly requests: number, readonly forMs: number, readonly source: 'own' | 'peer' }
   | { readonly event: 'loadReportUnreadable', readonly from: string, readonly err: unknown }
@@ -218,7 +219,8 @@
   upstream: { level: 'info', message: 'upstream listed' },
   upstreamGone: { level: 'info', message: 'upstream no longer listed' },
   crashLimitReached: { level: 'warn', message: 'too many upstreams have ended under a request; it is refused' },
-  crashCountsLoaded: { level: 'info', message: 'asked the other processes which requests have ended upstreams' },
+  crashCountsLoaded: { level: 'info', message: 'asked the other processes and the store which requests have ended upstreams' },
+  crashCountsUnreadable: { level: 'warn', message: 'invalid record of requests that have ended upstreams' },
   upstreamEjected: { level: 'warn', message: 'upstream fails or is slow far more often than usual; new requests avoid it' },
   loadReportUnreadable: { level: 'warn', message: 'invalid load report from another process' },
   loadNotShared: { level: 'warn', message: 'load report could not be sent' },
--- a/packages/decide/limit-crashes/src/crash-records.ts
+++ b/packages/decide/limit-crashes/src/crash-records.ts
@@ -185,6 +185,12 @@
     return [...this.records.values()].filter((record) => this.isValid(record, now) && this.countEndsLeft(record) <= 1).map((record) => describeRecord(record, now))
   }
 
+  /** All requests with ends that are certain, those with the most ends first, without reserved ends. */
+  listCertain (now: number): CrashCount[] {
+    const counts = [...this.records.values()].filter((record) => this.isValid(record, now)).map((record) => omitReservedEnds(describeRecord(record, now)))
+    return counts.filter(({ ends }) => ends.length > 0).sort((a, b) => b.ends.length - a.ends.length)
+  }
+
   private dropCertainEnds (record: CrashRecord): void {
     this.records.set(record.request, { ...record, ends: new Map([...record.ends].filter(([end]) => isReserved(end))) })
   }
--- a/packages/peers/shard-log/src/shard-log.ts
+++ b/packages/peers/shard-log/src/shard-log.ts
@@ -95,6 +95,8 @@
 /** Calls to the store. They never throw; a call without a result resolves to a `StoreFailure`. */
 export interface ShardLog {
   readonly append: (request: FencedAppend) => Promise<AppendOutcome>
+  /** Appends records without a fence, to a partition with several writers; each key has one writer. A call without an answer may be repeated. */
+  readonly put: (partition: Partition, records: readonly KeyedRecord[]) => Promise<{ readonly type: 'appended' } | StoreFailure>
   readonly readNewest: (partition: Partition, after: string | undefined) => Promise<NewestPage | StoreFailure>
   /** `expired`: records after `from` are no longer stored; only the newest record of each key is available, from `readNewest`. */
   readonly read: (request: ReadRequest) => Promise<RecordPage | { readonly type: 'expired' } | StoreFailure>
--- a/packages/peers/shard-log/src/store-call.ts
+++ b/packages/peers/shard-log/src/store-call.ts
@@ -4,6 +4,7 @@
 /** A call with its arguments. */
 export type StoreCall =
   | { readonly type: 'append', readonly request: shardLog.FencedAppend }
+  | { readonly type: 'put', readonly partition: shardLog.Partition, readonly records: readonly shardLog.KeyedRecord[] }
   | { readonly type: 'newest', readonly partition: shardLog.Partition, readonly after: string | undefined }
   | { readonly type: 'read', readonly request: shardLog.ReadRequest }
   | { readonly type: 'join', readonly request: shardLog.JoinRequest }
@@ -17,6 +18,7 @@
 export function runStoreCall (log: shardLog.ShardLog, call: StoreCall): Promise<StoreAnswer> {
   switch (call.type) {
     case 'append': return log.append(call.request)
+    case 'put': return log.put(call.partition, call.records)
     case 'newest': return log.readNewest(call.partition, call.after)
     case 'read': return log.read(call.request)
     case 'join': return log.join(call.request)
@@ -30,6 +32,7 @@
   // The casts hold because `runStoreCall` returns the result of the method that corresponds to the call.
   return {
     append: (request) => makeCall({ type: 'append', request }) as ReturnType<shardLog.ShardLog['append']>,
+    put: (partition, records) => makeCall({ type: 'put', partition, records }) as ReturnType<shardLog.ShardLog['put']>,
     readNewest: (partition, after) => makeCall({ type: 'newest', partition, after }) as ReturnType<shardLog.ShardLog['readNewest']>,
     read: (request) => makeCall({ type: 'read', request }) as ReturnType<shardLog.ShardLog['read']>,
     join: (request) => makeCall({ type: 'join', request }) as ReturnType<shardLog.ShardLog['join']>,
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -136,7 +136,7 @@
       peerCount: () => this.upstreams.peerLoads.peerCount,
       slack: cfg.limitSlack
     })
-    this.crashes = this.createCrashes()
+    this.crashes = this.createCrashes(log)
     const turnPorts = this.createTurnPorts()
     this.clientServer = clientListener.createClientServer({
       ...turnPorts,
@@ -298,13 +298,15 @@
     }
   }
 
-  private createCrashes (): upstreamCrashes.UpstreamCrashes {
+  private createCrashes (log: shardLog.ShardLog): upstreamCrashes.UpstreamCrashes {
     const { timers } = this.ports
     const { connections } = this.sender
     const probe = new upstreamProbe.UpstreamProbe({ upstreams: this.upstreams.list, examineBreak: (address) => sendHttp.examineBreak(timers, address, connections) })
     return new upstreamCrashes.UpstreamCrashes({
       ...this.ports,
       probe,
+      // An earlier release relays no writes of this kind.
+      crashLog: { put: (partition, records) => this.ports.log.put(partition, records), readNewest: (partition, after) => log.readNewest(partition, after) },
       connections,
       openIdleConnection: (address) => sendHttp.openIdleConnection(address, idleConnectionTimeoutMs, connections),
       address: this.cfg.peerAddress,
--- a/packages/programs/front/src/upstream-crashes.test.ts
+++ b/packages/programs/front/src/upstream-crashes.test.ts
@@ -1,6 +1,7 @@
-import tap from 'tap'
+import tap, { type Test } from 'tap'
 import type * as decisionLog from '@eelgrasswind/decision-log'
 import * as sendHttp from '@eelgrasswind/send-http'
+import * as standIns from '@eelgrasswind/stand-ins'
 import * as timerService from '@eelgrasswind/timer-service'
 import type * as trackUpstreams from '@eelgrasswind/track-upstreams'
 import type * as types from '@eelgrasswind/types'
@@ -15,8 +16,11 @@
 
 /** Processes that call each other directly. `members`: those that own shards; the others are known only to these. */
 function fixture (names: readonly string[], members: readonly string[]) {
-  const timers = timerService.createRealTimers()
+  const realTimers = timerService.createRealTimers()
+  let skippedMs = 0
+  const timers: timerService.TimerService = { ...realTimers, monotonic: () => realTimers.monotonic() + skippedMs }
   const processes = new Map<string, Process>()
+  const store = new standIns.MemoryShardLog(timers, 1)
   const unreachable = new Set<string>()
   const calls: string[] = []
   let evidence: sendHttp.ProcessEvidence = 'ended'
@@ -27,6 +31,7 @@
       decisions: { record: (decision) => { decisions.push(decision) } },
       probe: { examine: async () => evidence },
       connections: new sendHttp.OpenConnections(),
+      crashLog: store.client(),
       openIdleConnection: async () => ({ outcome: 'accepted', close: () => {} }),
       address: name,
       members: () => members,
@@ -56,7 +61,7 @@
     }
     return refusing
   }
-  return { get, end, permit, listRefusing, unreachable, calls, setEvidence: (next: sendHttp.ProcessEvidence) => { evidence = next } }
+  return { get, end, permit, listRefusing, unreachable, suspend: (ms: number) => { skippedMs += ms }, calls, setEvidence: (next: sendHttp.ProcessEvidence) => { evidence = next } }
 }
 
 /** One attempt of a client at a request; without a program, other clients may make the same one. */
@@ -177,3 +182,49 @@
   unreachable.delete('b')
   t.ok((await listRefusing(() => createAttempt('/x'))).includes('b'))
 })
+
+/** Starts a process and resolves once it takes requests. */
+async function start ({ crashes }: Process, t: Test): Promise<void> {
+  t.teardown(() => { crashes.close() })
+  crashes.start()
+  while (!crashes.isLoaded) await new Promise((resolve) => { setTimeout(resolve, 10) })
+}
+
+const checkMs = 400
+
+// Guards against counts that were lost with the processes that had made them.
+tap.test('a process that starts while no other answers learns from the store what was counted', async (t) => {
+  const { get, end, permit, unreachable } = fixture(['a', 'b'], ['b'])
+  unreachable.add('a').add('b')
+  for (const upstream of ['u1', 'u2', 'u3']) await end('a', createAttempt('/x'), upstream)
+  await new Promise((resolve) => { setTimeout(resolve, 100) })
+  await start(get('b'), t)
+  t.equal((await permit('b', createAttempt('/x')))?.ends.length, 3)
+  t.equal(await permit('b', createAttempt('/y')), undefined)
+})
+
+// Guards against ends that were counted by others after each change of the owners of shards, and did not add up.
+tap.test('new owners of shards are told of the ends that were counted before', async (t) => {
+  const owners = ['a']
+  const { get, end, listRefusing } = fixture(['a', 'b', 'c'], owners)
+  await start(get('a'), t)
+  await end('a', createAttempt('/x'), 'u1')
+  owners.splice(0, 1, 'b')
+  await new Promise((resolve) => { setTimeout(resolve, checkMs) })
+  await end('b', createAttempt('/x'), 'u2')
+  await end('b', createAttempt('/x'), 'u3')
+  t.same(await listRefusing(() => createAttempt('/x')), ['a', 'b', 'c'])
+})
+
+// Guards against a process that was suspended while the others were told, and sent the request again.
+tap.test('a process that was suspended asks the others before it sends a request', async (t) => {
+  const { get, end, permit, unreachable, suspend } = fixture(['a', 'b', 'c'], ['a', 'b', 'c'])
+  await start(get('a'), t)
+  unreachable.add('a')
+  for (const upstream of ['u1', 'u2', 'u3']) await end('b', createAttempt('/x'), upstream)
+  unreachable.delete('a')
+  t.equal(await permit('a', createAttempt('/x')), undefined, 'it has not heard of the ends')
+  suspend(3_000)
+  await new Promise((resolve) => { setTimeout(resolve, checkMs) })
+  t.equal((await permit('a', createAttempt('/x')))?.ends.length, 3)
+})
--- a/packages/programs/front/src/upstream-crashes.ts
+++ b/packages/programs/front/src/upstream-crashes.ts
@@ -11,12 +11,11 @@
 import type * as openSends from './open-sends.js'
 import * as reservedEnds from './reserved-ends.js'
 import * as sendWatch from './send-watch.js'
+import * as storedCrashCounts from './stored-crash-counts.js'
 
 /** Dependencies of `UpstreamCrashes`. */
-export interface UpstreamCrashPorts extends crashReports.CrashReporterPorts, sendWatch.SendWatchPorts {
+export interface UpstreamCrashPorts extends crashReports.CrashReporterPorts, sendWatch.SendWatchPorts, storedCrashCounts.StoredCountPorts {
   readonly decisions: decisionLog.DecisionLog
-  /** Address of this process for its peers, IP:PORT. */
-  readonly address: string
   /** Addresses of the processes that own shards, which all processes know. */
   readonly members: () => readonly string[]
   /** Addresses of further processes that this one has heard of. */
@@ -49,6 +48,12 @@
 /** After its start a process polls for the owners of shards at this interval, and for no longer than the timeout, in ms. */
 const memberPollMs = 20
 const memberTimeoutMs = 1_000
+/** Timeout for reading from the store what others have counted, in ms. */
+const storedTimeoutMs = 1_000
+/** Period at which a process checks whether it was suspended and whether others count now, in ms. */
+const checkPeriodMs = 250
+/** A process whose check is so late, in ms, was suspended, and may not have heard what others counted meanwhile. */
+const suspendedMs = 1_000
 /** How long a process that has just started is remembered, in ms: until it is known by its load reports. */
 const startedMemoryMs = 3_000
 
@@ -73,12 +78,20 @@
   private readonly openUntil = new WeakMap<inbound.InboundRequest, number>()
   private readonly sends: sendWatch.SendWatch
   private startTimer: timerService.Subscription | undefined
+  private checkTimer: timerService.Subscription | undefined
+  private checkedAt = 0
+  /** The owners of shards at the last check. */
+  private knownMembers = ''
+  private readonly stored: storedCrashCounts.StoredCrashCounts
+  /** After a suspension, until it is known what others have counted. */
+  private pendingLoad: Promise<void> | undefined
   private hasLoaded = false
 
   constructor (private readonly ports: UpstreamCrashPorts) {
     this.reporter = new crashReports.CrashReporter(ports)
     this.reservedEnds = new reservedEnds.ReservedEnds({ timers: ports.timers, records: this.records, reporter: this.reporter, mergeCount: (count) => { this.mergeCount(count) } })
     this.unclearEnds = new reservedEnds.UnclearEnds((end) => { void this.reservedEnds.withdraw(end, false) })
+    this.stored = new storedCrashCounts.StoredCrashCounts(ports, () => this.records.listCertain(ports.timers.monotonic()))
     this.sends = new sendWatch.SendWatch(ports, (ended, evidence) => { for (const open of ended) void this.reportOpenSend(open, evidence) })
   }
 
@@ -94,12 +107,15 @@
     this.startTimer = timers.every(memberPollMs, () => {
       if (members().length === 0 && timers.monotonic() - startedAt < memberTimeoutMs) return
       this.startTimer?.cancel()
-      void this.load()
+      void this.load().then(() => { this.hasLoaded = true })
     })
+    this.checkedAt = startedAt
+    this.checkTimer = timers.every(checkPeriodMs, () => { this.check() })
   }
 
   close (): void {
     this.startTimer?.cancel()
+    this.checkTimer?.cancel()
     this.sends.close()
   }
 
@@ -193,7 +209,33 @@
     return { type: 'crashes', counts: [...requests].flatMap((request) => this.records.get(request, now) ?? []) }
   }
 
+  private check (): void {
+    const now = this.ports.timers.monotonic()
+    const wasSuspended = now - this.checkedAt > suspendedMs + checkPeriodMs
+    this.checkedAt = now
+    if (wasSuspended) this.reload()
+    this.tellNewMembers(now)
+  }
+
+  private reload (): void {
+    const loading = this.load().finally(() => { if (this.pendingLoad === loading) this.pendingLoad = undefined })
+    this.pendingLoad = loading
+  }
+
+  /** With each change of the owners of shards others count the ends of a request. */
+  private tellNewMembers (now: number): void {
+    const members = this.ports.members().join()
+    if (members === this.knownMembers) return
+    this.knownMembers = members
+    const counts = this.records.isEmpty(now) ? [] : this.records.listCertain(now)
+    if (counts.length > 0) void this.reporter.announce(this.listOtherMembers(), { counts }, false)
+  }
+
   private whenExamined (req: inbound.InboundRequest, done: () => void): void {
+    if (this.pendingLoad !== undefined) {
+      void this.pendingLoad.then(() => { this.whenExamined(req, done) })
+      return
+    }
     const pending = this.examinations.size === 0 ? undefined : this.examinations.get(this.getFingerprint(req))
     if (pending === undefined) done()
     else void Promise.all(pending).then(done)
@@ -282,6 +324,7 @@
     const report: limitCrashes.CrashReport = { request, upstream: upstream.listed.id, isExclusive, sentAgoMs: now - sentAt, endedAgoMs: now - endedAt, wasAlive, wasGivenUp, attempt }
     const wasLimited = this.isLimited(request)
     this.records.noteEnd(report, now)
+    this.stored.noteChanged()
     for (const count of await this.reporter.report(this.listKeepers(request), report)) this.records.merge(count, timers.monotonic())
     const count = this.records.get(request, timers.monotonic())
     if (count === undefined || !this.records.isLastSend(request, timers.monotonic())) return
@@ -328,11 +371,11 @@
   }
 
   private async load (): Promise<void> {
-    const answers = await Promise.all(this.listOtherMembers().map((peer) => this.reporter.fetchCounts(peer, this.ports.address)))
+    const fetched = Promise.all(this.listPeers().map((peer) => this.reporter.fetchCounts(peer, this.ports.address)))
+    const [answers, stored] = await Promise.all([fetched, this.stored.load(storedTimeoutMs)])
     const counts = answers.flatMap((answer) => answer ?? [])
-    for (const count of counts) this.mergeCount(count)
-    this.hasLoaded = true
-    this.ports.decisions.record({ event: 'crashCountsLoaded', asked: answers.length, answered: answers.filter((answer) => answer !== undefined).length, counts: counts.length })
+    for (const count of [...counts, ...stored ?? []]) this.mergeCount(count)
+    this.ports.decisions.record({ event: 'crashCountsLoaded', asked: answers.length, answered: answers.filter((answer) => answer !== undefined).length, counts: counts.length, stored: stored?.length })
   }
 
   private getFingerprint (req: inbound.InboundRequest): types.RequestFingerprint {
--- a/packages/testing/stand-ins/src/memory-shard-log.ts
+++ b/packages/testing/stand-ins/src/memory-shard-log.ts
@@ -75,6 +75,9 @@
   private answer (call: shardLog.StoreCall): shardLog.StoreAnswer {
     switch (call.type) {
       case 'append': return this.append(call.request)
+      case 'put':
+        this.stored(call.partition).records.push(...call.records)
+        return { type: 'appended' }
       case 'newest': return this.newest(call.partition)
       case 'read': {
         const records = this.stored(call.request.partition).records
