front: a request that is answered is not blamed for ends beside it, also within a program

Cause: an answer took ends back only for requests without a program, and only at processes that knew of an end; a program that asks for the same status again and again collected the ends of 30 s.

Change: each answer that is no failure takes the ends back, at all processes that were told of them, and an end under a send that was made before the last answer is not counted.

--- a/packages/decide/limit-crashes/src/crash-records.ts
+++ b/packages/decide/limit-crashes/src/crash-records.ts
@@ -98,11 +98,14 @@
 /** Remembers the ends of upstreams by request. All times passed in are monotonic ms of this process. */
 export class CrashRecords {
   private readonly records: boundedMap.BoundedMap<types.RequestFingerprint, CrashRecord>
+  /** When requests were last answered, monotonic ms. */
+  private readonly answeredAt: boundedMap.BoundedMap<types.RequestFingerprint, number>
   /** No record is valid from this time on. */
   private emptyFrom = -Infinity
 
   constructor (private readonly limits: CrashLimits = defaultCrashLimits) {
     this.records = new boundedMap.BoundedMap(limits.maxRequests)
+    this.answeredAt = new boundedMap.BoundedMap(limits.maxRequests)
   }
 
   /** Whether no end is remembered, so that no request needs to be looked up. */
@@ -113,10 +116,12 @@
   /**
    * Counts an end. Requests that several clients can make, and requests that were given up, run at several upstreams at
    * the same time, which a crash of a rack ends together: then an end counts only if the one before was not the same crash.
+   * A request that was answered after this send is not what ended its upstream.
    */
   noteEnd (report: CrashReport, now: number): void {
     const known = this.find(report.request, now)
     const sentAt = now - report.sentAgoMs
+    if (sentAt <= (this.answeredAt.get(report.request) ?? -Infinity)) return
     const mayShareCrash = !report.isExclusive || report.wasGivenUp === true
     if (known !== undefined && mayShareCrash && !isLaterCrash(report, known, now)) return
     this.add(report, [createEndId(report.upstream, sentAt, known)], now - report.endedAgoMs, now)
@@ -129,6 +134,7 @@
   merge (count: CrashCount, now: number): void {
     const known = this.find(count.request, now)
     const endedAt = now - count.lastEndedAgoMs
+    if (endedAt <= (this.answeredAt.get(count.request) ?? -Infinity)) return
     if (known === undefined || isExclusive(count)) {
       this.add(count, count.ends, endedAt, now)
       return
@@ -154,6 +160,7 @@
 
   /** Forgets a request, which an upstream has answered without ending. Returns whether it was remembered. */
   forget (request: types.RequestFingerprint, now: number): boolean {
+    this.answeredAt.set(request, now)
     if (this.find(request, now) === undefined) return false
     this.records.delete(request)
     return true
--- a/packages/programs/front/src/upstream-crashes.test.ts
+++ b/packages/programs/front/src/upstream-crashes.test.ts
@@ -228,3 +228,15 @@
   await new Promise((resolve) => { setTimeout(resolve, checkMs) })
   t.equal((await permit('a', createAttempt('/x')))?.ends.length, 3)
 })
+
+// Guards against a harmless request that a program makes again and again, and that was refused for ends that came about beside it.
+tap.test('a request of a program that is answered is not blamed for ends of sends before the answer', async (t) => {
+  const { get, end, listRefusing } = fixture(names, members)
+  const early = createAttempt('/x')
+  await end('a', createAttempt('/x'), 'u1')
+  await end('a', createAttempt('/x'), 'u2')
+  get('a').crashes.noteAnswered(createAttempt('/x'))
+  await new Promise((resolve) => { setTimeout(resolve, 50) })
+  await end('a', early, 'u3')
+  t.same(await listRefusing(() => createAttempt('/x')), [])
+})
--- a/packages/programs/front/src/upstream-crashes.ts
+++ b/packages/programs/front/src/upstream-crashes.ts
@@ -154,11 +154,12 @@
   /** An upstream has answered the request and goes on. */
   noteAnswered (req: inbound.InboundRequest): void {
     const now = this.ports.timers.monotonic()
-    // A request that names its program is not made again once it is answered.
-    if (isExclusive(req) || this.records.isEmpty(now)) return
+    if (this.records.isEmpty(now)) return
     const fingerprint = this.getFingerprint(req)
-    const receivers = this.isLimited(fingerprint) ? this.listPeers() : this.listKeepers(fingerprint)
-    if (this.records.forget(fingerprint, now)) this.reporter.announceAnswered(receivers, fingerprint)
+    const receivers = this.records.isLastSend(fingerprint, now) ? this.listPeers() : this.listKeepers(fingerprint)
+    if (!this.records.forget(fingerprint, now)) return
+    this.reporter.announceAnswered(receivers, fingerprint)
+    this.stored.noteChanged()
   }
 
   /** Whether this process knows of an upstream that ended under the request. */
