host-list-client: an entry that can't be read is left out of the list, and the others hold

What callers may see (report of other operators): processes that stop following a list since another writer left one odd entry in it. Here one such entry made the whole answer invalid, so that entry and sidecar kept the list as it was.

--- a/packages/peers/host-list-client/src/host-list-client.ts
+++ b/packages/peers/host-list-client/src/host-list-client.ts
@@ -15,6 +15,8 @@
   readonly address: string
   /** Time limit of a read, in ms, after which its answer counts as lost. */
   readonly timeoutMs: number
+  /** Receives the number of entries that can't be read, and are left out, whenever it changes. */
+  readonly onUnreadable?: (count: number) => void
   /** Defaults to real timers. */
   readonly timers?: timerService.TimerService
 }
--- a/packages/programs/process-base/src/process-base.ts
+++ b/packages/programs/process-base/src/process-base.ts
@@ -43,7 +43,10 @@
   const self: types.ProcessRef = { host, incarnation: crypto.randomUUID() as types.Incarnation }
   const log = logger.createLogger({ name, host, level: settings.logLevel, stream: process.stderr })
   const logService = logClient.createLogClient(settings.log)
-  const hostList = hostListClient.createHostListClient(settings.hostList)
+  const hostList = hostListClient.createHostListClient({
+    ...settings.hostList,
+    onUnreadable: (count) => { log.warn({ count }, 'entries of the host list that cannot be read are left out') }
+  })
   const metricsClient = metrics.createMetrics(settings.metrics === null
     ? 'off'
     : { host: settings.metrics.address, port: settings.metrics.port, prefix: 'eelgrasswind.', tags: { host, availability_zone: settings.availabilityZone, program: name } })
