platform: an upstream whose address can't be one is not listed

Nineteen forms at a front that follows the list: none ended it or stopped it; three were taken for upstreams (port out of range, port 0, an IP address that is none), and each request that chose one failed over from it. The same forms as configuration and as records of ended upstreams change nothing, also at a process that starts behind them.

--- a/packages/peers/send-http/src/probe-connection.ts
+++ b/packages/peers/send-http/src/probe-connection.ts
@@ -22,6 +22,8 @@
 /** Timeout of the connection attempt, in ms: a host that is up answers within one round trip, whatever its process does. */
 const probeTimeoutMs = 60
 
+const maxPort = 65_535
+
 /**
  * Examines whether the process at an address has ended, after a connection to it broke just now. One that takes a new
  * connection has ended if it closed all others at that moment: then another process has taken its place.
@@ -66,8 +68,11 @@
 /** Opens a connection and resolves with what `onConnect` returns for it. */
 function connect<Accepted> (address: string, timeoutMs: number, onConnect: (socket: net.Socket) => Accepted): Promise<Accepted | { readonly outcome: 'refused' | 'noAnswer' }> {
   const colon = address.lastIndexOf(':')
+  const port = Number(address.slice(colon + 1))
+  // Node.js throws for a port that can't be.
+  if (!(port > 0 && port <= maxPort)) return Promise.resolve({ outcome: 'noAnswer' })
   return new Promise((resolve) => {
-    const socket = net.connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)) })
+    const socket = net.connect({ host: address.slice(0, colon), port })
     const fail = (outcome: 'refused' | 'noAnswer'): void => {
       clearTimeout(timer)
       socket.destroy()
