front: a process that starts asks those that have written counts of ended upstreams

It sent the request, and a fourth upstream ended.

Cause: a process that starts knows others only by the shards that they own. Change: it also asks the processes that have written counts within 30 s, whose addresses are the keys of their records.

Red test: upstream-crashes, "asks those that have written counts". Ruled out: a call that timed out (asked 0).

--- a/packages/programs/front/src/stored-crash-counts.ts
+++ b/packages/programs/front/src/stored-crash-counts.ts
@@ -28,6 +28,16 @@
 /** Number of fields of a stored count. */
 const countFields = 4
 
+/** What the store holds. */
+export interface StoredCounts {
+  readonly counts: readonly limitCrashes.CrashCount[]
+  /** Addresses of the processes that have written lately. */
+  readonly writers: readonly string[]
+}
+
+/** A writer whose last count is older than this, in ms, is not asked any more. */
+const recentMs = 30_000
+
 /** Writes the counts of this process and reads those of all. */
 export class StoredCrashCounts {
   private isWritePending = false
@@ -41,20 +51,25 @@
   }
 
   /** Reads the counts of all processes; `undefined` if the store does not answer within the timeout, in ms. */
-  async load (timeoutMs: number): Promise<limitCrashes.CrashCount[] | undefined> {
+  async load (timeoutMs: number): Promise<StoredCounts | undefined> {
     return await timerService.withTimeout(this.ports.timers, this.readAll(), timeoutMs)
   }
 
-  private async readAll (): Promise<limitCrashes.CrashCount[] | undefined> {
+  private async readAll (): Promise<StoredCounts | undefined> {
     const counts: limitCrashes.CrashCount[] = []
+    const writers: string[] = []
     let after: string | undefined
     do {
       const page = await this.ports.crashLog.readNewest(partition, after)
       if (page.type !== 'page') return undefined
-      for (const { key, value } of page.records) counts.push(...this.decode(key, value))
+      for (const { key, value } of page.records) {
+        const recent = this.decode(key, value).filter(({ lastEndedAgoMs }) => lastEndedAgoMs < recentMs)
+        counts.push(...recent)
+        if (recent.length > 0) writers.push(key)
+      }
       after = page.after
     } while (after !== undefined)
-    return counts
+    return { counts, writers }
   }
 
   private scheduleWrite (delayMs: number, rewritesLeft: number): void {
--- a/packages/programs/front/src/upstream-crashes.test.ts
+++ b/packages/programs/front/src/upstream-crashes.test.ts
@@ -21,6 +21,8 @@
   const timers: timerService.TimerService = { ...realTimers, monotonic: () => realTimers.monotonic() + skippedMs }
   const processes = new Map<string, Process>()
   const store = new standIns.MemoryShardLog(timers, 1)
+  /** Of the store, for the process `a`. */
+  const faults = standIns.noFaults()
   const unreachable = new Set<string>()
   const calls: string[] = []
   let evidence: sendHttp.ProcessEvidence = 'ended'
@@ -31,7 +33,7 @@
       decisions: { record: (decision) => { decisions.push(decision) } },
       probe: { examine: async () => evidence },
       connections: new sendHttp.OpenConnections(),
-      crashLog: store.client(),
+      crashLog: store.client(name === 'a' ? faults : standIns.noFaults()),
       openIdleConnection: async () => ({ outcome: 'accepted', close: () => {} }),
       address: name,
       members: () => members,
@@ -61,7 +63,7 @@
     }
     return refusing
   }
-  return { get, end, permit, listRefusing, unreachable, suspend: (ms: number) => { skippedMs += ms }, calls, setEvidence: (next: sendHttp.ProcessEvidence) => { evidence = next } }
+  return { get, end, permit, listRefusing, unreachable, faults, suspend: (ms: number) => { skippedMs += ms }, calls, setEvidence: (next: sendHttp.ProcessEvidence) => { evidence = next } }
 }
 
 /** One attempt of a client at a request; without a program, other clients may make the same one. */
@@ -203,6 +205,17 @@
   t.equal(await permit('b', createAttempt('/y')), undefined)
 })
 
+// Guards against a process that started while the store was late, and asked only the owners of shards.
+tap.test('a process that starts asks those that have written counts, although they own no shards', async (t) => {
+  const { get, end, permit, faults } = fixture(['a', 'b'], [])
+  await end('a', createAttempt('/x'), 'u1')
+  await new Promise((resolve) => { setTimeout(resolve, 100) })
+  faults.refuse = true
+  for (const upstream of ['u2', 'u3']) await end('a', createAttempt('/x'), upstream)
+  await start(get('b'), t)
+  t.equal((await permit('b', createAttempt('/x')))?.ends.length, 3)
+})
+
 // Guards against ends that were counted by others after each change of the owners of shards, and did not add up.
 tap.test('new owners of shards are told of the ends that were counted before', async (t) => {
   const owners = ['a']
--- a/packages/programs/front/src/upstream-crashes.ts
+++ b/packages/programs/front/src/upstream-crashes.ts
@@ -72,7 +72,7 @@
   private readonly reservations = new Map<inbound.InboundRequest, reservedEnds.ReservedEnd>()
   private readonly reservedEnds: reservedEnds.ReservedEnds
   private readonly unclearEnds: reservedEnds.UnclearEnds
-  /** Addresses of processes that have just started, with the time until which they are remembered, in monotonic ms. */
+  /** Addresses of processes that have just started, or have written counts lately, with the time until which they are remembered, in monotonic ms. */
   private readonly startedPeers = new Map<string, number>()
   /** Until when a reserved end is kept, as its send is open, monotonic ms. */
   private readonly openUntil = new WeakMap<inbound.InboundRequest, number>()
@@ -372,11 +372,13 @@
   }
 
   private async load (): Promise<void> {
-    const fetched = Promise.all(this.listPeers().map((peer) => this.reporter.fetchCounts(peer, this.ports.address)))
-    const [answers, stored] = await Promise.all([fetched, this.stored.load(storedTimeoutMs)])
+    const stored = await this.stored.load(storedTimeoutMs)
+    // Those that are about to end own no shards any more.
+    for (const writer of stored?.writers ?? []) this.startedPeers.set(writer, this.ports.timers.monotonic() + startedMemoryMs)
+    const answers = await Promise.all(this.listPeers().map((peer) => this.reporter.fetchCounts(peer, this.ports.address)))
     const counts = answers.flatMap((answer) => answer ?? [])
-    for (const count of [...counts, ...stored ?? []]) this.mergeCount(count)
-    this.ports.decisions.record({ event: 'crashCountsLoaded', asked: answers.length, answered: answers.filter((answer) => answer !== undefined).length, counts: counts.length, stored: stored?.length })
+    for (const count of [...counts, ...stored?.counts ?? []]) this.mergeCount(count)
+    this.ports.decisions.record({ event: 'crashCountsLoaded', asked: answers.length, answered: answers.filter((answer) => answer !== undefined).length, counts: counts.length, stored: stored?.counts.length })
   }
 
   private getFingerprint (req: inbound.InboundRequest): types.RequestFingerprint {
