front: the connection of a rejected answer stays open for turns and streams, too

Cause: a stream that fails cancels its dispatch once more, which closed the connection that was kept to notice the end. Change: a discarded exchange is no longer the dispatch's.

--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -271,9 +271,8 @@
           this.relayHead(head, id)
           return
         }
-        // The body of a rejected answer is not needed.
         this.silenceTimer?.cancel()
-        this.exchange?.discard()
+        this.discardAnswer()
         this.noteRejection(upstream, rejection.reason)
         this.onAttemptFailed(upstream, rejection.failure)
       },
@@ -409,6 +408,12 @@
     else this.ports.crashes.noteGivenUp(this.req, this.lastSend)
   }
 
+  /** The body of a rejected answer is not needed. Its connection stays, so that its end is noticed. */
+  private discardAnswer (): void {
+    this.exchange?.discard()
+    this.exchange = undefined
+  }
+
   /** The upstream answered the request whole, which shows that it goes on unless the answer is a failure. */
   private noteAnswered (status: number): void {
     if (status >= minServerErrorStatus) this.noteFailedAnswer()
