front: a process that starts takes no requests until the store or another process has told it what was counted

Cause: no answer was taken for no counts. Change: it asks again each 0.1 s until one has answered, for 6 s at most. Red test: upstream-crashes, "waits until the store does". Ruled out: a count that expired.

--- a/packages/programs/front/src/upstream-crashes.test.ts
+++ b/packages/programs/front/src/upstream-crashes.test.ts
@@ -216,6 +216,21 @@
   t.equal((await permit('b', createAttempt('/x')))?.ends.length, 3)
 })
 
+// Guards against a process that took requests although neither the store nor another process had told it what was counted.
+tap.test('a process that starts while nobody answers waits until the store does', async (t) => {
+  const { get, end, permit, faults } = fixture(['b', 'a'], [])
+  for (const upstream of ['u1', 'u2', 'u3']) await end('b', createAttempt('/x'), upstream)
+  await new Promise((resolve) => { setTimeout(resolve, 100) })
+  faults.silent = true
+  const { crashes } = get('a')
+  const starting = start(get('a'), t)
+  await new Promise((resolve) => { setTimeout(resolve, 2_500) })
+  t.notOk(crashes.isLoaded)
+  faults.silent = false
+  await starting
+  t.equal((await permit('a', createAttempt('/x')))?.ends.length, 3)
+})
+
 // Guards against ends that were counted by others after each change of the owners of shards, and did not add up.
 tap.test('new owners of shards are told of the ends that were counted before', async (t) => {
   const owners = ['a']
--- a/packages/programs/front/src/upstream-crashes.ts
+++ b/packages/programs/front/src/upstream-crashes.ts
@@ -3,7 +3,7 @@
 import * as identifyClient from '@eelgrasswind/identify-client'
 import * as limitCrashes from '@eelgrasswind/limit-crashes'
 import * as sendHttp from '@eelgrasswind/send-http'
-import type * as timerService from '@eelgrasswind/timer-service'
+import * as timerService from '@eelgrasswind/timer-service'
 import type * as trackUpstreams from '@eelgrasswind/track-upstreams'
 import type * as types from '@eelgrasswind/types'
 import * as crashReports from './crash-reports.js'
@@ -50,6 +50,10 @@
 const memberTimeoutMs = 1_000
 /** Timeout for reading from the store what others have counted, in ms. */
 const storedTimeoutMs = 1_000
+/** A process that has just started takes no requests until it has learnt what others counted, but for no longer than this, in ms. */
+const maxFirstLoadMs = 6_000
+/** Delay before it asks again, in ms. */
+const reloadDelayMs = 100
 /** Period at which a process checks whether it was suspended and whether others count now, in ms. */
 const checkPeriodMs = 250
 /** A process whose check is so late, in ms, was suspended, and may not have heard what others counted meanwhile. */
@@ -84,7 +88,7 @@
   private knownMembers = ''
   private readonly stored: storedCrashCounts.StoredCrashCounts
   /** After a suspension, until it is known what others have counted. */
-  private pendingLoad: Promise<void> | undefined
+  private pendingLoad: Promise<unknown> | undefined
   private hasLoaded = false
 
   constructor (private readonly ports: UpstreamCrashPorts) {
@@ -107,7 +111,7 @@
     this.startTimer = timers.every(memberPollMs, () => {
       if (members().length === 0 && timers.monotonic() - startedAt < memberTimeoutMs) return
       this.startTimer?.cancel()
-      void this.load().then(() => { this.hasLoaded = true })
+      void this.loadFirst(startedAt)
     })
     this.checkedAt = startedAt
     this.checkTimer = timers.every(checkPeriodMs, () => { this.check() })
@@ -219,7 +223,7 @@
   }
 
   private reload (): void {
-    const loading = this.load().finally(() => { if (this.pendingLoad === loading) this.pendingLoad = undefined })
+    const loading: Promise<unknown> = this.load().finally(() => { if (this.pendingLoad === loading) this.pendingLoad = undefined })
     this.pendingLoad = loading
   }
 
@@ -371,14 +375,24 @@
     return this.records.getRefusalMs(request, this.ports.timers.monotonic()) !== undefined
   }
 
-  private async load (): Promise<void> {
+  /** Loads until the store or another process has answered, or the time is up. */
+  private async loadFirst (startedAt: number): Promise<void> {
+    const { timers } = this.ports
+    while (!await this.load() && timers.monotonic() - startedAt < maxFirstLoadMs) await timerService.sleep(timers, reloadDelayMs)
+    this.hasLoaded = true
+  }
+
+  /** Returns whether the store or another process has answered. */
+  private async load (): Promise<boolean> {
     const stored = await this.stored.load(storedTimeoutMs)
     // Those that are about to end own no shards any more.
     for (const writer of stored?.writers ?? []) this.startedPeers.set(writer, this.ports.timers.monotonic() + startedMemoryMs)
     const answers = await Promise.all(this.listPeers().map((peer) => this.reporter.fetchCounts(peer, this.ports.address)))
     const counts = answers.flatMap((answer) => answer ?? [])
     for (const count of [...counts, ...stored?.counts ?? []]) this.mergeCount(count)
-    this.ports.decisions.record({ event: 'crashCountsLoaded', asked: answers.length, answered: answers.filter((answer) => answer !== undefined).length, counts: counts.length, stored: stored?.counts.length })
+    const answered = answers.filter((answer) => answer !== undefined).length
+    this.ports.decisions.record({ event: 'crashCountsLoaded', asked: answers.length, answered, counts: counts.length, stored: stored?.counts.length })
+    return stored !== undefined || answered > 0
   }
 
   private getFingerprint (req: inbound.InboundRequest): types.RequestFingerprint {
