front: a process that starts tells the others which requests have ended upstreams

Cause: what a process learns at its start stays with it. Change: it tells all that it knows of requests at or near the limit. Ruled out: a call of the reporter that timed out.

--- a/packages/programs/front/src/upstream-crashes.test.ts
+++ b/packages/programs/front/src/upstream-crashes.test.ts
@@ -193,6 +193,8 @@
 }
 
 const checkMs = 400
+/** Longer than processes that did not answer are told again. */
+const toldAgainMs = 4_200
 
 // Guards against counts that were lost with the processes that had made them.
 tap.test('a process that starts while no other answers learns from the store what was counted', async (t) => {
@@ -231,6 +233,19 @@
   t.equal((await permit('a', createAttempt('/x')))?.ends.length, 3)
 })
 
+// Guards against a process that was not told, since it and the one that counted did not know each other.
+tap.test('a process that starts tells those that it knows what it has learnt', async (t) => {
+  const { get, end, permit, unreachable } = fixture(['a', 'b', 'c'], ['a', 'b', 'c'])
+  unreachable.add('b')
+  for (const upstream of ['u1', 'u2', 'u3']) await end('a', createAttempt('/x'), upstream)
+  await new Promise((resolve) => { setTimeout(resolve, toldAgainMs) })
+  unreachable.delete('b')
+  t.equal(await permit('b', createAttempt('/x')), undefined, 'it was not told')
+  await start(get('c'), t)
+  await new Promise((resolve) => { setTimeout(resolve, 50) })
+  t.equal((await permit('b', createAttempt('/x')))?.ends.length, 3)
+})
+
 // Guards against ends that were counted by others after each change of the owners of shards, and did not add up.
 tap.test('new owners of shards are told of the ends that were counted before', async (t) => {
   const owners = ['a']
--- a/packages/programs/front/src/upstream-crashes.ts
+++ b/packages/programs/front/src/upstream-crashes.ts
@@ -392,9 +392,16 @@
     for (const count of [...counts, ...stored?.counts ?? []]) this.mergeCount(count)
     const answered = answers.filter((answer) => answer !== undefined).length
     this.ports.decisions.record({ event: 'crashCountsLoaded', asked: answers.length, answered, counts: counts.length, stored: stored?.counts.length })
+    this.shareCounts()
     return stored !== undefined || answered > 0
   }
 
+  /** Tells the others of requests at or near the limit: those that counted them may not know all that this process knows. */
+  private shareCounts (): void {
+    const counts = this.records.listNearLimit(this.ports.timers.monotonic()).map(limitCrashes.omitReservedEnds)
+    if (counts.length > 0) void this.reporter.announce(this.listPeers(), { counts }, false)
+  }
+
   private getFingerprint (req: inbound.InboundRequest): types.RequestFingerprint {
     const known = this.fingerprints.get(req)
     if (known !== undefined) return known
