front: an upstream that was about to leave has not ended because of a request; a shorter wait after a suspension

A planned drain ends upstreams under sends that were given up before: these no longer count. After a suspension requests wait for the store for 0.3 s in place of one.

--- /dev/null
+++ b/packages/peers/send-http/src/open-connections.test.ts
@@ -0,0 +1,67 @@
+import * as net from 'node:net'
+import tap from 'tap'
+import * as timerService from '@eelgrasswind/timer-service'
+import * as sendHttp from './index.js'
+
+const timers = timerService.createRealTimers()
+const timeoutMs = 500
+
+async function startServer (t: { teardown: (run: () => unknown) => unknown }): Promise<{ readonly address: string, readonly sockets: net.Socket[], readonly server: net.Server }> {
+  const sockets: net.Socket[] = []
+  const server = net.createServer((socket) => {
+    socket.on('error', () => {})
+    sockets.push(socket)
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  t.teardown(() => { server.close() })
+  return { address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`, sockets, server }
+}
+
+async function openIdle (address: string, connections: sendHttp.OpenConnections): Promise<() => void> {
+  const opened = await sendHttp.openIdleConnection(address, timeoutMs, connections)
+  if (opened.outcome !== 'accepted') throw new Error(opened.outcome)
+  return opened.close
+}
+
+tap.test('an idle connection tells which side closes it', async (t) => {
+  const { address, sockets } = await startServer(t)
+  const connections = new sendHttp.OpenConnections()
+  const closings: boolean[] = []
+  const stop = connections.onClose(address, (byPeer) => { closings.push(byPeer) })
+  const close = await openIdle(address, connections)
+  t.equal(connections.list(address).length, 1)
+  close()
+  await openIdle(address, connections)
+  sockets.at(-1)!.end()
+  await timerService.sleep(timers, 30)
+  await openIdle(address, connections)
+  sockets.at(-1)!.resetAndDestroy()
+  await timerService.sleep(timers, 30)
+  t.same([closings, connections.list(address)], [[false, true, true], []])
+  stop()
+  await timerService.sleep(timers, 80)
+  t.equal(connections.countClosedByPeer(address), 0)
+})
+
+// Guards against an upstream that has started again within some ms and was taken for one that went on.
+tap.test('a process that takes connections has ended if it closed all others at one moment', async (t) => {
+  const { address, sockets } = await startServer(t)
+  const connections = new sendHttp.OpenConnections()
+  const closers = [await openIdle(address, connections), await openIdle(address, connections)]
+  sockets[0]!.resetAndDestroy()
+  t.equal(await sendHttp.examineBreak(timers, address, connections), 'alive', 'another connection is open')
+  closers.push(await openIdle(address, connections))
+  for (const socket of sockets) socket.destroy()
+  t.equal(await sendHttp.examineBreak(timers, address, connections), 'ended')
+  await timerService.sleep(timers, 80)
+  closers.push(await openIdle(address, connections))
+  sockets.at(-1)!.destroy()
+  t.equal(await sendHttp.examineBreak(timers, address, connections), 'unclear', 'one connection may have been lost')
+  for (const close of closers) close()
+})
+
+tap.test('an address that can not be is never connected to', async (t) => {
+  for (const address of ['127.0.0.1:0', '127.0.0.1:99999', '127.0.0.1:', '127.0.0.1:x']) {
+    t.same(await sendHttp.openIdleConnection(address, timeoutMs, new sendHttp.OpenConnections()), { outcome: 'noAnswer' }, address)
+  }
+})
--- a/packages/programs/front/src/send-watch.ts
+++ b/packages/programs/front/src/send-watch.ts
@@ -63,7 +63,8 @@
     const { id } = upstream.listed
     this.upstreams.drop(id)
     const ended = this.sends.takeEnded(id, this.ports.timers.monotonic())
-    if (ended.length > 0) this.onEnded(ended, evidence)
+    // One that was about to leave has not ended because of a request.
+    if (ended.length > 0 && !upstream.listed.leaving) this.onEnded(ended, evidence)
   }
 
   close (): void {
--- a/packages/programs/front/src/upstream-crashes.ts
+++ b/packages/programs/front/src/upstream-crashes.ts
@@ -50,6 +50,8 @@
 const memberTimeoutMs = 1_000
 /** Timeout for reading from the store what others have counted, in ms. */
 const storedTimeoutMs = 1_000
+/** The same after a suspension, while requests wait, in ms. */
+const reloadTimeoutMs = 300
 /** A process that has just started takes no requests until it has learnt what others counted, but for no longer than this, in ms. */
 const maxFirstLoadMs = 6_000
 /** Delay before it asks again, in ms. */
@@ -223,7 +225,7 @@
   }
 
   private reload (): void {
-    const loading: Promise<unknown> = this.load().finally(() => { if (this.pendingLoad === loading) this.pendingLoad = undefined })
+    const loading: Promise<unknown> = this.load(reloadTimeoutMs).finally(() => { if (this.pendingLoad === loading) this.pendingLoad = undefined })
     this.pendingLoad = loading
   }
 
@@ -378,13 +380,13 @@
   /** Loads until the store or another process has answered, or the time is up. */
   private async loadFirst (startedAt: number): Promise<void> {
     const { timers } = this.ports
-    while (!await this.load() && timers.monotonic() - startedAt < maxFirstLoadMs) await timerService.sleep(timers, reloadDelayMs)
+    while (!await this.load(storedTimeoutMs) && timers.monotonic() - startedAt < maxFirstLoadMs) await timerService.sleep(timers, reloadDelayMs)
     this.hasLoaded = true
   }
 
-  /** Returns whether the store or another process has answered. */
-  private async load (): Promise<boolean> {
-    const stored = await this.stored.load(storedTimeoutMs)
+  /** Returns whether the store, within that time in ms, or another process has answered. */
+  private async load (timeoutMs: number): Promise<boolean> {
+    const stored = await this.stored.load(timeoutMs)
     // Those that are about to end own no shards any more.
     for (const writer of stored?.writers ?? []) this.startedPeers.set(writer, this.ports.timers.monotonic() + startedMemoryMs)
     const answers = await Promise.all(this.listPeers().map((peer) => this.reporter.fetchCounts(peer, this.ports.address)))
