front: a stall of this process while it opens a connection does not count as the end of an upstream

A harmless request could be blamed: the connection that is opened to watch an upstream had 60 ms to be established, which a busy process may need itself. Now it has 250 ms, as for a request, and an upstream that takes none is unreachable after three tries.

--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -77,8 +77,8 @@
 const suspendGraceMs = 600
 /** Timeout of an announcement, in ms; no code waits for its answer. */
 const announceTimeoutMs = 500
-/** Timeout for opening a connection to watch an upstream, in ms: the examination of one that broke takes no longer. */
-const idleConnectionTimeoutMs = 60
+/** Timeout for opening a connection to watch an upstream, in ms: as for a request. */
+const idleConnectionTimeoutMs = 250
 /** Idle timeout of connections between front processes on the called side, in ms: longer than on the calling side. */
 const peerKeepAliveMs = 10 * idleConnectionMs
 
--- a/packages/programs/front/src/open-sends.ts
+++ b/packages/programs/front/src/open-sends.ts
@@ -16,7 +16,7 @@
   readonly until: number
 }
 
-/** More sends are given up within some seconds only if upstreams of a whole service hang; an entry takes about 300 bytes. */
+/** An entry takes about 300 bytes. */
 const maxOpenSends = 5_000
 
 /** Remembers open sends by upstream. Beyond the limit the oldest ones are forgotten. */
--- a/packages/programs/front/src/reserved-ends.ts
+++ b/packages/programs/front/src/reserved-ends.ts
@@ -47,7 +47,7 @@
   }
 }
 
-/** Ends that upstreams may have come to as their connections broke, until these have shown that they go on. */
+/** Possible ends of upstreams whose connection broke, until these answer another request. */
 export class UnclearEnds {
   private readonly byUpstream = new Map<types.UpstreamId, Map<ReservedEnd, number>>()
 
--- a/packages/programs/front/src/upstream-crashes.ts
+++ b/packages/programs/front/src/upstream-crashes.ts
@@ -80,7 +80,7 @@
   private readonly unclearEnds: reservedEnds.UnclearEnds
   /** Addresses of processes that have just started, or have written counts lately, with the time until which they are remembered, in monotonic ms. */
   private readonly startedPeers = new Map<string, number>()
-  /** Until when a reserved end is kept, as its send is open, monotonic ms. */
+  /** Until when the send of a request stays open, and with it the end that is reserved for it, monotonic ms. */
   private readonly openUntil = new WeakMap<inbound.InboundRequest, number>()
   private readonly sends: sendWatch.SendWatch
   private startTimer: timerService.Subscription | undefined
@@ -229,7 +229,7 @@
     this.pendingLoad = loading
   }
 
-  /** With each change of the owners of shards others count the ends of a request. */
+  /** After a change of the owners of shards, other processes count the ends under a request. */
   private tellNewMembers (now: number): void {
     const members = this.ports.members().join()
     if (members === this.knownMembers) return
--- a/packages/programs/front/src/upstream-watch.ts
+++ b/packages/programs/front/src/upstream-watch.ts
@@ -15,7 +15,7 @@
   readonly onEnded: (upstream: trackUpstreams.Upstream, evidence: sendHttp.ProcessEvidence) => void
 }
 
-/** Idle connections that are opened for one watch: an upstream that resets them has no room for them. */
+/** Idle connections that are opened for one watch: an overloaded upstream resets them. */
 const maxIdleConnections = 3
 /** A process that ends closes its connections within this time of each other, in ms. */
 const closingMs = 5
@@ -136,7 +136,10 @@
         else this.idleConnection = opened
         return
       case 'refused': return this.end('ended')
-      case 'noAnswer': return this.end('unreachable')
+      case 'noAnswer':
+        // A stall of this process looks the same.
+        if (this.idleConnectionsLeft > 0) this.keepConnected()
+        else this.end('unreachable')
     }
   }
 
