front: once two upstreams have ended under a request, an open send counts as the third end

Cause: the third upstream still ran a send that its host had given up. Nothing held the next send up until that was settled, and a host that was asked beforehand answered while it was still examining.

Change: an open send that was given up is announced as the third end once two are known, until its upstream has outlived it; others are told to come back within a second. A host that is asked about a request waits for its unfinished examinations. Red test: upstream-crashes, "while the send that may bring about the third end is open". Ruled out: a lost report.

--- a/packages/programs/front/src/open-sends.ts
+++ b/packages/programs/front/src/open-sends.ts
@@ -44,6 +44,11 @@
     return taken.filter(({ until }) => now < until)
   }
 
+  /** The open sends of a request. */
+  list (fingerprint: types.RequestFingerprint): OpenSend[] {
+    return [...this.sends].filter((open) => open.fingerprint === fingerprint)
+  }
+
   get size (): number {
     return this.sends.size
   }
--- a/packages/programs/front/src/send-watch.ts
+++ b/packages/programs/front/src/send-watch.ts
@@ -2,6 +2,7 @@
 import * as sendHttp from '@eelgrasswind/send-http'
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as trackUpstreams from '@eelgrasswind/track-upstreams'
+import type * as types from '@eelgrasswind/types'
 import * as openSends from './open-sends.js'
 import type * as upstreamProbe from './upstream-probe.js'
 import * as upstreamWatch from './upstream-watch.js'
@@ -58,6 +59,22 @@
     this.add({ ...sent, wasGivenUp: false, until: this.ports.timers.monotonic() + answeredOpenMs }, false)
   }
 
+  /** Whether there is no open send, so that no request needs to be looked up. */
+  get isEmpty (): boolean {
+    return this.sends.size === 0
+  }
+
+  /** The open sends of a request that were given up. */
+  listGivenUp (fingerprint: types.RequestFingerprint): openSends.OpenSend[] {
+    const now = this.ports.timers.monotonic()
+    return this.sends.list(fingerprint).filter(({ wasGivenUp, until }) => wasGivenUp && now < until)
+  }
+
+  /** The unfinished examinations of upstreams that may end because of a request. */
+  listExaminations (fingerprint: types.RequestFingerprint): Promise<void>[] {
+    return this.sends.list(fingerprint).flatMap(({ send }) => this.upstreams.getExamination(send.upstream.listed.id) ?? [])
+  }
+
   /** An upstream has ended, as its process sees by other means. */
   noteEnded (upstream: trackUpstreams.Upstream, evidence: sendHttp.ProcessEvidence): void {
     const { id } = upstream.listed
--- a/packages/programs/front/src/upstream-crashes.test.ts
+++ b/packages/programs/front/src/upstream-crashes.test.ts
@@ -246,6 +246,23 @@
   t.equal((await permit('b', createAttempt('/x')))?.ends.length, 3)
 })
 
+// Guards against a send to a further upstream in the moment in which the third one ended, which still ran a request that was given up.
+tap.test('a request is not sent while the send that may bring about the third end is open', async (t) => {
+  const { get, end, permit } = fixture(['a', 'b'], ['a', 'b'])
+  const open = (upstream: string): void => {
+    get('a').crashes.noteGivenUp(createAttempt('/x'), { upstream: { listed: { id: upstream, address: upstream } } as unknown as trackUpstreams.Upstream, sentAt: 0, wasAlive: true })
+  }
+  open('u1')
+  await end('a', createAttempt('/x'), 'u2')
+  t.equal(await permit('b', createAttempt('/x')), undefined)
+  await end('a', createAttempt('/x'), 'u3')
+  await new Promise((resolve) => { setTimeout(resolve, 50) })
+  const limit = await permit('b', createAttempt('/x'))
+  t.ok(limit !== undefined && limit.retryAfterMs <= 1_000, 'for a second at a time')
+  await new Promise((resolve) => { setTimeout(resolve, 1_200) })
+  t.equal(await permit('b', createAttempt('/x')), undefined, 'the upstream has outlived the send')
+})
+
 // Guards against ends that were counted by others after each change of the owners of shards, and did not add up.
 tap.test('new owners of shards are told of the ends that were counted before', async (t) => {
   const owners = ['a']
--- a/packages/programs/front/src/upstream-crashes.ts
+++ b/packages/programs/front/src/upstream-crashes.ts
@@ -78,6 +78,8 @@
   private readonly reservations = new Map<inbound.InboundRequest, reservedEnds.ReservedEnd>()
   private readonly reservedEnds: reservedEnds.ReservedEnds
   private readonly unclearEnds: reservedEnds.UnclearEnds
+  /** Open sends that have a reserved end. */
+  private readonly reservedSends = new WeakSet<openSends.OpenSend>()
   /** Addresses of processes that have just started, or have written counts lately, with the time until which they are remembered, in monotonic ms. */
   private readonly startedPeers = new Map<string, number>()
   /** Until when the send of a request stays open, and with it the end that is reserved for it, monotonic ms. */
@@ -140,6 +142,7 @@
   /** The answer is no longer awaited, and nothing is wrong with the upstream as far as is known. */
   noteGivenUp (req: inbound.InboundRequest, send: BrokenSend): void {
     this.openUntil.set(req, this.sends.keepOpen(this.describeSend(req, send), req.deadlineAt))
+    this.reserveOpenSends(this.getFingerprint(req))
   }
 
   /** The upstream has answered the request with a failure, and may end because of it. */
@@ -202,6 +205,8 @@
 
   /** Answers a call of a peer. */
   async answerCall (call: crashReports.CrashCall): Promise<crashReports.CrashCallAnswer> {
+    // A peer that is about to send one of these requests wants to know the ends that are just being found out, too.
+    await Promise.all(call.counts.flatMap(({ request }) => this.sends.listExaminations(request)))
     const now = this.ports.timers.monotonic()
     for (const report of call.reports) this.records.noteEnd(report, now)
     for (const request of call.answered) this.records.forget(request, now)
@@ -243,11 +248,15 @@
       void this.pendingLoad.then(() => { this.whenExamined(req, done) })
       return
     }
-    const pending = this.examinations.size === 0 ? undefined : this.examinations.get(this.getFingerprint(req))
-    if (pending === undefined) done()
+    const pending = this.examinations.size === 0 && this.sends.isEmpty ? [] : this.listExaminations(this.getFingerprint(req))
+    if (pending.length === 0) done()
     else void Promise.all(pending).then(done)
   }
 
+  private listExaminations (request: types.RequestFingerprint): Promise<void>[] {
+    return [...this.examinations.get(request) ?? [], ...this.sends.listExaminations(request)]
+  }
+
   private findLimit (req: inbound.InboundRequest): ReachedLimit | undefined {
     const now = this.ports.timers.monotonic()
     if (this.records.isEmpty(now)) return undefined
@@ -277,6 +286,19 @@
     await this.reservedEnds.withdraw(reserved, true)
   }
 
+  /** Once the next end reaches the limit, a send that is still open counts as that end: its upstream may end while the request is sent again. */
+  private reserveOpenSends (request: types.RequestFingerprint): void {
+    const { timers } = this.ports
+    if (this.sends.isEmpty || !this.records.isLastSend(request, timers.monotonic())) return
+    for (const open of this.sends.listGivenUp(request)) {
+      if (this.reservedSends.has(open)) continue
+      const reservation = limitCrashes.createSendReservation(request, open.attempt, open.send.upstream.listed.id)
+      const reserved = this.reservedEnds.reserve(reservation, open.isExclusive, this.listPeers(), true)
+      this.reservedSends.add(open)
+      timers.after(open.until - timers.monotonic(), () => { void this.reservedEnds.withdraw(reserved, true) })
+    }
+  }
+
   /** Counts an end that can't be told from a lost connection, until the upstream answers or the send is no longer open. */
   private async reserveUnclearEnd (req: inbound.InboundRequest, { upstream }: BrokenSend, brokeAt: number): Promise<void> {
     const { timers } = this.ports
@@ -336,6 +358,7 @@
     const count = this.records.get(request, timers.monotonic())
     if (count === undefined || !this.records.isLastSend(request, timers.monotonic())) return
     if (!wasLimited && this.isLimited(request)) this.recordLimited(count, 'own')
+    this.reserveOpenSends(request)
     await this.reporter.announce(this.listPeers(), { counts: [limitCrashes.omitReservedEnds(count)] }, true)
   }
 
--- a/packages/programs/front/src/upstream-watch.ts
+++ b/packages/programs/front/src/upstream-watch.ts
@@ -1,6 +1,6 @@
 /** Watches upstreams for a while and tells when one of them ends, by the connections that it closes. */
 import * as sendHttp from '@eelgrasswind/send-http'
-import type * as timerService from '@eelgrasswind/timer-service'
+import * as timerService from '@eelgrasswind/timer-service'
 import type * as trackUpstreams from '@eelgrasswind/track-upstreams'
 import type * as types from '@eelgrasswind/types'
 
@@ -37,6 +37,11 @@
     this.watched.set(id, new WatchedUpstream(this.ports, upstream, until, mayConnect, () => { this.watched.delete(id) }))
   }
 
+  /** Resolves once it is known whether the upstream has ended; `undefined` if nothing raises the question. */
+  getExamination (upstream: types.UpstreamId): Promise<void> | undefined {
+    return this.watched.get(upstream)?.examination
+  }
+
   /** Ends the watch of an upstream that is known to have ended. */
   drop (upstream: types.UpstreamId): void {
     this.watched.get(upstream)?.stop()
@@ -51,7 +56,8 @@
   private readonly stopListening: () => void
   private expiry: timerService.Subscription
   private idleConnection: { readonly close: () => void } | undefined
-  private isExamining = false
+  /** Until it is known whether the upstream, which has closed a connection, has ended. */
+  examination: Promise<void> | undefined
   private isConnecting = false
   private idleConnectionsLeft = maxIdleConnections
   private isStopped = false
@@ -96,25 +102,17 @@
   }
 
   private onConnectionClosed (byPeer: boolean): void {
-    if (byPeer) this.examineIfAllClosed()
-    else this.keepConnected()
+    if (!byPeer) this.keepConnected()
+    else this.examination ??= this.examineIfAllClosed().finally(() => { this.examination = undefined })
   }
 
   /** While another connection stays open the upstream goes on. */
-  private examineIfAllClosed (): void {
-    if (this.isExamining) return
-    this.isExamining = true
-    const others = this.ports.connections.list(this.address)
-    this.ports.timers.after(others.length > 0 ? closingMs : 0, () => {
-      this.isExamining = false
-      if (!this.isStopped && others.every((socket) => socket.destroyed)) void this.examine()
-    })
-  }
-
-  private async examine (): Promise<void> {
-    this.isExamining = true
-    const evidence = await this.ports.examine(this.upstream)
-    this.isExamining = false
+  private async examineIfAllClosed (): Promise<void> {
+    const { connections, examine, timers } = this.ports
+    const others = connections.list(this.address)
+    if (others.length > 0) await timerService.sleep(timers, closingMs)
+    if (this.isStopped || !others.every((socket) => socket.destroyed)) return
+    const evidence = await examine(this.upstream)
     if (this.isStopped) return
     if (sendHttp.hasEnded(evidence)) this.end(evidence)
     else this.keepConnected()
