send-http: an answer with a header name that can't be is malformed

What callers saw: an answer with a space in a header name made the front throw while it passed it on (spoilt-answers, "no exception", red on too, on this arm64 machine): the request failed as an unexpected error. Cause: the parser of Node.js takes such a name there. Change: it is checked as the status is. Red test: spoilt-answers 83 of 84 before, 84 of 84 now.

--- a/packages/peers/send-http/src/send-http.ts
+++ b/packages/peers/send-http/src/send-http.ts
@@ -226,6 +226,9 @@
 const minFinalStatus = 200
 const maxFinalStatus = 599
 
+/** The parser of Node.js takes spaces within a name on some processors; such a header can't be passed on. */
+const headerName = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/
+
 class HttpExchange implements Exchange {
   private socket: net.Socket | undefined
   private res: http.IncomingMessage | undefined
@@ -356,6 +359,11 @@
       this.failWith('malformed', `status ${status}`)
       return
     }
+    const invalidName = res.rawHeaders.find((name, index) => index % 2 === 0 && !headerName.test(name))
+    if (invalidName !== undefined) {
+      this.failWith('malformed', `header ${JSON.stringify(invalidName)}`)
+      return
+    }
     if (Number(res.headers['content-length'] ?? 0) > this.request.maxAnswerBytes) {
       this.failWith('tooLarge', `a body of ${res.headers['content-length']} bytes`)
       return
