--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -226,11 +226,11 @@
       if (isAwaitingFirstBytes) health.noteFirstBytes(upstream, this.req.route, timers.monotonic() - sentAt)
       isAwaitingFirstBytes = false
     }
-    const failAttempt = (failure: errors.Failure, reused?: boolean, isEndless = false, isClosedByPeer = false): void => {
+    const failAttempt = (failure: errors.Failure, reused?: boolean, isEndless = false): void => {
       this.silenceTimer?.cancel()
       if (isEndless) health.noteEndlessAnswer(upstream)
       else health.noteFailure(upstream)
-      if (failure.verdict !== 'notRun') this.noteBroken(isAccepted || reused === false, isClosedByPeer)
+      if (failure.verdict !== 'notRun') this.noteBroken(isAccepted || reused === false)
       if (!isAccepted || this.canFailOver()) {
         this.onAttemptFailed(upstream, failure, reused)
         return
@@ -264,7 +264,6 @@
         if (rejection === undefined) {
           // The error is relayed unchanged but counts against the upstream: frequent errors lead to its ejection.
           if (head.status >= minServerErrorStatus) health.noteFailedRequest(upstream)
-          crashes.noteAlive(id, sentAt)
           isAccepted = true
           status = head.status
           this.mayHaveStarted = true
@@ -307,7 +306,7 @@
       onFailed: (failure) => {
         if (isAccepted && failure.answer !== undefined) this.recordAnswerEnd(id, failure.answer, false)
         if (failure.verdict !== 'notRun') {
-          failAttempt({ tag: 'answerBroken', verdict: 'mayHaveRun', message: failure.cause, detail: failure.detail }, failure.reused, failure.cause === 'endless', failure.cause === 'reset' || failure.cause === 'truncated')
+          failAttempt({ tag: 'answerBroken', verdict: 'mayHaveRun', message: failure.cause, detail: failure.detail }, failure.reused, failure.cause === 'endless')
           return
         }
         // A request that was never sent does not use up an attempt.
@@ -392,9 +391,9 @@
   }
 
   /** The last attempt ended without an answer, and its upstream may have ended. */
-  private noteBroken (wasAlive = false, isClosedByPeer = false): void {
+  private noteBroken (wasAlive = false): void {
     if (this.lastSend === undefined) return
-    this.ports.crashes.noteBroken(this.req, { ...this.lastSend, wasAlive: wasAlive || this.lastSend.wasAlive, isClosedByPeer })
+    this.ports.crashes.noteBroken(this.req, { ...this.lastSend, wasAlive: wasAlive || this.lastSend.wasAlive })
   }
 
   /** The current attempt is cancelled. A fault that it is cancelled for may be shared by its upstream. */
--- a/packages/programs/front/src/open-sends.ts
+++ b/packages/programs/front/src/open-sends.ts
@@ -12,6 +12,8 @@
   /** Whether its answer is no longer awaited, or else has arrived. */
   readonly wasGivenUp: boolean
   readonly send: upstreamCrashes.BrokenSend
+  /** When the answer was given up or arrived, monotonic ms. */
+  readonly since: number
   /** Until then the upstream may work on the request, monotonic ms. */
   readonly until: number
 }
--- a/packages/programs/front/src/reserved-ends.ts
+++ b/packages/programs/front/src/reserved-ends.ts
@@ -1,7 +1,6 @@
 /** Ends of upstreams that are counted before they are known, and taken back if their upstreams go on. */
 import * as limitCrashes from '@eelgrasswind/limit-crashes'
 import type * as timerService from '@eelgrasswind/timer-service'
-import type * as types from '@eelgrasswind/types'
 import type * as crashReports from './crash-reports.js'
 
 /** Dependencies of `ReservedEnds`. */
@@ -46,35 +45,3 @@
     await this.ports.reporter.announce(receivers, { withdrawn: [reservation] }, isRelayed)
   }
 }
-
-/** Possible ends of upstreams whose connection broke, until these answer another request. */
-export class UnclearEnds {
-  private readonly byUpstream = new Map<types.UpstreamId, Map<ReservedEnd, number>>()
-
-  /** `onResolved`: takes the end back. */
-  constructor (private readonly onResolved: (end: ReservedEnd) => void) {}
-
-  /** Whether there are none, so that no answer needs to be looked at. */
-  get isEmpty (): boolean {
-    return this.byUpstream.size === 0
-  }
-
-  /** `brokeAt`: monotonic ms. */
-  add (upstream: types.UpstreamId, end: ReservedEnd, brokeAt: number): void {
-    const ofUpstream = this.byUpstream.get(upstream) ?? new Map<ReservedEnd, number>()
-    this.byUpstream.set(upstream, ofUpstream.set(end, brokeAt))
-  }
-
-  /** An upstream has answered a request that was sent at that time, in monotonic ms. */
-  noteAlive (upstream: types.UpstreamId, sentAt: number): void {
-    for (const [end, brokeAt] of [...this.byUpstream.get(upstream) ?? []]) if (sentAt > brokeAt) this.resolve(upstream, end)
-  }
-
-  /** Has no effect for an end that is resolved already. */
-  resolve (upstream: types.UpstreamId, end: ReservedEnd): void {
-    const ofUpstream = this.byUpstream.get(upstream)
-    if (ofUpstream?.delete(end) !== true) return
-    if (ofUpstream.size === 0) this.byUpstream.delete(upstream)
-    this.onResolved(end)
-  }
-}
--- a/packages/programs/front/src/send-watch.ts
+++ b/packages/programs/front/src/send-watch.ts
@@ -24,7 +24,7 @@
 const answeredOpenMs = 250
 
 /** A send that may stay open. */
-export type SendToWatch = Omit<openSends.OpenSend, 'until' | 'wasGivenUp'>
+export type SendToWatch = Omit<openSends.OpenSend, 'since' | 'until' | 'wasGivenUp'>
 
 /** Keeps the sends open that had no proper answer, and watches their upstreams. */
 export class SendWatch {
@@ -51,12 +51,13 @@
   keepOpen (sent: SendToWatch, deadlineAt: number): number {
     const now = this.ports.timers.monotonic()
     const openMs = Math.min(maxOpenMs, Math.max(minOpenMs, deadlineAt + overtimeMs - now))
-    return this.add({ ...sent, wasGivenUp: true, until: now + openMs }, true)
+    return this.add({ ...sent, wasGivenUp: true, since: now, until: now + openMs }, true)
   }
 
   /** The same for a send that the upstream has answered with a failure. No connection is opened for it, as these are many while a service is overloaded. */
   keepAnsweredOpen (sent: SendToWatch): void {
-    this.add({ ...sent, wasGivenUp: false, until: this.ports.timers.monotonic() + answeredOpenMs }, false)
+    const now = this.ports.timers.monotonic()
+    this.add({ ...sent, wasGivenUp: false, since: now, until: now + answeredOpenMs }, false)
   }
 
   /** Whether there is no open send, so that no request needs to be looked up. */
--- a/packages/programs/front/src/upstream-crashes.ts
+++ b/packages/programs/front/src/upstream-crashes.ts
@@ -23,7 +23,7 @@
 }
 
 /** What dispatching a request needs. */
-export type CrashLimit = Pick<UpstreamCrashes, 'isLoaded' | 'isSuspected' | 'noteBroken' | 'noteGivenUp' | 'noteFailedAnswer' | 'noteEnded' | 'noteAlive' | 'noteAnswered' | 'permitSend' | 'release'>
+export type CrashLimit = Pick<UpstreamCrashes, 'isLoaded' | 'isSuspected' | 'noteBroken' | 'noteGivenUp' | 'noteFailedAnswer' | 'noteEnded' | 'noteAnswered' | 'permitSend' | 'release'>
 
 /** A send under which an upstream may have ended. */
 export interface BrokenSend {
@@ -32,8 +32,6 @@
   readonly sentAt: number
   /** Whether a new connection, or a part of the answer, showed that the upstream was alive. */
   readonly wasAlive: boolean
-  /** Whether the upstream closed the connection. */
-  readonly isClosedByPeer?: boolean
 }
 
 /** Why a request must not be sent to an upstream. */
@@ -48,6 +46,8 @@
 /** After its start a process polls for the owners of shards at this interval, and for no longer than the timeout, in ms. */
 const memberPollMs = 20
 const memberTimeoutMs = 1_000
+/** An upstream that ends within this time after a send to it broke or was given up, in ms, has most likely ended because of it. */
+const promptEndMs = 100
 /** Timeout for reading from the store what others have counted, in ms. */
 const storedTimeoutMs = 1_000
 /** The same after a suspension, while requests wait, in ms. */
@@ -77,7 +77,6 @@
   /** Ends that this process has reserved for its sends, with the announcement of each. */
   private readonly reservations = new Map<inbound.InboundRequest, reservedEnds.ReservedEnd>()
   private readonly reservedEnds: reservedEnds.ReservedEnds
-  private readonly unclearEnds: reservedEnds.UnclearEnds
   /** Open sends that have a reserved end. */
   private readonly reservedSends = new WeakSet<openSends.OpenSend>()
   /** Addresses of processes that have just started, or have written counts lately, with the time until which they are remembered, in monotonic ms. */
@@ -98,7 +97,6 @@
   constructor (private readonly ports: UpstreamCrashPorts) {
     this.reporter = new crashReports.CrashReporter(ports)
     this.reservedEnds = new reservedEnds.ReservedEnds({ timers: ports.timers, records: this.records, reporter: this.reporter, mergeCount: (count) => { this.mergeCount(count) } })
-    this.unclearEnds = new reservedEnds.UnclearEnds((end) => { void this.reservedEnds.withdraw(end, false) })
     this.stored = new storedCrashCounts.StoredCrashCounts(ports, () => this.records.listCertain(ports.timers.monotonic()))
     this.sends = new sendWatch.SendWatch(ports, (ended, evidence) => { for (const open of ended) void this.reportOpenSend(open, evidence) })
   }
@@ -155,11 +153,6 @@
     this.sends.noteEnded(upstream, 'ended')
   }
 
-  /** An upstream answers a request that was sent at that time, in monotonic ms. */
-  noteAlive (upstream: types.UpstreamId, sentAt: number): void {
-    if (!this.unclearEnds.isEmpty) this.unclearEnds.noteAlive(upstream, sentAt)
-  }
-
   /** An upstream has answered the request and goes on. */
   noteAnswered (req: inbound.InboundRequest): void {
     const now = this.ports.timers.monotonic()
@@ -299,19 +292,6 @@
     }
   }
 
-  /** Counts an end that can't be told from a lost connection, until the upstream answers or the send is no longer open. */
-  private async reserveUnclearEnd (req: inbound.InboundRequest, { upstream }: BrokenSend, brokeAt: number): Promise<void> {
-    const { timers } = this.ports
-    const { id } = upstream.listed
-    const request = this.getFingerprint(req)
-    const reservation = limitCrashes.createSendReservation(request, req.attempt.id, id)
-    const isLast = this.records.isLastSend(request, timers.monotonic())
-    const reserved = this.reservedEnds.reserve(reservation, isExclusive(req), isLast ? this.listPeers() : this.listKeepers(request), false)
-    this.unclearEnds.add(id, reserved, brokeAt)
-    timers.after(Math.max(0, (this.openUntil.get(req) ?? 0) - timers.monotonic()), () => { this.unclearEnds.resolve(id, reserved) })
-    await reserved.announced
-  }
-
   private async examine (req: inbound.InboundRequest, fingerprint: types.RequestFingerprint, send: BrokenSend): Promise<void> {
     const { timers, decisions } = this.ports
     const { upstream, sentAt } = send
@@ -319,7 +299,6 @@
     const evidence = await this.sends.examine(upstream)
     if (sendHttp.hasEnded(evidence)) await this.report({ ...this.describeSend(req, send), wasGivenUp: false }, brokeAt)
     else this.noteGivenUp(req, send)
-    if (evidence === 'unclear' && send.isClosedByPeer === true) await this.reserveUnclearEnd(req, send, brokeAt)
     decisions.record({
       event: 'upstreamBroke',
       request: req.attempt.id,
@@ -338,7 +317,7 @@
     const { timers, decisions } = this.ports
     const { attempt, fingerprint, send } = open
     const endedAt = timers.monotonic()
-    await this.report(open, endedAt)
+    await this.report({ ...open, wasGivenUp: open.wasGivenUp && endedAt - open.since >= promptEndMs }, endedAt)
     const ended = this.records.get(fingerprint, timers.monotonic())?.ends.length ?? 0
     decisions.record({ event: 'upstreamEndedLater', request: attempt, fingerprint, upstream: send.upstream.listed.id, evidence, ended, sentAgoMs: Math.round(endedAt - send.sentAt) })
   }
@@ -347,7 +326,7 @@
     return { attempt: req.attempt.id, fingerprint: this.getFingerprint(req), isExclusive: isExclusive(req), send }
   }
 
-  private async report ({ attempt, fingerprint: request, isExclusive, wasGivenUp, send: { upstream, sentAt, wasAlive } }: Omit<openSends.OpenSend, 'until'>, endedAt: number): Promise<void> {
+  private async report ({ attempt, fingerprint: request, isExclusive, wasGivenUp, send: { upstream, sentAt, wasAlive } }: Omit<openSends.OpenSend, 'since' | 'until'>, endedAt: number): Promise<void> {
     const { timers } = this.ports
     const now = timers.monotonic()
     const report: limitCrashes.CrashReport = { request, upstream: upstream.listed.id, isExclusive, sentAgoMs: now - sentAt, endedAgoMs: now - endedAt, wasAlive, wasGivenUp, attempt }
