front: connections of requests that a full upstream rejected are closed again

An upstream takes a bounded number of connections, and fewer while its queue is long. Since the answers that it rejects requests with are read to their end, their connections stayed idle for seconds. Only those of faulty answers are kept now, which tell of an end.

--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -271,7 +271,7 @@
           return
         }
         this.silenceTimer?.cancel()
-        this.discardAnswer()
+        this.leaveAnswer(rejection.reason)
         this.noteRejection(upstream, rejection.reason)
         this.onAttemptFailed(upstream, rejection.failure)
       },
@@ -407,9 +407,13 @@
     else this.ports.crashes.noteGivenUp(this.req, this.lastSend)
   }
 
-  /** The body of a rejected answer is not needed. Its connection stays, so that its end is noticed. */
-  private discardAnswer (): void {
-    this.exchange?.discard()
+  /**
+   * The body of a rejected answer is not needed. The connection of a faulty one stays, so that its end is noticed; a full
+   * upstream has no room for idle connections.
+   */
+  private leaveAnswer (reason: checkAnswer.AnswerRejection['reason']): void {
+    if (reason === 'faulty') this.exchange?.discard()
+    else this.exchange?.cancel()
     this.exchange = undefined
   }
 
