--- a/packages/decide/limit-crashes/src/crash-records.ts
+++ b/packages/decide/limit-crashes/src/crash-records.ts
@@ -36,7 +36,7 @@
   return { request, end: `${reservedPrefix}${attempt}` }
 }
 
-/** Creates a reservation for an end that a send to the upstream may have brought about. */
+/** Creates a reservation for the end that an open send to the upstream may still bring about. */
 export function createSendReservation (request: types.RequestFingerprint, attempt: string, upstream: types.UpstreamId): Reservation {
   return createReservation(request, `${attempt} to ${upstream}`)
 }
@@ -144,7 +144,7 @@
     this.add(count, isLonger ? count.ends : count.ends.filter(isReserved), endedAt, now)
   }
 
-  /** Counts an end that a send may bring about, or may have brought about. */
+  /** Counts an end that a send may bring about. */
   reserve ({ request, end }: Reservation, now: number, isExclusive = this.find(request, now)?.isExclusive ?? true): void {
     this.add({ request, isExclusive }, [end], now, now)
   }
--- a/packages/peers/send-http/src/probe-connection.ts
+++ b/packages/peers/send-http/src/probe-connection.ts
@@ -42,7 +42,7 @@
   }
 }
 
-/** Outcome of opening an idle connection; `connection` closes it again. */
+/** Outcome of opening an idle connection; `close` closes it. */
 export type IdleConnection = { readonly outcome: 'accepted', readonly close: () => void } | { readonly outcome: 'refused' | 'noAnswer' }
 
 /** Opens a connection that stays idle, so that its end shows the end of the process at the address. `noAnswer` after the timeout, in ms, and for errors other than a refusal. */
--- a/packages/peers/send-http/src/send-http.ts
+++ b/packages/peers/send-http/src/send-http.ts
@@ -213,7 +213,7 @@
 /** After this many bytes of a body the event loop serves other connections first, in bytes: a single read may deliver 2 MB. */
 const maxBytesPerTurn = 131_072
 
-/** The rest of an answer of up to this size, in bytes, is read although nobody needs it. */
+/** Limit of the body of an answer that `discard` reads to its end, in bytes. */
 const maxDiscardedBytes = 16_384
 /** Timeout for reading it, in ms. */
 const discardTimeoutMs = 250
--- a/packages/programs/front/src/reserved-ends.ts
+++ b/packages/programs/front/src/reserved-ends.ts
@@ -1,4 +1,4 @@
-/** Ends of upstreams that are counted before they are known, and taken back if their upstreams go on. */
+/** Reservations of ends: they count before the upstream has ended, and are withdrawn if it does not end. */
 import * as limitCrashes from '@eelgrasswind/limit-crashes'
 import type * as timerService from '@eelgrasswind/timer-service'
 import type * as crashReports from './crash-reports.js'
--- a/packages/programs/front/src/send-watch.ts
+++ b/packages/programs/front/src/send-watch.ts
@@ -76,7 +76,7 @@
     return this.sends.list(fingerprint).flatMap(({ send }) => this.upstreams.getExamination(send.upstream.listed.id) ?? [])
   }
 
-  /** An upstream has ended, as its process sees by other means. */
+  /** An upstream is known to have ended. */
   noteEnded (upstream: trackUpstreams.Upstream, evidence: sendHttp.ProcessEvidence): void {
     const { id } = upstream.listed
     this.upstreams.drop(id)
