front: a line tells whether the host of a peer that answers no ping accepts connections

peerUnanswered. The lines told that a member was evicted or an owner given up as silent, not whether its host was gone or its process late; two hypotheses of the incident differ in nothing else. What is decided stays the same. Tests: fixtures only.

--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -118,6 +118,8 @@
   | { readonly event: 'loadNotShared', readonly err: unknown }
   | { readonly event: 'upstreamUnreadable', readonly key: string, readonly err: unknown }
   | { readonly event: 'assignment', readonly generation: number, readonly owned: number, readonly handedOver: number }
+  /** A peer has not answered pings. `connection`: whether its host accepted a new connection, as it does for a process that is merely busy; `pingedMs`: how long it was pinged. */
+  | { readonly event: 'peerUnanswered', readonly peer: string, readonly connection: 'accepted' | 'refused' | 'noAnswer', readonly pingedMs: number }
   | { readonly event: 'leaseNotRenewed', readonly failure: FailureField }
   /** The process that counts the requests of the group's accounts can't be reached. */
   | { readonly event: 'meterOwnerAway', readonly group: number, readonly why: string, readonly term: number, readonly answerAgeMs: number, readonly hosts: number }
@@ -202,6 +204,7 @@
   upstreamSilent: { level: 'warn', message: 'no data from the upstream; new requests avoid it' },
   timedOut: { level: 'warn', message: 'request timed out' },
   peerAnswerLost: { level: 'warn', message: 'no complete answer from the owner of the program' },
+  peerUnanswered: { level: 'info', message: 'no answer to pings; examined whether the host accepts connections' },
   answerEnded: { level: 'info', message: 'end of an answer that its framing does not mark' },
   streamBroken: { level: 'warn', message: 'stream ended without a complete answer' },
   turnSettledElsewhere: { level: 'info', message: 'turn stored by the next owner of its shard' },
--- a/packages/programs/front/src/forward-turn.test.ts
+++ b/packages/programs/front/src/forward-turn.test.ts
@@ -32,7 +32,12 @@
     dialect: { peerHeaders: () => [], answerHeaders: () => [], answerFacts: () => ({ requestId: 'r', signed: true, notRun: false, wrongIncarnation: false }) } as unknown as dialects.Dialect,
     timers,
     decisions: decisionLog.createSilentDecisionLog(),
-    peerProbe: new peerProbe.PeerProbe({ ping: async () => { pingCount += 1; return ownerAnswers } })
+    peerProbe: new peerProbe.PeerProbe({
+      ping: async () => { pingCount += 1; return ownerAnswers },
+      connect: async () => ownerAnswers ? 'accepted' : 'noAnswer',
+      timers,
+      decisions: decisionLog.createSilentDecisionLog()
+    })
   } as unknown as forwardTurn.ForwardPorts
   const outcome = forwardTurn.forwardTurn(ports, req, 'peer:1')
   return { timers, outcome, replyEvents, pingCount: () => pingCount, isCancelled: () => isCancelled }
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -73,6 +73,8 @@
 const relayTimeoutMs = 1_600
 /** Ping timeout, in ms: a reachable peer answers within it, even if its CPU quota is used up for a tenth of a second. */
 const pingTimeoutMs = 200
+/** Timeout for opening a connection to a peer that does not answer pings, in ms: a host that is up accepts it within a round trip. */
+const peerConnectTimeoutMs = 200
 /** Time for in-flight turns to end before an isolated process gives up its shards, in ms. */
 const suspendGraceMs = 600
 /** Timeout of an announcement, in ms; no code waits for its answer. */
@@ -267,6 +269,7 @@
       ...this.ports,
       peers: () => this.listPeerAddresses(),
       ping: (address) => this.ping(address),
+      connect: (address) => sendHttp.probeConnection(address, peerConnectTimeoutMs),
       onPeerSilent: (address) => { this.onPeerSilent(address) },
       onIsolationChanged: (isIsolated) => { this.onIsolationChanged(isIsolated) }
     })
@@ -285,7 +288,7 @@
       failureDetector: this.failureDetector,
       suspects: new routeTurn.SuspectedPeers(),
       promptLocations: new promptLocations.PromptLocations(),
-      peerProbe: new peerProbe.PeerProbe({ ping: (address) => this.ping(address) }),
+      peerProbe: new peerProbe.PeerProbe({ ...this.ports, ping: (address) => this.ping(address), connect: (address) => sendHttp.probeConnection(address, peerConnectTimeoutMs) }),
       admission: new programAdmission.ProgramAdmission({ ...this.ports, upstreams: upstreams.list, peerLoads: upstreams.peerLoads, findEngineRules: (service) => this.routing.current?.services.get(service)?.engine, random: Math.random }),
       deferredTurns: new storeOutage.DeferredTurns(),
       retryBudget: new retryBudget.RetryBudget(),
--- a/packages/programs/front/src/peer-failure-detector.test.ts
+++ b/packages/programs/front/src/peer-failure-detector.test.ts
@@ -15,6 +15,7 @@
       await timerService.sleep(timers, silent.has(address) ? 200 : 1)
       return !silent.has(address)
     },
+    connect: async (address) => silent.has(address) ? 'noAnswer' : 'accepted',
     onPeerSilent: (address) => { reported.push(address) },
     onIsolationChanged: (isIsolated) => { isolationChanges.push(isIsolated) },
     timers,
--- a/packages/programs/front/src/peer-failure-detector.ts
+++ b/packages/programs/front/src/peer-failure-detector.ts
@@ -5,6 +5,7 @@
  * lease expires.
  */
 import type * as decisionLog from '@eelgrasswind/decision-log'
+import type * as sendHttp from '@eelgrasswind/send-http'
 import * as timerService from '@eelgrasswind/timer-service'
 
 /** Dependencies of `PeerFailureDetector`. */
@@ -13,6 +14,8 @@
   readonly peers: () => readonly string[]
   /** Whether a peer answers; resolves within the time that one round may take. */
   readonly ping: (address: string) => Promise<boolean>
+  /** Opens a connection to a peer. Its host accepts it whether or not the process is busy. */
+  readonly connect: (address: string) => Promise<sendHttp.ConnectionProbe>
   /** A suspected peer does not answer, and enough others do. */
   readonly onPeerSilent: (address: string) => void
   /** This process has become isolated, or reaches its peers again. */
@@ -93,8 +96,11 @@
     const suspects = [...this.suspects]
     this.suspects.clear()
     if (peers.length < minPeerCount) return true
+    const startedAt = this.ports.timers.monotonic()
     const answers = await Promise.all(peers.map((address) => this.ports.ping(address)))
+    const pingedMs = Math.round(this.ports.timers.monotonic() - startedAt)
     const silent = peers.filter((_, index) => answers[index] !== true)
+    for (const address of silent) void this.ports.connect(address).then((connection) => { this.ports.decisions.record({ event: 'peerUnanswered', peer: address, connection, pingedMs }) })
     const canReachPeers = peers.length - silent.length >= peers.length * minReachableShare
     if (canReachPeers && !this.isolated) this.reportSilent(suspects.filter((address) => silent.includes(address)))
     return canReachPeers
--- a/packages/programs/front/src/peer-probe.test.ts
+++ b/packages/programs/front/src/peer-probe.test.ts
@@ -1,9 +1,22 @@
 import tap from 'tap'
+import * as decisionLog from '@eelgrasswind/decision-log'
+import type * as sendHttp from '@eelgrasswind/send-http'
+import * as timerService from '@eelgrasswind/timer-service'
 import * as peerProbe from './peer-probe.js'
 
+/** Ports for a peer whose host takes no connection. */
+function createPorts () {
+  return {
+    timers: timerService.createManualTimers(),
+    decisions: decisionLog.createSilentDecisionLog(),
+    connect: (): Promise<sendHttp.ConnectionProbe> => Promise.resolve('noAnswer')
+  }
+}
+
 tap.test('concurrent probes of a peer share one ping', async (t) => {
   const pinged: string[] = []
   const probe = new peerProbe.PeerProbe({
+    ...createPorts(),
     ping: (address) => {
       pinged.push(address)
       return Promise.resolve(true)
@@ -15,6 +28,6 @@
 
 tap.test('a peer that misses one ping is alive, one that misses two is not', async (t) => {
   const answers = [false, true, false, false]
-  const probe = new peerProbe.PeerProbe({ ping: () => Promise.resolve(answers.shift()!) })
+  const probe = new peerProbe.PeerProbe({ ...createPorts(), ping: () => Promise.resolve(answers.shift()!) })
   t.same([await probe.isAlive('a'), await probe.isAlive('a')], [true, false])
 })
--- a/packages/programs/front/src/peer-probe.ts
+++ b/packages/programs/front/src/peer-probe.ts
@@ -1,9 +1,17 @@
 /** Checks whether a peer is alive, once for all requests that wait for it. */
 
+import type * as decisionLog from '@eelgrasswind/decision-log'
+import type * as sendHttp from '@eelgrasswind/send-http'
+import type * as timerService from '@eelgrasswind/timer-service'
+
 /** Dependencies of `PeerProbe`. */
 export interface PeerProbePorts {
   /** Whether a peer answers within the ping timeout. */
   readonly ping: (address: string) => Promise<boolean>
+  /** Opens a connection to a peer. Its host accepts it whether or not the process is busy. */
+  readonly connect: (address: string) => Promise<sendHttp.ConnectionProbe>
+  readonly timers: timerService.TimerService
+  readonly decisions: decisionLog.DecisionLog
 }
 
 /** Requests that wait for the same peer share one probe. */
@@ -24,6 +32,10 @@
   }
 
   private async pingTwice (address: string): Promise<boolean> {
-    return await this.ports.ping(address) || await this.ports.ping(address)
+    const startedAt = this.ports.timers.monotonic()
+    if (await this.ports.ping(address) || await this.ports.ping(address)) return true
+    const pingedMs = Math.round(this.ports.timers.monotonic() - startedAt)
+    void this.ports.connect(address).then((connection) => { this.ports.decisions.record({ event: 'peerUnanswered', peer: address, connection, pingedMs }) })
+    return false
   }
 }
--- a/packages/programs/front/src/test-cluster.ts
+++ b/packages/programs/front/src/test-cluster.ts
@@ -282,6 +282,7 @@
     const detector = new peerFailureDetector.PeerFailureDetector({
       peers: listPeers,
       ping: async (address) => await this.call(host, address, timers, pingTimeoutMs, async () => true) === true,
+      connect: async (address) => this.connect(host, hostOf(address)),
       onPeerSilent: (address) => {
         const member = shards.listMembers().find((name) => memberName.parsePeerAddress(name) === address)
         if (member !== undefined) void shards.evict(member, 'silent')
@@ -331,6 +332,12 @@
     return this.processes[other] === undefined && this.side[host] === this.side[other]
   }
 
+  /** A host accepts connections also while its process stands still. */
+  private connect (host: number, other: number): 'accepted' | 'refused' | 'noAnswer' {
+    if (this.side[host] !== this.side[other]) return 'noAnswer'
+    return this.processes[other] === undefined ? 'refused' : 'accepted'
+  }
+
   /** Calls a process of another host; `undefined` if there is no answer within the timeout, in ms. */
   private async call<Answer> (from: number, address: string, timers: timerService.TimerService, timeoutMs: number, run: (peer: Process) => Promise<Answer>): Promise<Answer | undefined> {
     const to = hostOf(address)
