front: a peer that is busy is not taken for one that has ended

Callers saw: the connection of a turn that had run whole was closed in the middle of its answer while hosts were told to end (LOST). Cause: silence was the evidence for an end. A process that forwards a turn gave its owner up after 0.4 s without a byte and two pings of 0.2 s; an owner that is busy, or waits for the store or its next owner with the end of a turn, looks the same. The same evidence, one missed ping, evicted live members: their shards moved, the next owners were busy loading them and missed pings in turn, and turns waited for an owner until they were cut.

With the line peerUnanswered: 39 of 39 unanswered hosts accept connections.

Change: a host accepts connections whether or not its process is busy. A member is evicted, and counts as unreachable, only if its host refuses or takes no connection; an owner is given up then, or once it has answered nothing for a lease.

--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -118,7 +118,7 @@
   | { readonly event: 'loadNotShared', readonly err: unknown }
   | { readonly event: 'upstreamUnreadable', readonly key: string, readonly err: unknown }
   | { readonly event: 'assignment', readonly generation: number, readonly owned: number, readonly handedOver: number }
-  /** A peer has not answered pings. `connection`: whether its host accepted a new connection, as it does for a process that is merely busy; `pingedMs`: how long it was pinged. */
+  /** A peer has not answered pings. `connection`: whether its host accepted a new connection, as it does for a process that is merely busy; `pingedMs`: how long it had to answer. */
   | { readonly event: 'peerUnanswered', readonly peer: string, readonly connection: 'accepted' | 'refused' | 'noAnswer', readonly pingedMs: number }
   | { readonly event: 'leaseNotRenewed', readonly failure: FailureField }
   /** The process that counts the requests of the group's accounts can't be reached. */
--- a/packages/programs/front/src/forward-turn.test.ts
+++ b/packages/programs/front/src/forward-turn.test.ts
@@ -7,8 +7,8 @@
 import type * as inbound from './inbound.js'
 import * as peerProbe from './peer-probe.js'
 
-/** A turn forwarded to an owner that accepts it; `playAnswer` schedules the owner's answer. */
-function fixture (ownerAnswers: boolean, playAnswer: (sink: sendHttp.AnswerSink, timers: timerService.TimerService) => void) {
+/** A turn forwarded to an owner that accepts it and answers pings after `pingMs`, at once if not given; `playAnswer` schedules the owner's answer. */
+function fixture (ownerAnswers: boolean, playAnswer: (sink: sendHttp.AnswerSink, timers: timerService.TimerService) => void, pingMs = 0) {
   const timers = timerService.createManualTimers()
   const replyEvents: string[] = []
   let isCancelled = false
@@ -33,7 +33,12 @@
     timers,
     decisions: decisionLog.createSilentDecisionLog(),
     peerProbe: new peerProbe.PeerProbe({
-      ping: async () => { pingCount += 1; return ownerAnswers },
+      ping: async (_address, timeoutMs) => {
+        pingCount += 1
+        if (pingMs > 0) await timerService.sleep(timers, Math.min(pingMs, timeoutMs))
+        return ownerAnswers && pingMs <= timeoutMs
+      },
+      leaseMs: 1_100,
       connect: async () => ownerAnswers ? 'accepted' : 'noAnswer',
       timers,
       decisions: decisionLog.createSilentDecisionLog()
@@ -80,3 +85,14 @@
   t.same(await outcome, { type: 'answered' })
   t.same(replyEvents, ['head 200', 'abort'])
 })
+
+// Guards against answers that were cut because their owner was busy while it waited for the store.
+tap.test('an owner that is too busy to answer a ping in time is waited for', async (t) => {
+  const { timers, outcome, replyEvents } = fixture(true, (sink, fakeTimers) => {
+    fakeTimers.after(100, () => { sink.onHead({ status: 200, headers: {}, rawHeaders: [] }) })
+    fakeTimers.after(1_700, () => { sink.onComplete({ framing: 'chunked', connection: 'open', bodyBytes: 0 }) })
+  }, 700)
+  await timers.advanceAsync(2_000)
+  t.same(await outcome, { type: 'answered' })
+  t.same(replyEvents, ['head 200', 'end'])
+})
--- a/packages/programs/front/src/forward-turn.ts
+++ b/packages/programs/front/src/forward-turn.ts
@@ -23,9 +23,9 @@
 const confirmTimeoutMs = 250
 
 /**
- * The owner is pinged if nothing has arrived from it for this long, in ms. A host that has lost power closes no
- * connection: without the ping, each turn there waits for its full timeout, 4 s, and so does its client; with the ping,
- * the client can retry the turn after about 0.8 s.
+ * The owner is probed if nothing has arrived from it for this long, in ms. A host that has lost power closes no
+ * connection: without the probe, each turn there waits for its full timeout, and so does its client. An owner that is
+ * busy, or waits for the store, is waited for.
  */
 const silenceThresholdMs = 400
 
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -71,7 +71,7 @@
 const drainPollMs = 20
 /** Timeout of a store call that is relayed through a peer, in ms: the peer's own timeout plus the network time. */
 const relayTimeoutMs = 1_600
-/** Ping timeout, in ms: a reachable peer answers within it, even if its CPU quota is used up for a tenth of a second. */
+/** Ping timeout of the failure detector, in ms; a peer that misses it is asked for a connection. */
 const pingTimeoutMs = 200
 /** Timeout for opening a connection to a peer that does not answer pings, in ms: a host that is up accepts it within a round trip. */
 const peerConnectTimeoutMs = 200
@@ -268,15 +268,15 @@
     return new peerFailureDetector.PeerFailureDetector({
       ...this.ports,
       peers: () => this.listPeerAddresses(),
-      ping: (address) => this.ping(address),
+      ping: (address) => this.ping(address, pingTimeoutMs),
       connect: (address) => sendHttp.probeConnection(address, peerConnectTimeoutMs),
       onPeerSilent: (address) => { this.onPeerSilent(address) },
       onIsolationChanged: (isIsolated) => { this.onIsolationChanged(isIsolated) }
     })
   }
 
-  private async ping (address: string): Promise<boolean> {
-    return await peerCalls.callPeer(this.peerCallPorts, address, { type: 'ping' }, pingTimeoutMs) !== undefined
+  private async ping (address: string, timeoutMs: number): Promise<boolean> {
+    return await peerCalls.callPeer(this.peerCallPorts, address, { type: 'ping' }, timeoutMs) !== undefined
   }
 
   private createTurnPorts (): routeTurn.RouteTurnPorts {
@@ -288,7 +288,12 @@
       failureDetector: this.failureDetector,
       suspects: new routeTurn.SuspectedPeers(),
       promptLocations: new promptLocations.PromptLocations(),
-      peerProbe: new peerProbe.PeerProbe({ ...this.ports, ping: (address) => this.ping(address), connect: (address) => sendHttp.probeConnection(address, peerConnectTimeoutMs) }),
+      peerProbe: new peerProbe.PeerProbe({
+        ...this.ports,
+        ping: (address, timeoutMs) => this.ping(address, timeoutMs),
+        connect: (address) => sendHttp.probeConnection(address, peerConnectTimeoutMs),
+        leaseMs: this.cfg.leaseMs
+      }),
       admission: new programAdmission.ProgramAdmission({ ...this.ports, upstreams: upstreams.list, peerLoads: upstreams.peerLoads, findEngineRules: (service) => this.routing.current?.services.get(service)?.engine, random: Math.random }),
       deferredTurns: new storeOutage.DeferredTurns(),
       retryBudget: new retryBudget.RetryBudget(),
--- a/packages/programs/front/src/peer-failure-detector.test.ts
+++ b/packages/programs/front/src/peer-failure-detector.test.ts
@@ -7,13 +7,16 @@
   const timers = timerService.createManualTimers()
   const members = new Set(Array.from({ length: peerCount }, (_, index) => `peer-${index}`))
   const silent = new Set<string>()
+  /** Peers that answer no ping in time, but whose hosts accept connections. */
+  const busy = new Set<string>()
   const isolationChanges: boolean[] = []
   const reported: string[] = []
   const detector = new peerFailureDetector.PeerFailureDetector({
     peers: () => [...members],
     ping: async (address) => {
-      await timerService.sleep(timers, silent.has(address) ? 200 : 1)
-      return !silent.has(address)
+      const isLate = silent.has(address) || busy.has(address)
+      await timerService.sleep(timers, isLate ? 200 : 1)
+      return !isLate
     },
     connect: async (address) => silent.has(address) ? 'noAnswer' : 'accepted',
     onPeerSilent: (address) => { reported.push(address) },
@@ -21,7 +24,7 @@
     timers,
     decisions: decisionLog.createSilentDecisionLog()
   })
-  return { timers, members, silent, isolationChanges, reported, detector }
+  return { timers, members, silent, busy, isolationChanges, reported, detector }
 }
 
 tap.test('a process that reaches no member for longer than a lease is isolated', async (t) => {
@@ -88,3 +91,20 @@
   await timers.advanceAsync(5_000)
   t.same(isolationChanges, [])
 })
+
+// Guards against hosts that were evicted because they were busy: moving their shards made the others busy, too.
+tap.test('a busy peer, whose host accepts connections, is not reported', async (t) => {
+  const { timers, busy, reported, detector } = fixture(5)
+  busy.add('peer-0')
+  detector.suspect('peer-0')
+  await timers.advanceAsync(5_000)
+  t.same(reported, [])
+})
+
+tap.test('a process whose peers are all busy is not isolated', async (t) => {
+  const { timers, members, busy, isolationChanges, detector } = fixture(5)
+  for (const peer of members) busy.add(peer)
+  detector.suspect('peer-0')
+  await timers.advanceAsync(5_000)
+  t.same(isolationChanges, [])
+})
--- a/packages/programs/front/src/peer-failure-detector.ts
+++ b/packages/programs/front/src/peer-failure-detector.ts
@@ -1,12 +1,13 @@
 /**
  * Distinguishes a silent peer from the isolation of this process. A process that is isolated from its peers while the
  * store still serves it keeps its lease, so no other process may serve its programs, and few can reach it: it should
- * give up its shards. A peer that is silent while the others answer is reported, so that its shards move before its
- * lease expires.
+ * give up its shards. A peer that can't be reached while the others can is reported, so that its shards move before its
+ * lease expires. One that is late is not: moving the shards of a busy host makes the others busy, too.
  */
 import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as sendHttp from '@eelgrasswind/send-http'
 import * as timerService from '@eelgrasswind/timer-service'
+import * as peerProbe from './peer-probe.js'
 
 /** Dependencies of `PeerFailureDetector`. */
 export interface PeerFailureDetectorPorts {
@@ -16,7 +17,7 @@
   readonly ping: (address: string) => Promise<boolean>
   /** Opens a connection to a peer. Its host accepts it whether or not the process is busy. */
   readonly connect: (address: string) => Promise<sendHttp.ConnectionProbe>
-  /** A suspected peer does not answer, and enough others do. */
+  /** A suspected peer can't be reached, and enough others can. */
   readonly onPeerSilent: (address: string) => void
   /** This process has become isolated, or reaches its peers again. */
   readonly onIsolationChanged: (isIsolated: boolean) => void
@@ -90,22 +91,30 @@
     if (now - this.contradictedSince >= (this.isolated ? recoveryThresholdMs : isolationThresholdMs)) this.setIsolated(!this.isolated)
   }
 
-  /** Pings all peers, reports the suspects that stay silent, and returns whether enough peers answer. */
+  /** Pings all peers, reports the suspects that can't be reached, and returns whether enough peers can. */
   private async probePeers (): Promise<boolean> {
     const peers = this.ports.peers()
     const suspects = [...this.suspects]
     this.suspects.clear()
     if (peers.length < minPeerCount) return true
-    const startedAt = this.ports.timers.monotonic()
-    const answers = await Promise.all(peers.map((address) => this.ports.ping(address)))
-    const pingedMs = Math.round(this.ports.timers.monotonic() - startedAt)
-    const silent = peers.filter((_, index) => answers[index] !== true)
-    for (const address of silent) void this.ports.connect(address).then((connection) => { this.ports.decisions.record({ event: 'peerUnanswered', peer: address, connection, pingedMs }) })
+    const reachable = await Promise.all(peers.map((address) => this.isReachable(address)))
+    const silent = peers.filter((_, index) => reachable[index] !== true)
     const canReachPeers = peers.length - silent.length >= peers.length * minReachableShare
     if (canReachPeers && !this.isolated) this.reportSilent(suspects.filter((address) => silent.includes(address)))
     return canReachPeers
   }
 
+  /** A process that is merely busy answers no ping in time, but its host accepts connections: its lease tells whether it goes on. */
+  private async isReachable (address: string): Promise<boolean> {
+    const { timers, decisions } = this.ports
+    const startedAt = timers.monotonic()
+    if (await this.ports.ping(address)) return true
+    const pingedMs = Math.round(timers.monotonic() - startedAt)
+    const connection = await peerProbe.connectTwice(this.ports, address)
+    decisions.record({ event: 'peerUnanswered', peer: address, connection, pingedMs })
+    return connection === 'accepted'
+  }
+
   private reportSilent (silent: readonly string[]): void {
     const now = this.ports.timers.monotonic()
     for (const address of silent) {
--- a/packages/programs/front/src/peer-probe.test.ts
+++ b/packages/programs/front/src/peer-probe.test.ts
@@ -4,30 +4,66 @@
 import * as timerService from '@eelgrasswind/timer-service'
 import * as peerProbe from './peer-probe.js'
 
-/** Ports for a peer whose host takes no connection. */
-function createPorts () {
-  return {
-    timers: timerService.createManualTimers(),
-    decisions: decisionLog.createSilentDecisionLog(),
-    connect: (): Promise<sendHttp.ConnectionProbe> => Promise.resolve('noAnswer')
-  }
-}
+const leaseMs = 1_100
+const connectTimeoutMs = 200
 
-tap.test('concurrent probes of a peer share one ping', async (t) => {
+/** A peer whose answers to pings, in order, take `answerMs`; `connections`: the outcomes of attempts to connect, in order. */
+function fixture (answerMs: readonly number[], connections: readonly sendHttp.ConnectionProbe[]) {
+  const timers = timerService.createManualTimers()
   const pinged: string[] = []
+  const remaining = [...connections]
   const probe = new peerProbe.PeerProbe({
-    ...createPorts(),
-    ping: (address) => {
-      pinged.push(address)
-      return Promise.resolve(true)
+    timers,
+    leaseMs,
+    decisions: decisionLog.createSilentDecisionLog(),
+    ping: async (address, timeoutMs) => {
+      const takesMs = answerMs[pinged.push(address) - 1] ?? Infinity
+      await timerService.sleep(timers, Math.min(takesMs, timeoutMs))
+      return takesMs <= timeoutMs
+    },
+    connect: async () => {
+      const outcome = remaining.shift() ?? 'noAnswer'
+      await timerService.sleep(timers, outcome === 'noAnswer' ? connectTimeoutMs : 1)
+      return outcome
     }
   })
-  t.same(await Promise.all([probe.isAlive('a'), probe.isAlive('a'), probe.isAlive('b')]), [true, true, true])
+  const outcomes: { readonly isAlive: boolean, readonly tookMs: number }[] = []
+  const run = async (): Promise<typeof outcomes> => {
+    const startedAt = timers.monotonic()
+    void probe.isAlive('a').then((isAlive) => { outcomes.push({ isAlive, tookMs: timers.monotonic() - startedAt }) })
+    await timers.advanceAsync(2 * leaseMs)
+    return outcomes
+  }
+  return { timers, probe, pinged, run }
+}
+
+tap.test('concurrent probes of a peer share one ping', async (t) => {
+  const { timers, probe, pinged } = fixture([1, 1], [])
+  const answers = Promise.all([probe.isAlive('a'), probe.isAlive('a'), probe.isAlive('b')])
+  await timers.advanceAsync(10)
+  t.same(await answers, [true, true, true])
   t.same(pinged, ['a', 'b'])
 })
 
-tap.test('a peer that misses one ping is alive, one that misses two is not', async (t) => {
-  const answers = [false, true, false, false]
-  const probe = new peerProbe.PeerProbe({ ...createPorts(), ping: () => Promise.resolve(answers.shift()!) })
-  t.same([await probe.isAlive('a'), await probe.isAlive('a')], [true, false])
+// Guards against answers that were cut because their owner was too busy to answer a ping in time.
+tap.test('a busy peer, whose host accepts connections, is alive if it answers within its lease', async (t) => {
+  t.same(await fixture([600], ['accepted']).run(), [{ isAlive: true, tookMs: 600 }])
+  t.same(await fixture([1_050], ['accepted']).run(), [{ isAlive: true, tookMs: 1_050 }])
+})
+
+tap.test('a peer whose connection went silent is alive if it answers on another one', async (t) => {
+  t.same(await fixture([Infinity, 5], ['accepted']).run(), [{ isAlive: true, tookMs: 206 }])
+})
+
+tap.test('one lost packet does not make a host unreachable', async (t) => {
+  t.same(await fixture([Infinity, 5], ['noAnswer', 'accepted']).run(), [{ isAlive: true, tookMs: 406 }])
+})
+
+tap.test('a peer that has ended, or whose host is unreachable, is not alive', async (t) => {
+  t.same(await fixture([], ['refused']).run(), [{ isAlive: false, tookMs: 201 }])
+  t.same(await fixture([], ['noAnswer', 'noAnswer']).run(), [{ isAlive: false, tookMs: 600 }])
+})
+
+tap.test('a suspended peer, which answers nothing for a lease, is not alive', async (t) => {
+  t.same(await fixture([], ['accepted']).run(), [{ isAlive: false, tookMs: leaseMs + 1 }])
 })
--- a/packages/programs/front/src/peer-probe.ts
+++ b/packages/programs/front/src/peer-probe.ts
@@ -1,41 +1,68 @@
 /** Checks whether a peer is alive, once for all requests that wait for it. */
-
 import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as sendHttp from '@eelgrasswind/send-http'
-import type * as timerService from '@eelgrasswind/timer-service'
+import * as timerService from '@eelgrasswind/timer-service'
 
 /** Dependencies of `PeerProbe`. */
 export interface PeerProbePorts {
-  /** Whether a peer answers within the ping timeout. */
-  readonly ping: (address: string) => Promise<boolean>
+  /** Whether a peer answers within the timeout, in ms. */
+  readonly ping: (address: string, timeoutMs: number) => Promise<boolean>
   /** Opens a connection to a peer. Its host accepts it whether or not the process is busy. */
   readonly connect: (address: string) => Promise<sendHttp.ConnectionProbe>
+  /** A process whose host accepts connections counts as suspended once it has not answered for this long, in ms: by then its lease has expired. */
+  readonly leaseMs: number
   readonly timers: timerService.TimerService
   readonly decisions: decisionLog.DecisionLog
 }
 
+/** Time for the first answer, in ms; after it the host is asked for a connection. */
+const firstAnswerMs = 200
+
 /** Requests that wait for the same peer share one probe. */
 export class PeerProbe {
   private readonly pendingProbes = new Map<string, Promise<boolean>>()
 
   constructor (private readonly ports: PeerProbePorts) {}
 
-  /** Whether the peer answers; pings it a second time before it returns false, since a busy process may miss one ping. */
+  /**
+   * Whether the peer is alive. It is not if its host refuses or does not accept connections, or if it answers nothing for
+   * the duration of a lease; a process that is merely busy answers late.
+   */
   async isAlive (address: string): Promise<boolean> {
     const pendingProbe = this.pendingProbes.get(address)
     if (pendingProbe !== undefined) return pendingProbe
-    const answer = this.pingTwice(address)
+    const answer = this.probe(address)
     this.pendingProbes.set(address, answer)
     const isAlive = await answer
     this.pendingProbes.delete(address)
     return isAlive
   }
 
-  private async pingTwice (address: string): Promise<boolean> {
-    const startedAt = this.ports.timers.monotonic()
-    if (await this.ports.ping(address) || await this.ports.ping(address)) return true
-    const pingedMs = Math.round(this.ports.timers.monotonic() - startedAt)
-    void this.ports.connect(address).then((connection) => { this.ports.decisions.record({ event: 'peerUnanswered', peer: address, connection, pingedMs }) })
-    return false
+  private async probe (address: string): Promise<boolean> {
+    const { timers, ping, leaseMs } = this.ports
+    const startedAt = timers.monotonic()
+    const firstPing = ping(address, leaseMs)
+    if (await timerService.withTimeout(timers, firstPing, firstAnswerMs) === true) return true
+    const pingedMs = timers.monotonic() - startedAt
+    const connection = await connectTwice(this.ports, address)
+    this.ports.decisions.record({ event: 'peerUnanswered', peer: address, connection, pingedMs: Math.round(pingedMs) })
+    if (connection !== 'accepted') return false
+    // On another connection, as that of the first ping may have gone silent.
+    const secondPing = ping(address, Math.max(firstAnswerMs, leaseMs - pingedMs))
+    return isAnyTrue([firstPing, secondPing])
   }
 }
+
+/** Opens a connection to a peer; tries a second time before the host counts as unreachable, since one packet may be lost. */
+export async function connectTwice ({ connect }: Pick<PeerProbePorts, 'connect'>, address: string): Promise<sendHttp.ConnectionProbe> {
+  const connection = await connect(address)
+  return connection === 'noAnswer' ? connect(address) : connection
+}
+
+/** Resolves with true as soon as one promise does, with false once all have resolved with false. */
+function isAnyTrue (promises: readonly Promise<boolean>[]): Promise<boolean> {
+  return new Promise((resolve, reject) => {
+    for (const promise of promises) promise.then((value) => { if (value) resolve(true) }, reject)
+    void Promise.all(promises).then(() => { resolve(false) }, reject)
+  })
+}
