--- a/packages/peers/send-http/src/open-connections.test.ts
+++ b/packages/peers/send-http/src/open-connections.test.ts
@@ -60,6 +60,34 @@
   for (const close of closers) close()
 })
 
+/** Resolves as soon as no more than `count` connections are open. */
+function waitForOpen (address: string, connections: sendHttp.OpenConnections, count: number): Promise<void> {
+  return new Promise((resolve) => {
+    const check = (): void => {
+      if (connections.list(address).length > count) return
+      stop()
+      resolve()
+    }
+    const stop = connections.onClose(address, check)
+    check()
+  })
+}
+
+// Guards against closed connections that were forgotten at once with the last listener, so that a restarted process was not noticed.
+tap.test('connections that were closed just now are counted after the last listener has left', async (t) => {
+  const { address, sockets } = await startServer(t)
+  const connections = new sendHttp.OpenConnections()
+  for (let opened = 1; opened <= 2; opened += 1) {
+    await openIdle(address, connections)
+    while (sockets.length < opened) await timerService.sleep(timers, 1)
+  }
+  for (const socket of sockets) socket.destroy()
+  await waitForOpen(address, connections, 0)
+  t.equal(connections.countClosedByPeer(address), 2)
+  await timerService.sleep(timers, 80)
+  t.equal(connections.countClosedByPeer(address), 0)
+})
+
 tap.test('an address that can not be is never connected to', async (t) => {
   for (const address of ['127.0.0.1:0', '127.0.0.1:99999', '127.0.0.1:', '127.0.0.1:x']) {
     t.same(await sendHttp.openIdleConnection(address, timeoutMs, new sendHttp.OpenConnections()), { outcome: 'noAnswer' }, address)
