send-http: connection ends that have arrived are read before a process is judged

Cause: examineBreak waits 5 ms and looks then whether all connections are closed. After a stall of this process the timer runs before the network events that arrived meanwhile, so a process that had closed all of its connections and listened again counted as alive.

The examination now lets the pending events be handled first, takes the end of a connection that was read for its loss, and counts the closes from its begin on, so that a long stall does not outdate them.

--- a/packages/peers/send-http/src/open-connections.test.ts
+++ b/packages/peers/send-http/src/open-connections.test.ts
@@ -60,6 +60,12 @@
   for (const close of closers) close()
 })
 
+/** Blocks the event loop for a time, in ms. */
+function stall (ms: number): void {
+  const until = performance.now() + ms
+  while (performance.now() < until);
+}
+
 /** Resolves as soon as no more than `count` connections are open. */
 function waitForOpen (address: string, connections: sendHttp.OpenConnections, count: number): Promise<void> {
   return new Promise((resolve) => {
@@ -88,6 +94,24 @@
   t.equal(connections.countClosedByPeer(address), 0)
 })
 
+// Guards against a process that had ended and was taken for alive: this process stalled, and judged before it had read the ends of its connections.
+tap.test('connection ends that arrive during a stall are read before the process is judged', async (t) => {
+  for (const closedBefore of [0, 1, 2]) {
+    const { address, sockets } = await startServer(t)
+    const connections = new sendHttp.OpenConnections()
+    for (let opened = 1; opened <= 2; opened += 1) {
+      await openIdle(address, connections)
+      while (sockets.length < opened) await timerService.sleep(timers, 1)
+    }
+    for (const socket of sockets.splice(0, closedBefore)) socket.destroy()
+    await waitForOpen(address, connections, 2 - closedBefore)
+    const evidence = sendHttp.examineBreak(timers, address, connections)
+    for (const socket of sockets) socket.destroy()
+    stall(100)
+    t.equal(await evidence, 'ended', `${closedBefore} of 2 connections were closed before`)
+  }
+})
+
 tap.test('an address that can not be is never connected to', async (t) => {
   for (const address of ['127.0.0.1:0', '127.0.0.1:99999', '127.0.0.1:', '127.0.0.1:x']) {
     t.same(await sendHttp.openIdleConnection(address, timeoutMs, new sendHttp.OpenConnections()), { outcome: 'noAnswer' }, address)
--- a/packages/peers/send-http/src/probe-connection.ts
+++ b/packages/peers/send-http/src/probe-connection.ts
@@ -1,6 +1,7 @@
 /** Finds out whether a process has ended, by whether one listens at its address. */
 import * as net from 'node:net'
 import * as timerService from '@eelgrasswind/timer-service'
+import * as connectionEnd from './connection-end.js'
 import type * as openConnections from './open-connections.js'
 
 /** Outcome of a connection attempt. `refused` shows that the host is up and no process listens there. */
@@ -30,9 +31,12 @@
  */
 export async function examineBreak (timers: timerService.TimerService, address: string, connections?: openConnections.OpenConnections): Promise<ProcessEvidence> {
   const before = connections?.list(address) ?? []
+  const closedBefore = connections?.countClosedByPeer(address) ?? 0
   await timerService.sleep(timers, probeDelayMs)
-  const hasLostAll = connections !== undefined && before.every((socket) => socket.destroyed)
-  const hasClosedSeveral = connections !== undefined && connections.countClosedByPeer(address) > 1
+  await handlePendingEvents()
+  const endedByPeer = before.filter((socket) => connectionEnd.getConnectionEnd(socket) !== 'open')
+  const hasLostAll = connections !== undefined && before.every((socket) => socket.destroyed || endedByPeer.includes(socket))
+  const hasClosedSeveral = closedBefore + endedByPeer.length > 1
   switch (await probeConnection(address, probeTimeoutMs)) {
     case 'accepted':
       if (!hasLostAll) return 'alive'
@@ -42,6 +46,11 @@
   }
 }
 
+/** Resolves after the network events that have arrived so far. A timer that is due after a stall runs before them. */
+function handlePendingEvents (): Promise<void> {
+  return new Promise((resolve) => { setImmediate(resolve) })
+}
+
 /** Outcome of opening an idle connection; `close` closes it. */
 export type IdleConnection = { readonly outcome: 'accepted', readonly close: () => void } | { readonly outcome: 'refused' | 'noAnswer' }
 
