drain-server: tests for connections that a shutdown ends too early or too late

- an answer of 32 MiB whose client does not read for 100 ms: 3919872 bytes arrive, then the connection is closed.
`http.Server.close` calls closeIdleConnections, which takes a connection for idle once the answer's `end` was called, though most of it is not sent.
- a request sent on a kept connection in the same moment as the close: ECONNRESET without a byte of an answer.
- a connection on which nothing was sent is still open 2 s after the close, so that the close does not end.

--- a/packages/base/drain-server/src/drain-server.test.ts
+++ b/packages/base/drain-server/src/drain-server.test.ts
@@ -106,3 +106,76 @@
   agent.destroy()
   drainable.server.close()
 })
+
+interface ClosingServer {
+  readonly drainable: drainServer.DrainServer
+  readonly socket: net.Socket
+  /** Number of bytes that the client has received, and the first of them. */
+  readonly received: { bytes: number, head: string }
+  readonly closed: Promise<void>
+  /** Begins the shutdown; resolves once the server has closed. */
+  readonly shutDown: () => Promise<void>
+}
+
+/** A server whose answers have `answerBytes` bytes, and a client that has connected. */
+async function connectClient (answerBytes: number): Promise<ClosingServer> {
+  const drainable = drainServer.createDrainServer({}, (_req, res) => {
+    res.writeHead(200, { 'Content-Length': answerBytes })
+    res.end(Buffer.alloc(answerBytes))
+  })
+  const socket = net.connect(await listen(drainable.server), '127.0.0.1')
+  const received = { bytes: 0, head: '' }
+  socket.on('data', (bytes: Buffer) => {
+    if (received.bytes === 0) received.head = bytes.subarray(0, 15).toString()
+    received.bytes += bytes.length
+  })
+  socket.on('error', () => {})
+  const closed = new Promise<void>((resolve) => { socket.once('close', () => { resolve() }) })
+  await new Promise((resolve) => { socket.once('connect', resolve) })
+  const shutDown = (): Promise<void> => {
+    drainable.startDraining()
+    return new Promise((resolve) => { drainable.server.close(() => { resolve() }) })
+  }
+  return { drainable, socket, received, closed, shutDown }
+}
+
+// Guards against an answer cut off by a shutdown: a connection whose answer had been ended but not sent was closed as idle.
+tap.test('an answer that its client reads slowly is sent whole during a shutdown', async (t) => {
+  const answerBytes = 32 * 1024 * 1024
+  const { drainable, socket, received, closed, shutDown } = await connectClient(answerBytes)
+  socket.pause()
+  socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+  while (drainable.openRequestCount === 0) await sleep(5)
+  await sleep(50)
+  const shutdown = shutDown()
+  await sleep(50)
+  socket.resume()
+  await closed
+  await shutdown
+  t.ok(received.bytes > answerBytes, `${received.bytes} bytes`)
+})
+
+// Guards against a request that gets no answer: its connection was closed while the request was on its way.
+tap.test('a request that is sent on a kept connection as the server closes is answered', async (t) => {
+  const { socket, received, closed, shutDown } = await connectClient(2)
+  socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+  while (received.bytes === 0) await sleep(5)
+  await sleep(50)
+  received.bytes = 0
+  received.head = ''
+  socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+  const shutdown = shutDown()
+  await closed
+  await shutdown
+  t.equal(received.head, 'HTTP/1.1 200 OK')
+})
+
+// Guards against a shutdown that ends only by its timeout: Node.js keeps a connection on which nothing was received.
+tap.test('a connection on which nothing is sent does not hold up a shutdown', async (t) => {
+  const { socket, closed, shutDown } = await connectClient(2)
+  await sleep(20)
+  const shutdown = shutDown()
+  t.equal(await Promise.race([closed.then(() => 'closed'), sleep(8 * drainServer.drainKeepAliveMs).then(() => 'open')]), 'closed')
+  socket.destroy()
+  await shutdown
+})
