drain-server: a close keeps connections until their answers are sent

Callers saw: an answer cut off in its middle, or a reset in place of the answer to a request on a kept connection, as the process that served them was told to end.

Cause: `http.Server.close` calls `closeIdleConnections`, which destroys each connection that has no unfinished answer by its own account: also one whose answer was ended but waits in the process for a slow reader, and one on which the next request is on its way. It keeps a connection on which nothing was received, so the close never ended while a client held one.

Change: `closeIdleConnections` of these servers sets an idle timeout of drainKeepAliveMs on the connections that have no open answer by the server's own count, in which a response stays until it is sent. A request that arrives meanwhile is answered as any other during a shutdown.

--- a/packages/base/drain-server/src/drain-server.ts
+++ b/packages/base/drain-server/src/drain-server.ts
@@ -11,7 +11,7 @@
   readonly setKeepAliveTimeout: (timeoutMs: number) => void
   /**
    * From now on each answer announces the end of its connection, and connections that become idle are closed. New
-   * connections are still accepted until `server` is closed.
+   * connections are still accepted until `server` is closed; idle ones then end after `drainKeepAliveMs`.
    */
   readonly startDraining: () => void
 }
@@ -41,6 +41,11 @@
     })
   }
 
+  /** Whether all answers have been sent. */
+  get isIdle (): boolean {
+    return this.openResponses.size === 0
+  }
+
   /** Whether no further request has arrived since, so that the connection may end with this answer. */
   isNewest (res: http.ServerResponse): boolean {
     return this.newestResponse === res
@@ -50,6 +55,7 @@
 /** Creates a server, which does not listen yet. Requests that arrive after the last answer of their connection are not passed to the listener. */
 export function createDrainServer (options: http.ServerOptions, onRequest: http.RequestListener): DrainServer {
   const connections = new WeakMap<net.Socket, Connection>()
+  const openSockets = new Set<net.Socket>()
   let isDraining = false
   let openRequestCount = 0
 
@@ -79,9 +85,28 @@
     }
     openRequestCount += 1
     connection.add(res, () => { openRequestCount -= 1 })
+    // Ends the idle timeout that closeIdleConnections may have set.
+    req.socket.setTimeout(server.timeout)
     onRequest(req, res)
   })
 
+  server.on('connection', (socket) => {
+    openSockets.add(socket)
+    socket.once('close', () => { openSockets.delete(socket) })
+  })
+
+  function isIdle (socket: net.Socket): boolean {
+    return connections.get(socket)?.isIdle ?? socket.bytesRead === 0
+  }
+
+  // Called by `server.close`. The original closes idle connections at once, whatever is on its way on them, takes a
+  // connection for idle while the end of its answer waits to be sent, and keeps those on which nothing was received.
+  server.closeIdleConnections = () => {
+    for (const socket of openSockets) {
+      if (isIdle(socket)) socket.setTimeout(drainKeepAliveMs)
+    }
+  }
+
   return {
     server,
     get openRequestCount () { return openRequestCount },
