program-home: tests for a home that is claimed from because it is busy

Trace of moving-programs.test, second run. engine-2 is the home of a program; a call of 18 s began there before 07:35:40. engine-1, restarted, ranks first:

07:35:42.302 engine-1: engine-2 is suspect 07:35:45.303 engine-1: engine-2 is suspect again 07:35:47.309 engine-1: appended a claim on the program, from engine-2 07:35:54.845 engine-2: another process became the home of the program

The call then ran a second time, and its caller, who had the whole text of the first run, got "timeout, no answer from engine-1; retry with the same key", verdict ran. engine-2 ran all the time.

--- a/packages/peers/sidecar-client/src/channel.test.ts
+++ b/packages/peers/sidecar-client/src/channel.test.ts
@@ -210,7 +210,7 @@
     port: 0,
     getSender: () => sender,
     process: { getStatus: refuse, getConfig: refuse, explain: refuse, getLoads: refuse },
-    home: { ...home, ...homeOverrides, release: refuse, list: refuse }
+    home: { ...home, release: refuse, list: refuse, ...homeOverrides }
   })
   const senders: types.Sender[] = []
   const failures: errors.Failure[] = []
@@ -327,3 +327,13 @@
   while (failures.length < 1) await nextEventLoopTurn()
   t.equal(failures.length, 1)
 })
+
+// Guards against a live peer that is suspected: it waits for its calls in flight before it releases a program.
+tap.test('a release that is refused or not answered in time does not report the peer as unavailable', async (t) => {
+  const busy: errors.Failure = { tag: 'inProgress', verdict: 'notRun', message: 'a call is in flight', retryAfterMs: 500 }
+  const release: handlers.HomeHandlers['release'] = (program) => program === 'never' ? new Promise(() => undefined) : Promise.resolve(errors.fail(busy))
+  const { client, failures } = await connectPeers(t, async (port) => port, { release })
+  t.same(await client.release('p1' as types.ProgramId, 'h2' as types.HostId), errors.fail(busy))
+  t.match(await client.release('never' as types.ProgramId, 'h2' as types.HostId), { ok: false, failure: { tag: 'peerUnavailable', verdict: 'mayHaveRun' } })
+  t.same(failures, [])
+})
--- a/packages/programs/program-home/src/test-journal.ts
+++ b/packages/programs/program-home/src/test-journal.ts
@@ -40,14 +40,15 @@
 
   /** The methods of a journal that a home uses. */
   get journal (): appendJournal.Journal {
-    const methods: Pick<appendJournal.Journal, 'append' | 'isAvailable' | 'readHead' | 'load'> = {
+    const methods: Pick<appendJournal.Journal, 'append' | 'isAvailable' | 'readHead' | 'load' | 'release'> = {
       append: async (record) => this.append(record),
       isAvailable: () => true,
       readHead: async () => {
         for (const record of this.unreadRecords.splice(0)) this.storeRecord(record)
         return errors.ok(this.program.state)
       },
-      load: async () => errors.ok(this.program.state)
+      load: async () => errors.ok(this.program.state),
+      release: () => {}
     }
     return methods as appendJournal.Journal
   }
--- a/packages/programs/program-home/src/test-runner.ts
+++ b/packages/programs/program-home/src/test-runner.ts
@@ -36,22 +36,24 @@
   readonly timers: timerService.ManualTimers
   readonly journal: testJournal.TestJournal
   /** Results of the next dispatches, in order; a complete answer once it is empty. */
-  readonly answers: DispatchResult[]
+  readonly answers: (DispatchResult | Promise<DispatchResult>)[]
   readonly dispatched: types.Dispatch[]
   readonly runCall: (call: types.Call) => Promise<runningCalls.CallResult>
   /** Runs a call through `ProgramHome`, not the call runner alone. */
   readonly callHome: (call: types.Call) => Promise<runningCalls.CallResult>
+  /** Asks the home to release the program. */
+  readonly release: () => Promise<errors.Result<boolean>>
 }
 
 export async function createWorld (): Promise<RunnerWorld> {
   const timers = timerService.createManualTimers(startAt)
   const journal = new testJournal.TestJournal('p1' as types.ProgramId)
-  const answers: DispatchResult[] = []
+  const answers: (DispatchResult | Promise<DispatchResult>)[] = []
   const dispatched: types.Dispatch[] = []
   const dispatchPort: ports.DispatchPort = {
     async dispatch (_host, dispatch) {
       dispatched.push(dispatch)
-      return answers.shift() ?? errors.ok(answer)
+      return await (answers.shift() ?? errors.ok(answer))
     },
     seal: async () => errors.ok({ type: 'sealed' }),
     hold: async () => errors.ok(undefined),
@@ -83,7 +85,8 @@
     answers,
     dispatched,
     runCall: (call) => runner.runCall(journal.program, call, context, sink),
-    callHome: (call) => home.call(call, context, sink)
+    callHome: (call) => home.call(call, context, sink),
+    release: () => home.release('p1' as types.ProgramId, 'n' as types.HostId)
   }
 }
 
