program-home: a home with calls in flight keeps its program

Callers saw: the whole text of an answer and then, at the end of the call's timeout, "timeout, no answer from ...", verdict ran. The call ran twice.

Cause: a host that ranks before the home, as one that was restarted, asks the home to release the program. The home waited for its calls in flight with the answer, up to the timeout of the request (2 s), which counted as a failure of the home: it became suspect, and a suspect home that does not release a program in time is claimed from. Its call ended with a record without effect, and the new home began the call again.

Change: a home answers a release at once, or after a second in which its calls may end; with calls in flight it refuses with `inProgress` and goes on serving the program, so that calls of other branches are not refused meanwhile either. The failure of a handler now reaches the process that asked, in a header of the RPC error, and does not count as a failure of the peer; nor does a release without an answer in time. Before a suspect home is claimed from, it is asked for its incarnation, as hosts that rank behind it do already; a peer of an earlier release that waits with its answer is covered by this.

--- a/packages/peers/sidecar-client/src/peer-client.ts
+++ b/packages/peers/sidecar-client/src/peer-client.ts
@@ -72,9 +72,11 @@
     if (sender !== undefined) settings.onSenderReceived(convert.fromSender(sender))
   }
 
-  function toFailedResult<T> (err: unknown): errors.Result<T> {
+  function toFailedResult<T> (err: unknown, isPrompt = true): errors.Result<T> {
+    const handlerFailure = transportFailures.findHandlerFailure(err)
+    if (handlerFailure !== undefined) return errors.fail(handlerFailure)
     const failure = transportFailures.toTransportFailure(err)
-    if (failure.tag === 'peerUnavailable') settings.onUnavailable(failure)
+    if (isPrompt || !transportFailures.isTimeout(err)) settings.onUnavailable(failure)
     return errors.fail(failure)
   }
 
@@ -88,14 +90,17 @@
     }
   }
 
-  /** For replies that have their document in a field of its own, not in a union with a failure. */
-  async function requestDocument<R extends { sender?: gen.Sender | undefined }, T> (send: () => Promise<R>, parseReply: (reply: R) => T): Promise<errors.Result<T>> {
+  /**
+   * For replies that have their document in a field of its own, not in a union with a failure. `isPrompt`: whether the
+   * peer answers without waiting for other requests or the log, so that a timeout shows that it is unavailable.
+   */
+  async function requestDocument<R extends { sender?: gen.Sender | undefined }, T> (send: () => Promise<R>, parseReply: (reply: R) => T, isPrompt = true): Promise<errors.Result<T>> {
     try {
       const reply = await send()
       reportSender(reply.sender)
       return errors.ok(parseReply(reply))
     } catch (err) {
-      return toFailedResult(err)
+      return toFailedResult(err, isPrompt)
     }
   }
 
@@ -114,7 +119,7 @@
     call,
     finish: (program, result, ctx) => channel.requestWithTimeout({ case: 'finish', value: protobuf.create(gen.FinishRequestSchema, { program, result, traceparent: ctx.traceparent }) }, settings.timeoutMs),
     read: (program, history) => channel.requestWithTimeout({ case: 'read', value: protobuf.create(gen.ReadRequestSchema, { program, history }) }, settings.timeoutMs),
-    release: (program, askedBy) => requestDocument(() => home.release({ program, askedBy }, unaryOptions), (reply) => reply.released),
+    release: (program, askedBy) => requestDocument(() => home.release({ program, askedBy }, unaryOptions), (reply) => reply.released, false),
     list: (limit) => requestDocument(() => home.list({ limit }, unaryOptions), (reply) => convert.fromJson(reply.programsJson)),
     dispatch,
     seal: (seal) => requestResult(() => upstream.seal({ ...seal, intent: BigInt(seal.intent), intentAtMs: seal.intentAt }, unaryOptions)),
--- a/packages/peers/sidecar-client/src/peer-server.ts
+++ b/packages/peers/sidecar-client/src/peer-server.ts
@@ -9,6 +9,7 @@
 import * as convert from './convert.js'
 import * as gen from './gen/eelgrasswind_pb.js'
 import type * as handlers from './handlers.js'
+import * as transportFailures from './transport-failure.js'
 
 export interface PeerServerSettings {
   /** Address to listen on; port 0 selects a free port. */
@@ -41,7 +42,7 @@
 /** Throws the failure as an RPC error, for replies whose message has no field for a failure. */
 function unwrapResult<T> (result: errors.Result<T>): T {
   if (result.ok) return result.value
-  throw new errors.FailureError(result.failure)
+  throw transportFailures.toRpcError(result.failure)
 }
 
 /** Converts an exception of a handler to a failure, so that the answer always has a verdict. */
--- a/packages/programs/program-home/src/program-home.ts
+++ b/packages/programs/program-home/src/program-home.ts
@@ -5,6 +5,7 @@
 import type * as metrics from '@eelgrasswind/metrics'
 import * as programState from '@eelgrasswind/program-state'
 import type * as retainPrefix from '@eelgrasswind/retain-prefix'
+import * as timerService from '@eelgrasswind/timer-service'
 import type * as types from '@eelgrasswind/types'
 import * as allowances from './allowance.js'
 import * as callRunner from './call-runner.js'
@@ -30,6 +31,8 @@
 
 /** Retry-after time of refused requests. */
 const retryAfterMs = 500
+/** How long a release waits for the calls in flight, in milliseconds; less than the timeout of the process that asks for it. */
+const releaseWaitMs = 1_000
 /** How long to wait for a dispatch of an earlier home that is still running. */
 const settleTimeoutMs = 30_000
 
@@ -311,13 +314,18 @@
 
   // ---- release and drain
 
-  /** Releases a program once its calls in flight have ended and are recorded; it accepts no new calls. False if it is not at home here. */
+  /**
+   * Releases a program whose calls have ended and are recorded. While it has calls in flight it stays here and accepts
+   * further ones, and the request is refused with `inProgress`. False if the program is not at home here.
+   */
   async release (program: types.ProgramId, askedBy: types.HostId): Promise<errors.Result<boolean>> {
     await this.pendingOpens.get(program)
     const openProgram = this.programs.get(program)
     if (openProgram === undefined) return errors.ok(false)
+    await timerService.withTimeout(this.deps.timers, openProgram.waitUntilIdle(), releaseWaitMs)
+    const callCount = openProgram.runningCalls.size
+    if (callCount > 0) return errors.fail({ tag: 'inProgress', verdict: 'notRun', message: `${callCount} calls are in flight`, retryAfterMs })
     openProgram.isReleasing = true
-    await openProgram.waitUntilIdle()
     await this.returnAllowance(openProgram)
     if (this.programs.get(program) !== openProgram) return errors.ok(false)
     this.deps.logger.info({ program, askedBy }, 'released a program')
--- a/packages/programs/program-home/src/take-over.ts
+++ b/packages/programs/program-home/src/take-over.ts
@@ -77,7 +77,7 @@
   const latest = deps.hosts.getIncarnation(host)
   if (latest !== undefined && latest !== incarnation) return { type: 'claim' }
   if (!deps.hosts.isFirstChoice(program)) return await claimIfReplaced(deps, head.home)
-  return await requestRelease(deps, program, host)
+  return await requestRelease(deps, program, head.home)
 }
 
 /**
@@ -89,13 +89,19 @@
   const answer = await deps.hosts.fetchIncarnation(home.host)
   if (!answer.ok) return claimIfGone(deps, home.host, answer.failure)
   if (answer.value !== home.incarnation) return { type: 'claim' }
-  return { type: 'refuse', failure: createNotHomeFailure(home.host, `${home.host} is the home of the program`) }
+  return createRefusal(home.host, `${home.host} is the home of the program`)
 }
 
-/** Allows a claim if the home releases the program, is no longer its home, or its process is not running. */
-async function requestRelease (deps: TakeOverDeps, program: types.ProgramId, host: types.HostId): Promise<ClaimDecision> {
-  const released = await deps.hosts.requestRelease(host, program)
-  return released.ok ? { type: 'claim' } : claimIfGone(deps, host, released.failure)
+/**
+ * Allows a claim if the home releases the program, is no longer its home, or its process is not running. A home that
+ * does not answer in time may wait for the log, so it is asked for its incarnation before the program is claimed.
+ */
+async function requestRelease (deps: TakeOverDeps, program: types.ProgramId, home: types.ProcessRef): Promise<ClaimDecision> {
+  const released = await deps.hosts.requestRelease(home.host, program)
+  if (released.ok) return { type: 'claim' }
+  if (released.failure.tag === 'inProgress') return createRefusal(home.host, `${home.host} has calls of the program in flight`)
+  const decision = claimIfGone(deps, home.host, released.failure)
+  return decision.type === 'claim' && released.failure.verdict !== 'notRun' ? await claimIfReplaced(deps, home) : decision
 }
 
 /** A refused connection means that the process is not running. A timeout allows a claim only once the host is suspect. */
@@ -103,7 +109,11 @@
   if (failure.verdict === 'notRun') return { type: 'claim' }
   const state = deps.hosts.stateOf(host)
   if (state === 'suspect' || state === 'gone') return { type: 'claim' }
-  return { type: 'refuse', failure: createNotHomeFailure(host, `home ${host} does not answer: ${failure.message}`) }
+  return createRefusal(host, `home ${host} does not answer: ${failure.message}`)
+}
+
+function createRefusal (home: types.HostId, message: string): ClaimDecision {
+  return { type: 'refuse', failure: createNotHomeFailure(home, message) }
 }
 
 /** Appends a claim record. The result is false if another process claimed the program first. */
