front: a turn that loses its owner in between is stored by the next one, also without its reservation or its chain

Callers saw: 502, or an answer that was cut, for a turn that had run whole, when its shard got another owner while it ran. Causes, all in what the former owner assumes of the next one: - the reservation of the turn was lost with the shard: the turn was given up at once; - so was the copy of a chain of another shard: the next owner answered that it did not know the turn, which counted as final; - so did a former owner that had missed that it was one, as its answer was not confirmed with the store; - a turn whose predecessor was still on its way to the next owner was unknown there, too.

Change: a turn without a stored reservation is held until it is complete, and handed out once the next owner has stored it, within the budget of the program. The next owner finds a chain that it lacks at the other owners. A refusal to store a turn is confirmed with the store, and an unknown chain is asked for again until the deadline.

--- a/packages/programs/front/src/answer-stream.ts
+++ b/packages/programs/front/src/answer-stream.ts
@@ -58,6 +58,7 @@
   private lastEventId: string | undefined
   private isRelaying: boolean
   private hasAnswerEnded = false
+  private endListener: (() => void) | undefined
   private isFinished = false
   private deadlineTimer: timerService.Subscription | undefined
   private eventCount = 0
@@ -80,6 +81,7 @@
       end: () => {
         this.hasAnswerEnded = true
         this.flush()
+        this.endListener?.()
       },
       fail: (failure) => { this.abort(dispatch.toRefusal(failure)) }
     })
@@ -100,6 +102,18 @@
     return Buffer.concat(this.eventData)
   }
 
+  /** Whether the answer has ended with all of its events; not with an error status. */
+  get isWhole (): boolean {
+    return this.hasAnswerEnded && this.answerHead?.status === okStatus
+  }
+
+  /** Calls the listener once the upstream's answer has ended, which may be now; not if the request ends before. */
+  onceEnded (listener: () => void): void {
+    if (this.isFinished) return
+    if (this.hasAnswerEnded) listener()
+    else this.endListener = listener
+  }
+
   start (): void {
     const { req, ports } = this
     this.deadlineTimer = ports.timers.after(req.deadlineAt - ports.timers.monotonic(), () => { this.abort({ type: 'timeout' }) })
--- a/packages/programs/front/src/peer-calls.ts
+++ b/packages/programs/front/src/peer-calls.ts
@@ -17,6 +17,11 @@
   readonly end: Extract<turnLedger.TurnEnd, { type: 'whole' }>
 }
 
+/** The same for a turn whose reservation was lost with the shard: none of its tokens were handed out. */
+export interface SettleUnreservedCall extends Omit<SettleCall, 'type'> {
+  readonly type: 'settleUnreserved'
+}
+
 /** Asks the owner of a program to reserve the tokens of a turn that the calling process runs. */
 export interface ReserveCall {
   readonly type: 'reserve'
@@ -82,15 +87,17 @@
 }
 
 /** All calls between front processes, other than forwarded turns. */
-export type PeerCall = SettleCall | ReserveCall | ReleaseCall | FindChainCall | JoinNowCall | PingCall | RelayCall | meterCall.MeterCall | crashReports.CrashCall
+export type PeerCall = SettleCall | SettleUnreservedCall | ReserveCall | ReleaseCall | FindChainCall | JoinNowCall | PingCall | RelayCall | meterCall.MeterCall | crashReports.CrashCall
 
 /** Whether a settled turn was stored. */
 export type SettleAnswer =
   | { readonly type: 'kept' }
   /** The called process does not own the program. */
   | { readonly type: 'notOwner' }
-  /** No tokens are reserved for the turn, so it can't be stored. */
+  /** No shard has the chain that the turn continues from. */
   | { readonly type: 'unknown' }
+  /** The turn, for which no tokens were reserved, exceeds its program's budget. */
+  | { readonly type: 'overBudget' }
 
 /** Limit of a call and of its answer, in bytes: a long chain of turns, or a page of the store that is relayed. */
 export const maxCallBytes = 16_777_216
--- a/packages/programs/front/src/peer-listener.ts
+++ b/packages/programs/front/src/peer-listener.ts
@@ -117,10 +117,11 @@
     case 'meter': return ports.limits.countReports(meterCall.completeCall(call))
     case 'crashes': return ports.crashCalls.answerCall(call)
     case 'findChain': return findChain.findChainLocally(ports.shards, { turn: call.turn, account: call.account })
-    case 'settle': {
+    case 'settle':
+    case 'settleUnreserved': {
       const shard = routeTurn.findServingShard(ports, call.request.program)
       if (shard === undefined) return { type: 'notOwner' }
-      return settleTurn.settleLocally(ports, shard, call.request, call.end)
+      return settleTurn.settleLocally(ports, shard, call)
     }
   }
 }
--- a/packages/programs/front/src/serve-turn.ts
+++ b/packages/programs/front/src/serve-turn.ts
@@ -90,6 +90,8 @@
 /** One turn in progress. */
 class TurnRun {
   private readonly answer: answerStream.AnswerStream
+  /** The turn was stored before any of its answer was relayed. */
+  private isStored = false
 
   constructor (
     private readonly ports: TurnPorts,
@@ -119,18 +121,33 @@
 
   /** Output covered by a reservation that was already stored may be relayed even if another process has since taken over the shard. */
   private onReservationCommitted (commit: ownShards.CommitOutcome): void {
-    if (commit.type === 'committed') this.answer.startRelaying()
-    else if (!this.admission.isCovered) this.answer.abort(this.answer.mayHaveRun ? { type: 'answerLost', detail: 'another process took over the shard' } : { type: 'shardMoving', retryAfterMs: shardRetryMs })
+    if (commit.type === 'committed') {
+      this.answer.startRelaying()
+      return
+    }
+    if (this.admission.isCovered) return
+    if (this.answer.mayHaveRun) this.answer.onceEnded(() => { void this.storeBeforeRelaying() })
+    else this.answer.abort({ type: 'shardMoving', retryAfterMs: shardRetryMs })
+  }
+
+  /** The reservation was lost with the shard, so no token may be handed out before the next owner has stored the complete turn. */
+  private async storeBeforeRelaying (): Promise<void> {
+    this.isStored = !this.answer.isWhole || await settleTurn.settleCompletedTurn(this.ports, this.shard, { type: 'settleUnreserved', request: this.request, end: this.createEnd() }, this.req.deadlineAt)
+    if (this.isStored) this.answer.startRelaying()
+    else this.answer.abort({ type: 'answerLost', detail: 'another process took over the shard' })
   }
 
   /** The engine's answer is complete and relayed; the response ends once the turn is stored. */
   private async onComplete (): Promise<void> {
-    const end: Extract<turnLedger.TurnEnd, { type: 'whole' }> = { type: 'whole', input: this.req.body, output: this.answer.concatOutput(), tokens: this.answer.countTokens(this.request.maxTokens) }
-    const isStored = await settleTurn.settleCompletedTurn(this.ports, this.shard, this.request, end, this.req.deadlineAt)
+    const isStored = this.isStored || await settleTurn.settleCompletedTurn(this.ports, this.shard, { type: 'settle', request: this.request, end: this.createEnd() }, this.req.deadlineAt)
     if (isStored) this.req.reply.end()
     else this.req.reply.abort()
   }
 
+  private createEnd (): Extract<turnLedger.TurnEnd, { type: 'whole' }> {
+    return { type: 'whole', input: this.req.body, output: this.answer.concatOutput(), tokens: this.answer.countTokens(this.request.maxTokens) }
+  }
+
   private settleInMemory (end: turnLedger.TurnEnd): void {
     // Not written to the store: the stored reservation covers it, and the program's next write includes it.
     this.shard.ledger.settleTurn(this.request, end, this.ports.timers.now() as types.EpochMs)
--- a/packages/programs/front/src/settle-turn.ts
+++ b/packages/programs/front/src/settle-turn.ts
@@ -3,6 +3,7 @@
 import * as timerService from '@eelgrasswind/timer-service'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
+import * as findChain from './find-chain.js'
 import * as memberName from './member-name.js'
 import * as peerCalls from './peer-calls.js'
 
@@ -11,63 +12,81 @@
   readonly shards: ownShards.ShardOwner
 }
 
+/** A completed turn to be stored. */
+export type SettleCall = peerCalls.SettleCall | peerCalls.SettleUnreservedCall
+
 /** Retry interval while the shard has no owner, in ms. */
 const retryIntervalMs = 25
+/** Retry interval while the owner does not know the chain, in ms: the turn that is missing may be on its way to it. */
+const unknownChainRetryMs = 250
 /** Timeout for a peer's answer, in ms; the peer appends to the store before it answers. */
 const peerTimeoutMs = 800
 
 /** Stores the turn and returns whether that succeeded. Retries until `deadlineAt`, monotonic ms, as a shard briefly has no owner during a handover. */
-export async function settleCompletedTurn (
-  ports: SettlePorts,
-  shard: ownShards.OwnedShard,
-  request: turnLedger.TurnRequest,
-  end: peerCalls.SettleCall['end'],
-  deadlineAt: number
-): Promise<boolean> {
-  const localOutcome = await settleLocally(ports, shard, request, end)
+export async function settleCompletedTurn (ports: SettlePorts, shard: ownShards.OwnedShard, call: SettleCall, deadlineAt: number): Promise<boolean> {
+  const { request } = call
+  const localOutcome = await settleLocally(ports, shard, call)
   if (localOutcome.type === 'kept') return true
   const partition = ports.shards.getPartition(request.program)
   while (ports.timers.monotonic() < deadlineAt) {
-    const outcome = await settleAtOwner(ports, ports.shards.locate(partition), request, end)
+    const outcome = await settleAtOwner(ports, ports.shards.locate(partition), call)
     if (outcome.type === 'kept') {
       ports.decisions.record({ event: 'turnSettledElsewhere', request: request.turn, program: request.program })
       return true
     }
-    if (outcome.type === 'unknown') break
+    if (outcome.type === 'overBudget') break
     void ports.shards.refreshOwners()
-    await timerService.sleep(ports.timers, retryIntervalMs)
+    await timerService.sleep(ports.timers, outcome.type === 'unknown' ? unknownChainRetryMs : retryIntervalMs)
   }
   ports.decisions.record({ event: 'turnNotKept', request: request.turn, program: request.program, epoch: shard.epoch })
   return false
 }
 
-async function settleAtOwner (ports: SettlePorts, location: ownShards.ShardLocation, request: turnLedger.TurnRequest, end: peerCalls.SettleCall['end']): Promise<peerCalls.SettleAnswer> {
+async function settleAtOwner (ports: SettlePorts, location: ownShards.ShardLocation, call: SettleCall): Promise<peerCalls.SettleAnswer> {
   switch (location.type) {
     case 'unknown': return { type: 'notOwner' }
-    case 'here': return settleLocally(ports, location.shard, request, end)
+    case 'here': return settleLocally(ports, location.shard, call)
     case 'member': {
-      const answer = await peerCalls.callPeer<peerCalls.SettleAnswer>(ports, memberName.parsePeerAddress(location.member), { type: 'settle', request, end }, peerTimeoutMs)
+      const answer = await peerCalls.callPeer<peerCalls.SettleAnswer | null>(ports, memberName.parsePeerAddress(location.member), call, peerTimeoutMs)
+      // An earlier release does not know a turn without a reservation, and answers null.
       return answer ?? { type: 'notOwner' }
     }
   }
 }
 
 /** Stores a turn in a shard of this process. */
-export async function settleLocally (
-  ports: Pick<SettlePorts, 'timers' | 'decisions'>,
-  shard: ownShards.OwnedShard,
-  request: turnLedger.TurnRequest,
-  end: peerCalls.SettleCall['end']
-): Promise<peerCalls.SettleAnswer> {
+export async function settleLocally (ports: SettlePorts, shard: ownShards.OwnedShard, call: SettleCall): Promise<peerCalls.SettleAnswer> {
   if (shard.state !== 'serving') return { type: 'notOwner' }
-  const now = ports.timers.now() as types.EpochMs
-  const settled = shard.ledger.settleTurn(request, end, now)
-  const outcome = settled.type === 'unknown' ? shard.ledger.adoptTurn(request, end, now) : settled
-  if (outcome.type === 'unknown') return { type: 'unknown' }
-  if (outcome.type === 'chainIncomplete') {
-    ports.decisions.record({ event: 'chainIncomplete', request: request.turn, program: request.program, previous: request.previous, epoch: shard.epoch })
-    return { type: 'unknown' }
+  const { request } = call
+  const outcome = await settleInLedger(ports, shard, call)
+  switch (outcome.type) {
+    case 'settled':
+    case 'alreadyKept': {
+      const commit = await shard.commit(outcome.type === 'settled' ? outcome.writes : [])
+      return commit.type === 'committed' ? { type: 'kept' } : { type: 'notOwner' }
+    }
+    case 'chainIncomplete':
+      ports.decisions.record({ event: 'chainIncomplete', request: request.turn, program: request.program, previous: request.previous, epoch: shard.epoch })
+      return confirmRefusal(shard, { type: 'unknown' })
+    case 'unknown':
+    case 'overBudget': return confirmRefusal(shard, outcome)
   }
-  const commit = await shard.commit(outcome.type === 'settled' ? outcome.writes : [])
-  return commit.type === 'committed' ? { type: 'kept' } : { type: 'notOwner' }
+}
+
+/** The turn's reservation, or the copy of the chain that it continues, may have been lost with its former owner. */
+async function settleInLedger (ports: SettlePorts, shard: ownShards.OwnedShard, { type, request, end }: SettleCall): Promise<turnLedger.SettleOutcome> {
+  const now = (): types.EpochMs => ports.timers.now() as types.EpochMs
+  const settled = shard.ledger.settleTurn(request, end, now())
+  if (settled.type !== 'unknown') return settled
+  const isReserved = type === 'settle'
+  const adopted = shard.ledger.adoptTurn(request, end, now(), { isReserved })
+  if (adopted.type !== 'unknown' || request.previous === undefined) return adopted
+  const found = await findChain.findChainAtOwners(ports, { turn: request.previous, account: request.account })
+  return found.type === 'found' ? shard.ledger.adoptTurn(request, end, now(), { isReserved, copies: found.chain }) : adopted
+}
+
+/** A process that has lost the shard without knowing it lacks the turns since: only the owner may refuse a turn. */
+async function confirmRefusal (shard: ownShards.OwnedShard, refusal: peerCalls.SettleAnswer): Promise<peerCalls.SettleAnswer> {
+  const confirmed = await shard.confirmOwnership()
+  return confirmed.type === 'committed' ? refusal : { type: 'notOwner' }
 }
--- a/packages/state/turn-ledger/src/chain-schedules.test.ts
+++ b/packages/state/turn-ledger/src/chain-schedules.test.ts
@@ -125,7 +125,7 @@
     }
     const end = { type: 'whole' as const, input: Buffer.from(`in ${request.turn};`), output: Buffer.from(`out ${request.turn};`), tokens: 20 }
     const settled = current.ledger.settleTurn(request, end, this.now as types.EpochMs)
-    const outcome = settled.type === 'unknown' ? current.ledger.adoptTurn(request, end, this.now as types.EpochMs) : settled
+    const outcome = settled.type === 'unknown' ? current.ledger.adoptTurn(request, end, this.now as types.EpochMs, { isReserved: true }) : settled
     if (outcome.type === 'chainIncomplete') throw new Error(`${request.turn} builds on a chain that is incomplete`)
     if (outcome.type === 'settled') current.commits.push({ writes: outcome.writes, answers: { request, at: this.now } })
   }
--- a/packages/state/turn-ledger/src/turn-ledger.ts
+++ b/packages/state/turn-ledger/src/turn-ledger.ts
@@ -55,6 +55,16 @@
   | { readonly type: 'unknown' }
   /** The chain that the turn continues lacks a turn, so it could not be continued. Its tokens are counted. */
   | { readonly type: 'chainIncomplete' }
+  /** The turn, for which no tokens were reserved, exceeds what is left of the program's budget. */
+  | { readonly type: 'overBudget' }
+
+/** What the former owner of a turn had and the new one may lack. */
+export interface AdoptOptions {
+  /** The chain that the turn continues from, newest first, from the shard that has it. */
+  readonly copies?: readonly turnChains.StoredTurn[]
+  /** Whether the turn's tokens were reserved, so that they may have been handed out. */
+  readonly isReserved: boolean
+}
 
 /** How a turn ended. */
 export type TurnEnd =
@@ -195,17 +205,20 @@
   }
 
   /**
-   * Keeps a completed turn of a former owner that could not store the turn's reservation: its tokens were covered there
-   * and have been handed out. Returns `unknown` if the chain that the turn continues is not in this ledger.
+   * Keeps a completed turn of a former owner that could not store the turn's reservation. Returns `unknown` if the chain
+   * that the turn continues is neither in this ledger nor among the copies.
    */
-  adoptTurn (request: TurnRequest, end: Extract<TurnEnd, { type: 'whole' }>, now: types.EpochMs): SettleOutcome {
+  adoptTurn (request: TurnRequest, end: Extract<TurnEnd, { type: 'whole' }>, now: types.EpochMs, { copies = [], isReserved }: AdoptOptions): SettleOutcome {
     if (this.chains.has(request.turn)) return { type: 'alreadyKept' }
-    if (this.chains.read(request.previous, request.account) === undefined) return { type: 'unknown' }
+    if (this.chains.read(request.previous, request.account, copies) === undefined) return { type: 'unknown' }
     const program = this.programs.get(request.program) ?? this.createProgram(request, now)
+    if (!isReserved && request.budgetTokens !== undefined && sumUsedTokens(program) + end.tokens > request.budgetTokens) return { type: 'overBudget' }
+    const copyWrites = this.chains.addCopies(copies)
     this.programs.set(request.program, program)
     program.keepUntil = extendKeepUntil(program.keepUntil, now, request.retainMs)
     program.openTurns.set(request.turn, request.maxTokens)
-    return this.settleTurn(request, end, now)
+    const outcome = this.settleTurn(request, end, now)
+    return outcome.type === 'settled' ? { type: 'settled', writes: [...copyWrites, ...outcome.writes] } : outcome
   }
 
   /** Drops turns and programs past their retention; the writes remove them from the store. */
