bundles: modules that libraries load only if they are installed are left out

bunyan tries to load dtrace-provider, mv and source-map-support. Beside an installed workspace a bundle found the first two and loaded some thirty files of functions that no program uses.

--- a/scripts/bundle-from-sources.mjs
+++ b/scripts/bundle-from-sources.mjs
@@ -23,6 +23,18 @@
   }
 }
 
+/** Modules that libraries load if they are installed, for functions that no program uses; together they are some thirty files. */
+const optionalModules = ['dtrace-provider', 'mv', 'source-map-support', 'unix-dgram']
+
+// A library that requires one of them finds it not installed, whatever lies beside the bundle.
+const withoutOptionalModules = {
+  name: 'without-optional-modules',
+  setup (build) {
+    build.onResolve({ filter: new RegExp(`^(${optionalModules.join('|')})$`) }, ({ path }) => ({ path, namespace: 'not-installed' }))
+    build.onLoad({ filter: /.*/, namespace: 'not-installed' }, ({ path }) => ({ contents: `throw Object.assign(new Error("Cannot find module '${path}'"), { code: 'MODULE_NOT_FOUND' })` }))
+  }
+}
+
 /** A program that is imported dynamically by its entry point, so that something can be done before it is loaded, gets a file of its own. */
 function programBeside (name, found) {
   return {
@@ -47,8 +59,7 @@
     target: 'node20',
     mainFields: ['module', 'main'],
     banner: { js: firstLines },
-    external: ['dtrace-provider', 'mv', 'source-map-support', 'unix-dgram'],
-    plugins,
+    plugins: [...plugins, withoutOptionalModules],
     logLevel: 'warning'
   })
 }
