--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -12,6 +12,7 @@
 import type * as inbound from './inbound.js'
 import type * as resumePoints from './resume-point.js'
 import type * as retryBudget from './retry-budget.js'
+import * as silenceTimers from './silence-timer.js'
 import type * as upstreamCrashes from './upstream-crashes.js'
 import type * as upstreamHealth from './upstream-health.js'
 
@@ -113,7 +114,7 @@
   private hasHead = false
   /** Takes the current attempt off its upstream's count of running requests. */
   private releaseSlot: (() => void) | undefined
-  private silenceTimer: timerService.Subscription | undefined
+  private readonly silenceTimer: silenceTimers.SilenceTimer
   /** The upstream of the last attempt, and when it was sent, in monotonic ms. */
   private lastSend: upstreamCrashes.BrokenSend | undefined
   /** That upstream sends nothing to this process. */
@@ -124,7 +125,9 @@
     private readonly req: inbound.InboundRequest,
     private readonly options: DispatchOptions,
     private readonly sink: DispatchSink
-  ) {}
+  ) {
+    this.silenceTimer = new silenceTimers.SilenceTimer(ports.timers)
+  }
 
   /** Whether an upstream may have processed the request. */
   get mayHaveRun (): boolean {
@@ -142,7 +145,7 @@
     this.ports.crashes.release(this.req)
     this.isFinished = true
     this.isCancelled = true
-    this.silenceTimer?.cancel()
+    this.silenceTimer.cancel()
     this.releaseSlot?.()
     this.exchange?.cancel()
   }
@@ -227,7 +230,7 @@
       isAwaitingFirstBytes = false
     }
     const failAttempt = (failure: errors.Failure, reused?: boolean, isEndless = false): void => {
-      this.silenceTimer?.cancel()
+      this.silenceTimer.cancel()
       if (isEndless) health.noteEndlessAnswer(upstream)
       else health.noteFailure(upstream)
       if (failure.verdict !== 'notRun') this.noteBroken(isAccepted || reused === false)
@@ -270,7 +273,7 @@
           this.relayHead(head, id)
           return
         }
-        this.silenceTimer?.cancel()
+        this.silenceTimer.cancel()
         this.leaveAnswer(rejection.reason)
         this.noteRejection(upstream, rejection.reason)
         this.onAttemptFailed(upstream, rejection.failure)
@@ -295,7 +298,7 @@
           failAttempt({ tag: 'answerBroken', verdict: 'mayHaveRun', message: defect, detail: 'truncated' })
           return
         }
-        this.silenceTimer?.cancel()
+        this.silenceTimer.cancel()
         noteFirstBytes()
         this.releaseSlot?.()
         trackUpstreams.noteSuccess(upstream)
@@ -358,8 +361,7 @@
 
   /** Restarts the silence timeout, in ms. */
   private restartSilenceTimer (upstream: trackUpstreams.Upstream, waitStartedAt: number, timeoutMs: number): void {
-    this.silenceTimer?.cancel()
-    this.silenceTimer = this.ports.timers.after(timeoutMs, () => { this.onSilenceTimeout(upstream, waitStartedAt, timeoutMs) })
+    this.silenceTimer.restart(timeoutMs, () => { this.onSilenceTimeout(upstream, waitStartedAt, timeoutMs) })
   }
 
   private computeSilenceTimeoutMs (): number {
