sidecar-client: a host with a new address keeps the calls to its former one

Callers saw: a call that ran whole at a process that was ending failed with mayHaveRun, or ran again elsewhere, once the successor of that process was in the host list at another address.

Cause: the pool closed its client of a host, with all calls in flight on it, when the host was looked up at a new address, or was no longer in the view. That says nothing about the process that runs the calls.

Change: such a client is retired: it takes no further requests and closes its connection once those in flight have ended. The end of the process closes all clients at once, as before.

--- a/packages/peers/sidecar-client/src/channel-client.ts
+++ b/packages/peers/sidecar-client/src/channel-client.ts
@@ -29,7 +29,9 @@
   private currentRequests: channelRequests.ChannelRequests | undefined
   private idleTimer: timerService.Subscription | undefined
   private lastRequestAt = 0
+  private openStreamCount = 0
   private isClosed = false
+  private onRetired: (() => void) | undefined
 
   constructor (private readonly settings: ChannelClientSettings) {
     this.client = connect.createClient(gen.ChannelService, settings.transport)
@@ -77,6 +79,7 @@
     let resolveOpened: () => void = () => undefined
     const streamOpened = new Promise<void>((resolve) => { resolveOpened = resolve })
     const timeoutController = new AbortController()
+    this.openStreamCount += 1
     const timeout = this.settings.timers.after(this.settings.openTimeoutMs, () => {
       requests.failAll('peer did not open the stream within the timeout')
       timeoutController.abort()
@@ -98,6 +101,8 @@
     } finally {
       timeout.cancel()
       resolveOpened()
+      this.openStreamCount -= 1
+      if (this.openStreamCount === 0) this.onRetired?.()
     }
   }
 
@@ -106,6 +111,14 @@
     if (!this.isClosed) this.settings.onUnavailable(failure)
   }
 
+  /** Like `close`, but calls `onRetired` once the requests in flight have ended. */
+  retire (onRetired: () => void): void {
+    this.close()
+    this.currentRequests?.stopAccepting()
+    this.onRetired = onRetired
+    if (this.openStreamCount === 0) onRetired()
+  }
+
   /** Stops the idle timer and the reports of unavailability. The owner of the transport closes the connection. */
   close (): void {
     this.isClosed = true
--- a/packages/peers/sidecar-client/src/peer-client.ts
+++ b/packages/peers/sidecar-client/src/peer-client.ts
@@ -33,6 +33,8 @@
 export interface PeerClient extends handlers.SidecarHandlers {
   /** Closes the connection; requests in flight fail. A stream that ends by this is not reported as unavailable. */
   close: () => void
+  /** Closes the connection once the requests in flight have ended, and then calls `onClosed`. The peer is not reported as unavailable any more. */
+  retire: (onClosed: () => void) => void
 }
 
 /** Idle timeout of the HTTP/2 session, in milliseconds. */
@@ -67,6 +69,7 @@
   const timers = settings.timers ?? timerService.createRealTimers()
   const channel = new channels.ChannelClient({ transport, timers, openTimeoutMs: settings.timeoutMs, onSenderReceived: reportSender, onUnavailable: settings.onUnavailable })
   const unaryOptions = { timeoutMs: settings.timeoutMs }
+  let isRetired = false
 
   function reportSender (sender: gen.Sender | undefined): void {
     if (sender !== undefined) settings.onSenderReceived(convert.fromSender(sender))
@@ -76,7 +79,7 @@
     const handlerFailure = transportFailures.findHandlerFailure(err)
     if (handlerFailure !== undefined) return errors.fail(handlerFailure)
     const failure = transportFailures.toTransportFailure(err)
-    if (isPrompt || !transportFailures.isTimeout(err)) settings.onUnavailable(failure)
+    if (!isRetired && (isPrompt || !transportFailures.isTimeout(err))) settings.onUnavailable(failure)
     return errors.fail(failure)
   }
 
@@ -136,6 +139,14 @@
     close () {
       channel.close()
       timers.after(abortDelayMs, () => session.abort())
+    },
+    retire (onClosed) {
+      isRetired = true
+      // Requests that are not on the channel end within their timeout.
+      channel.retire(() => timers.after(settings.timeoutMs, () => {
+        session.abort()
+        onClosed()
+      }))
     }
   }
 }
--- a/packages/peers/sidecar-client/src/peer-pool.ts
+++ b/packages/peers/sidecar-client/src/peer-pool.ts
@@ -13,11 +13,11 @@
 }
 
 export interface PeerPool {
-  /** The client for a host; a host whose address changed gets a new client, and its old one is closed. */
+  /** The client for a host; a host whose address changed gets a new client, and its old one is closed once its requests in flight have ended. */
   get: (host: types.HostId, address: string) => clients.PeerClient
-  /** Closes the clients of hosts that are not in the set. */
+  /** Closes the clients of hosts that are not in the set, once their requests in flight have ended. */
   retain: (hosts: ReadonlySet<types.HostId>) => void
-  /** Closes all clients. */
+  /** Closes all clients at once. */
   close: () => void
 }
 
@@ -28,6 +28,7 @@
 
 export function createPeerPool (settings: PeerPoolSettings): PeerPool {
   const entries = new Map<types.HostId, PoolEntry>()
+  const retiredClients = new Set<clients.PeerClient>()
 
   function openClient (host: types.HostId, address: string): clients.PeerClient {
     const client = clients.createPeerClient({
@@ -45,17 +46,29 @@
   function get (host: types.HostId, address: string): clients.PeerClient {
     const entry = entries.get(host)
     if (entry?.address === address) return entry.client
-    entry?.client.close()
+    if (entry !== undefined) retireClient(entry.client)
     return openClient(host, address)
   }
 
+  function retireClient (client: clients.PeerClient): void {
+    retiredClients.add(client)
+    client.retire(() => { retiredClients.delete(client) })
+  }
+
   function retain (hosts: ReadonlySet<types.HostId>): void {
     for (const [host, entry] of entries) {
       if (hosts.has(host)) continue
       entries.delete(host)
-      entry.client.close()
+      retireClient(entry.client)
     }
   }
 
-  return { get, retain, close: () => retain(new Set()) }
+  function close (): void {
+    for (const { client } of entries.values()) client.close()
+    for (const client of retiredClients) client.close()
+    entries.clear()
+    retiredClients.clear()
+  }
+
+  return { get, retain, close }
 }
