--- a/packages/peers/send-http/src/open-connections.test.ts
+++ b/packages/peers/send-http/src/open-connections.test.ts
@@ -1,3 +1,4 @@
+import * as diagnosticsChannel from 'node:diagnostics_channel'
 import * as net from 'node:net'
 import tap from 'tap'
 import * as timerService from '@eelgrasswind/timer-service'
@@ -117,3 +118,33 @@
     t.same(await sendHttp.openIdleConnection(address, timeoutMs, new sendHttp.OpenConnections()), { outcome: 'noAnswer' }, address)
   }
 })
+
+/** Stalls for a time, in ms, as soon as the next connection is on its way. */
+function stallOnNextConnection (ms: number): void {
+  const onSocket = (): void => {
+    diagnosticsChannel.unsubscribe('net.client.socket', onSocket)
+    // The connection is begun in the next tick.
+    process.nextTick(() => { process.nextTick(() => { stall(ms) }) })
+  }
+  diagnosticsChannel.subscribe('net.client.socket', onSocket)
+}
+
+// Guards against a process that goes on and was taken for unreachable: this process stalled, and its timeout ran before it had read that the connection was accepted.
+tap.test('a connection that is accepted during a stall counts as accepted', async (t) => {
+  const { address } = await startServer(t)
+  stallOnNextConnection(100)
+  t.equal(await sendHttp.probeConnection(address, 60), 'accepted')
+  stallOnNextConnection(100)
+  const opened = await sendHttp.openIdleConnection(address, 60, new sendHttp.OpenConnections())
+  t.equal(opened.outcome, 'accepted')
+  if (opened.outcome === 'accepted') opened.close()
+})
+
+tap.test('a process that goes on is alive, though this process stalls while it connects', async (t) => {
+  const { address } = await startServer(t)
+  const connections = new sendHttp.OpenConnections()
+  const closers = [await openIdle(address, connections), await openIdle(address, connections)]
+  stallOnNextConnection(100)
+  t.equal(await sendHttp.examineBreak(timers, address, connections), 'alive')
+  for (const close of closers) close()
+})
--- a/packages/programs/front/src/peer-probe.test.ts
+++ b/packages/programs/front/src/peer-probe.test.ts
@@ -1,6 +1,7 @@
+import * as workerThreads from 'node:worker_threads'
 import tap from 'tap'
 import * as decisionLog from '@eelgrasswind/decision-log'
-import type * as sendHttp from '@eelgrasswind/send-http'
+import * as sendHttp from '@eelgrasswind/send-http'
 import * as timerService from '@eelgrasswind/timer-service'
 import * as peerProbe from './peer-probe.js'
 
@@ -67,3 +68,41 @@
 tap.test('a suspended peer, which answers nothing for a lease, is not alive', async (t) => {
   t.same(await fixture([], ['accepted']).run(), [{ isAlive: false, tookMs: leaseMs + 1 }])
 })
+
+// Guards against an owner that was given up though it had answered: connections to it failed while the answer was on its way.
+tap.test('a peer that answers while connections to its host are tried is alive', async (t) => {
+  t.same(await fixture([450], ['noAnswer', 'noAnswer']).run(), [{ isAlive: true, tookMs: 450 }])
+})
+
+/** Blocks the event loop for a time, in ms. */
+function stall (ms: number): void {
+  const until = performance.now() + ms
+  while (performance.now() < until);
+}
+
+// Guards against an owner that was given up because the process that asked was late itself.
+tap.test('a peer is alive, though the process that asks is stalled for 0.25 s again and again', async (t) => {
+  const worker = new workerThreads.Worker("const server = require('node:http').createServer((req, res) => { req.resume(); res.end('x') }); server.listen(0, '127.0.0.1', () => { require('node:worker_threads').parentPort.postMessage(server.address().port) })", { eval: true })
+  t.teardown(() => worker.terminate())
+  const port = await new Promise<number>((resolve) => { worker.once('message', resolve) })
+  const timers = timerService.createRealTimers()
+  const sender = sendHttp.createSender({ idleTimeoutMs: 3_500, shortIdleTimeoutMs: 250, onSinkError: () => {} })
+  t.teardown(() => { sender.close() })
+  const probe = new peerProbe.PeerProbe({
+    timers,
+    leaseMs,
+    decisions: decisionLog.createSilentDecisionLog(),
+    ping: async (address, timeoutMs) => (await sendHttp.sendBuffered(sender, timers, { address, method: 'PUT', path: '/', headers: ['Host', address, 'Content-Length', '1'], body: Buffer.from('x'), connectTimeoutMs, continueTimeoutMs: undefined, atMostOnce: false, maxAnswerBytes: 100 }, timeoutMs)).type !== 'failed',
+    connect: (address) => sendHttp.probeConnection(address, connectTimeoutMs)
+  })
+  let isDone = false
+  const stallAgain = (): void => {
+    if (isDone) return
+    stall(250)
+    setImmediate(stallAgain)
+  }
+  const answer = probe.isAlive(`127.0.0.1:${port}`)
+  setImmediate(stallAgain)
+  t.equal(await answer, true)
+  isDone = true
+})
--- a/packages/programs/front/src/serve-turn.test.ts
+++ b/packages/programs/front/src/serve-turn.test.ts
@@ -94,3 +94,84 @@
   t.equal(ledger.admitTurn(fullBudget, timers.now() as types.EpochMs).type, 'admitted')
   t.end()
 })
+
+/** An owner that loses its shard, with the reservation of the turn, after 50 ms; `nextLedger`: that of the next one. The engine sends three events of `eventBytes`, one each 100 ms. */
+function lostReservationFixture (eventBytes: number, nextLedger: turnLedger.TurnLedger) {
+  const timers = timerService.createManualTimers()
+  /** What is noted of the engine. */
+  const marks: string[] = []
+  const decisions = decisionLog.createSilentDecisionLog()
+  const committed = async () => ({ type: 'committed' })
+  const nextShard = { ledger: nextLedger, state: 'serving', epoch: 2, unansweredMs: 0, commit: committed, confirmOwnership: committed } as unknown as ownShards.OwnedShard
+  const shard = { ledger: new turnLedger.TurnLedger(), state: 'serving', epoch: 1, unansweredMs: 0, commit: async () => { await timerService.sleep(timers, 50); Object.assign(shard, { state: 'lost' }); return { type: 'lost' } } } as unknown as ownShards.OwnedShard
+  const upstreams = new trackUpstreams.UpstreamList()
+  upstreams.put({ id: 'engine-1' as types.UpstreamId, service, address: 'engine-1', name: 'engine-1', slots: 8, leaving: false })
+  const largeEvent = `id: 1\ndata: ${'x'.repeat(eventBytes)}\n\n`
+  let isPaused = false
+  const send: sendHttp.Sender['send'] = (_request, sink) => {
+    let remaining = 3
+    const timer = timers.every(100, () => {
+      if (isPaused) return
+      if (remaining === 3) sink.onHead({ status: 200, headers: {}, rawHeaders: [] })
+      if (remaining > 0) sink.onData(Buffer.from(largeEvent))
+      else {
+        timer.cancel()
+        sink.onComplete({ framing: 'chunked', connection: 'open', bodyBytes: 0 })
+      }
+      remaining -= 1
+    })
+    return { cancel () { timer.cancel() }, discard () {}, pause () { isPaused = true }, resume () { isPaused = false } }
+  }
+  const ports = {
+    timers,
+    decisions,
+    upstreams,
+    sender: { send, close () {} },
+    dialect: { upstreamHeaders: () => [], answerHeaders: () => [], answerFacts: () => ({ requestId: 't1', signed: true, notRun: false, wrongIncarnation: false }) },
+    health: new upstreamHealth.UpstreamHealth({ upstreams, timers, decisions, countProcesses: () => 1, publishMark: () => {} }),
+    crashes: { isLoaded: true, isSuspected: () => false, noteBroken: () => { marks.push('broken') }, noteGivenUp: () => { marks.push('givenUp') }, noteFailedAnswer: () => {}, noteEnded: () => {}, noteAnswered: () => { marks.push('answered') }, permitSend: (_req: unknown, done: (limit: undefined) => void) => { done(undefined) }, release: (_req: unknown, done: () => void = () => {}) => { done() } },
+    retryBudget: new retryBudget.RetryBudget(),
+    peerLoads: new trackUpstreams.PeerLoads(),
+    listAgeMs: () => 0,
+    promptLocations: new promptLocations.PromptLocations(),
+    deferredTurns: new storeOutage.DeferredTurns(),
+    shards: { getPartition: () => ({ topic: 'x', part: 0 }), locate: () => ({ type: 'here', shard: nextShard }), refreshOwners: async () => {}, listMembers: () => [], listServingShards: () => [], shardCount: 1, isSelf: () => true },
+    admission: { tryAdmit: () => true, observePromptSize () {} }
+  } as unknown as serveTurn.TurnPorts
+  const events: string[] = []
+  const reply = {
+    headSent: false,
+    over: false,
+    refuse: ({ type }: inbound.Refusal) => { events.push(`${type} at ${timers.monotonic() - startedAt}`) },
+    head: () => { reply.headSent = true; events.push('head') },
+    data: () => { events.push('event'); return true },
+    end: () => { events.push('end') },
+    abort: () => { events.push(`abort at ${timers.monotonic() - startedAt}`) },
+    onGone: () => {},
+    onDrain: () => {}
+  }
+  const startedAt = timers.monotonic()
+  const route = { repeatability: 'atMostOnce', objectiveMs: 2_000, maxAttempts: 2, stream: { resumable: false }, retain: { keepsTurns: true, retainMs: 60_000 } }
+  const turn = { program, previous: undefined, promptTokens: 100, maxTokens: 20, budgetTokens, finishMs: undefined, promptParts: [] } as unknown as dialects.TurnFields
+  const req = { attempt: { id: 't1' }, method: 'POST', path: '/', rawHeaders: [], body: Buffer.from('in'), route, service, caller: { type: 'anyone' }, tokensPerEvent: 5, deadlineAt: startedAt + 4_000, reply }
+  void serveTurn.serveTurn(ports, req as unknown as inbound.InboundRequest, turn, shard)
+  return { timers, events, marks }
+}
+
+// Guards against a turn that was held until its deadline: its reservation was lost, and its engine was paused, so that the answer that was waited for could not end.
+tap.test('a large answer whose reservation was lost is read to its end and handed out once the next owner has stored it', async (t) => {
+  const { timers, events } = lostReservationFixture(150_000, new turnLedger.TurnLedger())
+  await timers.advanceAsync(6_000)
+  t.same([...new Set(events)], ['head', 'event', 'end'])
+})
+
+// Guards against an engine that was taken for one that broke off: it had answered whole, and the turn could not be stored.
+tap.test('an engine that has answered whole did not break off, though the turn is not stored', async (t) => {
+  const nextLedger = new turnLedger.TurnLedger()
+  const full = { turn: 'full' as turnLedger.TurnId, program, account: undefined, previous: undefined, maxTokens: budgetTokens, budgetTokens, keeps: true, retainMs: 60_000 }
+  nextLedger.admitTurn(full, 0 as types.EpochMs)
+  const { timers, events, marks } = lostReservationFixture(10, nextLedger)
+  await timers.advanceAsync(6_000)
+  t.match(events, [/^answerLost/])
+  t.same(marks, ['answered'])
+})
