send-http: an answer that arrived during a stall is read before its timeout counts

Cause: after a stall of this process the event loop runs the timers that are due before the network events that arrived meanwhile.

The timeouts of connecting, of `100 Continue`, of buffered answers and of probes now let the pending events be handled first.

--- a/packages/peers/send-http/src/probe-connection.ts
+++ b/packages/peers/send-http/src/probe-connection.ts
@@ -3,6 +3,7 @@
 import * as timerService from '@eelgrasswind/timer-service'
 import * as connectionEnd from './connection-end.js'
 import type * as openConnections from './open-connections.js'
+import * as pendingEvents from './pending-events.js'
 
 /** Outcome of a connection attempt. `refused` shows that the host is up and no process listens there. */
 export type ConnectionProbe = 'accepted' | 'refused' | 'noAnswer'
@@ -33,7 +34,7 @@
   const before = connections?.list(address) ?? []
   const closedBefore = connections?.countClosedByPeer(address) ?? 0
   await timerService.sleep(timers, probeDelayMs)
-  await handlePendingEvents()
+  await new Promise<void>((resolve) => { pendingEvents.afterPendingEvents(resolve) })
   const endedByPeer = before.filter((socket) => connectionEnd.getConnectionEnd(socket) !== 'open')
   const hasLostAll = connections !== undefined && before.every((socket) => socket.destroyed || endedByPeer.includes(socket))
   const hasClosedSeveral = closedBefore + endedByPeer.length > 1
@@ -46,11 +47,6 @@
   }
 }
 
-/** Resolves after the network events that have arrived so far. A timer that is due after a stall runs before them. */
-function handlePendingEvents (): Promise<void> {
-  return new Promise((resolve) => { setImmediate(resolve) })
-}
-
 /** Outcome of opening an idle connection; `close` closes it. */
 export type IdleConnection = { readonly outcome: 'accepted', readonly close: () => void } | { readonly outcome: 'refused' | 'noAnswer' }
 
@@ -82,15 +78,18 @@
   if (!(port > 0 && port <= maxPort)) return Promise.resolve({ outcome: 'noAnswer' })
   return new Promise((resolve) => {
     const socket = net.connect({ host: address.slice(0, colon), port })
+    let isConnected = false
     const fail = (outcome: 'refused' | 'noAnswer'): void => {
       clearTimeout(timer)
       socket.destroy()
       resolve({ outcome })
     }
     const onError = (err: NodeJS.ErrnoException): void => { fail(err.code === 'ECONNREFUSED' ? 'refused' : 'noAnswer') }
-    const timer = setTimeout(() => { fail('noAnswer') }, timeoutMs)
+    const onTimeout = (): void => { if (!isConnected) fail('noAnswer') }
+    const timer = setTimeout(() => { pendingEvents.afterPendingEvents(onTimeout) }, timeoutMs)
     socket.on('error', onError)
     socket.on('connect', () => {
+      isConnected = true
       clearTimeout(timer)
       socket.off('error', onError)
       resolve(onConnect(socket))
--- a/packages/peers/send-http/src/send-buffered.ts
+++ b/packages/peers/send-http/src/send-buffered.ts
@@ -1,5 +1,6 @@
 /** Sends a request and buffers its whole answer, within a time limit. */
 import type * as timerService from '@eelgrasswind/timer-service'
+import * as pendingEvents from './pending-events.js'
 import type * as sendHttp from './send-http.js'
 
 /** Complete answer, or why there is none. */
@@ -15,17 +16,21 @@
   return new Promise((resolve) => {
     const chunks: Buffer[] = []
     let status = 0
+    let isOver = false
     const exchange = sender.send(request, {
       onHead: (head) => { status = head.status },
       onData: (chunk) => { chunks.push(chunk) },
       onComplete: () => { finish({ type: 'answer', status, body: Buffer.concat(chunks) }) },
       onFailed: (failure) => { finish({ type: 'failed', failure }) }
     })
-    const timer = timers.after(timeoutMs, () => {
+    const timer = timers.after(timeoutMs, () => { pendingEvents.afterPendingEvents(onTimeout) })
+    const onTimeout = (): void => {
+      if (isOver) return
       exchange.cancel()
       finish({ type: 'failed', failure: { verdict: 'mayHaveRun', cause: 'cancelled', detail: `no answer within ${timeoutMs} ms`, reused: false } })
-    })
+    }
     const finish = (outcome: BufferedOutcome): void => {
+      isOver = true
       timer.cancel()
       resolve(outcome)
     }
--- a/packages/peers/send-http/src/send-http.ts
+++ b/packages/peers/send-http/src/send-http.ts
@@ -6,6 +6,7 @@
 import * as connectionBytes from './connection-bytes.js'
 import * as connectionEnd from './connection-end.js'
 import * as openConnections from './open-connections.js'
+import * as pendingEvents from './pending-events.js'
 
 /** A request to send. */
 export interface OutgoingRequest {
@@ -257,7 +258,7 @@
       if (socket.connecting) socket.once('connect', () => { this.onConnect() })
       else this.onConnect()
     })
-    this.phaseTimer = setTimeout(() => { this.failWith('connect', 'connection not established within the connect timeout') }, request.connectTimeoutMs)
+    this.startPhase(request.connectTimeoutMs, 'connect', 'connection not established within the connect timeout')
     req.on('information', () => { this.onInterimAnswer() })
     req.on('response', (res) => { this.onResponse(res) })
     req.on('error', (err) => { this.onError(err) })
@@ -270,9 +271,21 @@
     req.flushHeaders()
   }
 
+  private startPhase (timeoutMs: number, cause: SendFailureCause, detail: string): void {
+    const timer = setTimeout(() => {
+      pendingEvents.afterPendingEvents(() => { if (this.phaseTimer === timer) this.failWith(cause, detail) })
+    }, timeoutMs)
+    this.phaseTimer = timer
+  }
+
+  private endPhase (): void {
+    clearTimeout(this.phaseTimer)
+    this.phaseTimer = undefined
+  }
+
   private sendBody (): void {
     if (this.isDone) return
-    clearTimeout(this.phaseTimer)
+    this.endPhase()
     this.hasSent = true
     this.req.end(this.request.body)
   }
@@ -289,7 +302,7 @@
       return
     }
     this.isDone = true
-    clearTimeout(this.phaseTimer)
+    this.endPhase()
     const timeout = setTimeout(() => { this.cancel() }, discardTimeoutMs).unref()
     // At the end, as its connection may serve another request right after.
     res.once('end', () => { this.finish() })
@@ -344,16 +357,16 @@
 
   private onConnect (): void {
     this.isConnected = true
-    clearTimeout(this.phaseTimer)
+    this.endPhase()
     if (this.socket !== undefined) this.connections.add(this.request.address, this.socket)
     const { continueTimeoutMs } = this.request
     if (continueTimeoutMs === undefined) this.hasSent = true
-    else if (!this.isDone) this.phaseTimer = setTimeout(() => { this.failWith('unconfirmed', 'no 100 Continue within the time limit') }, continueTimeoutMs)
+    else if (!this.isDone) this.startPhase(continueTimeoutMs, 'unconfirmed', 'no 100 Continue within the time limit')
   }
 
   private onResponse (res: http.IncomingMessage): void {
     if (this.isDone) return
-    clearTimeout(this.phaseTimer)
+    this.endPhase()
     const status = res.statusCode ?? 0
     if (status < minFinalStatus || status > maxFinalStatus) {
       this.failWith('malformed', `status ${status}`)
@@ -435,6 +448,6 @@
   private finish (): void {
     this.isDone = true
     if (this.socket !== undefined) connectionBytes.stopReceiving(this.socket)
-    clearTimeout(this.phaseTimer)
+    this.endPhase()
   }
 }
