front: an answer that arrives while a host is tried counts, and a host without power is noticed as fast as before

Found by the review of the fix, with a red test (peer-probe 'a peer that answers while connections to its host are tried'): the outcome of the connection attempts was taken without a look at the ping that was still open.

--- a/packages/programs/front/src/peer-failure-detector.ts
+++ b/packages/programs/front/src/peer-failure-detector.ts
@@ -108,10 +108,11 @@
   private async isReachable (address: string): Promise<boolean> {
     const { timers, decisions } = this.ports
     const startedAt = timers.monotonic()
-    if (await this.ports.ping(address)) return true
-    const pingedMs = Math.round(timers.monotonic() - startedAt)
-    const connection = await peerProbe.connectTwice(this.ports, address)
-    decisions.record({ event: 'peerUnanswered', peer: address, connection, pingedMs })
+    const answer = this.ports.ping(address)
+    if (await timerService.withTimeout(timers, answer, peerProbe.firstAnswerMs) === true) return true
+    const [connection, isAnswered] = await Promise.all([this.ports.connect(address), answer])
+    if (isAnswered) return true
+    decisions.record({ event: 'peerUnanswered', peer: address, connection, pingedMs: Math.round(timers.monotonic() - startedAt) })
     return connection === 'accepted'
   }
 
--- a/packages/programs/front/src/peer-probe.ts
+++ b/packages/programs/front/src/peer-probe.ts
@@ -15,8 +15,8 @@
   readonly decisions: decisionLog.DecisionLog
 }
 
-/** Time for the first answer, in ms; after it the host is asked for a connection. */
-const firstAnswerMs = 200
+/** Time for the first answer, in ms; after it the host is asked for a connection as well. */
+export const firstAnswerMs = 50
 
 /** Requests that wait for the same peer share one probe. */
 export class PeerProbe {
@@ -41,22 +41,27 @@
   private async probe (address: string): Promise<boolean> {
     const { timers, ping, leaseMs } = this.ports
     const startedAt = timers.monotonic()
-    const firstPing = ping(address, leaseMs)
+    let hasAnswered = false
+    const firstPing = ping(address, leaseMs).then((isAnswered) => {
+      hasAnswered = isAnswered
+      return isAnswered
+    })
     if (await timerService.withTimeout(timers, firstPing, firstAnswerMs) === true) return true
+    const connection = await this.connectTwice(address)
+    if (hasAnswered) return true
     const pingedMs = timers.monotonic() - startedAt
-    const connection = await connectTwice(this.ports, address)
     this.ports.decisions.record({ event: 'peerUnanswered', peer: address, connection, pingedMs: Math.round(pingedMs) })
     if (connection !== 'accepted') return false
     // On another connection, as that of the first ping may have gone silent.
     const secondPing = ping(address, Math.max(firstAnswerMs, leaseMs - pingedMs))
     return isAnyTrue([firstPing, secondPing])
   }
-}
 
-/** Opens a connection to a peer; tries a second time before the host counts as unreachable, since one packet may be lost. */
-export async function connectTwice ({ connect }: Pick<PeerProbePorts, 'connect'>, address: string): Promise<sendHttp.ConnectionProbe> {
-  const connection = await connect(address)
-  return connection === 'noAnswer' ? connect(address) : connection
+  /** Tries a second time before the host counts as unreachable, since one packet may be lost. */
+  private async connectTwice (address: string): Promise<sendHttp.ConnectionProbe> {
+    const connection = await this.ports.connect(address)
+    return connection === 'noAnswer' ? this.ports.connect(address) : connection
+  }
 }
 
 /** Resolves with true as soon as one promise does, with false once all have resolved with false. */
--- a/packages/programs/front/src/route-turn.ts
+++ b/packages/programs/front/src/route-turn.ts
@@ -93,7 +93,7 @@
   return Math.max(serveTurn.shardRetryMs, takeoverAfterMs - silentMs)
 }
 
-/** Time from the first request that an owner didn't accept until it is evicted, in ms: one ping of all peers. */
+/** Time from the first request that an owner didn't accept until it is evicted, in ms: one probe of all peers. */
 const failureDetectionMs = 250
 /** Time from an expired lease until the shard is served again, in ms: half a heartbeat interval, the handover, and loading the shard. */
 const takeoverMs = 300
