front: the search of a chain ends with the first owner that has it, and in time

Found by the review, with red tests (settle-turn): a shard of the same process whose append hung held up the storing of a turn whose chain a peer had delivered, beyond the deadline of the turn; an owner of an earlier release was sent a turn without a reservation every 25 ms.

--- a/packages/programs/front/src/find-chain.ts
+++ b/packages/programs/front/src/find-chain.ts
@@ -41,13 +41,15 @@
   const otherMembers = shards.listMembers().filter((member) => !shards.isSelf(member))
   const pendingAnswers = otherMembers.map((member) => peerCalls.callPeer<peerCalls.FindChainAnswer>(ports, memberName.parsePeerAddress(member), { type: 'findChain', ...query }, peerTimeoutMs))
   pendingAnswers.push(findChainLocally(shards, query))
-  const confirmedAbsent = new Set<shardLog.PartitionName>()
-  for (const answer of await Promise.all(pendingAnswers)) {
-    if (answer === undefined) continue
-    if (answer.type === 'found') return answer
-    for (const partition of answer.partitions) confirmedAbsent.add(partition)
-  }
-  return confirmedAbsent.size >= shards.shardCount ? { type: 'absent' } : { type: 'unsure', asked: confirmedAbsent.size }
+  return new Promise((resolve, reject) => {
+    for (const pending of pendingAnswers) pending.then((answer) => { if (answer?.type === 'found') resolve(answer) }, reject)
+    Promise.all(pendingAnswers).then((answers) => { resolve(summarizeAbsence(shards, answers)) }, reject)
+  })
+}
+
+function summarizeAbsence (shards: ownShards.ShardOwner, answers: readonly (peerCalls.FindChainAnswer | undefined)[]): FindChainResult {
+  const confirmed = new Set(answers.flatMap((answer) => answer?.type === 'absent' ? answer.partitions : []))
+  return confirmed.size >= shards.shardCount ? { type: 'absent' } : { type: 'unsure', asked: confirmed.size }
 }
 
 /** Searches the shards of this process. */
--- a/packages/programs/front/src/settle-turn.ts
+++ b/packages/programs/front/src/settle-turn.ts
@@ -19,6 +19,8 @@
 const retryIntervalMs = 25
 /** Retry interval while the owner does not know the chain, in ms: the turn that is missing may be on its way to it. */
 const unknownChainRetryMs = 250
+/** Timeout for the search of a chain at the other owners, in ms: leaves time for the append within `peerTimeoutMs`. */
+const findChainTimeoutMs = 500
 /** Timeout for a peer's answer, in ms; the peer appends to the store before it answers. */
 const peerTimeoutMs = 800
 
@@ -49,6 +51,7 @@
     case 'member': {
       const answer = await peerCalls.callPeer<peerCalls.SettleAnswer | null>(ports, memberName.parsePeerAddress(location.member), call, peerTimeoutMs)
       // An earlier release does not know a turn without a reservation, and answers null.
+      if (answer === null) return { type: 'unknown' }
       return answer ?? { type: 'notOwner' }
     }
   }
@@ -81,8 +84,8 @@
   const isReserved = type === 'settle'
   const adopted = shard.ledger.adoptTurn(request, end, now(), { isReserved })
   if (adopted.type !== 'unknown' || request.previous === undefined) return adopted
-  const found = await findChain.findChainAtOwners(ports, { turn: request.previous, account: request.account })
-  return found.type === 'found' ? shard.ledger.adoptTurn(request, end, now(), { isReserved, copies: found.chain }) : adopted
+  const found = await timerService.withTimeout(ports.timers, findChain.findChainAtOwners(ports, { turn: request.previous, account: request.account }), findChainTimeoutMs)
+  return found?.type === 'found' ? shard.ledger.adoptTurn(request, end, now(), { isReserved, copies: found.chain }) : adopted
 }
 
 /** A process that has lost the shard without knowing it lacks the turns since: only the owner may refuse a turn. */
