front: a held answer is read to its end, and its upstream is not noted as broken

Found by the review, with red tests (serve-turn): an answer above 256 KiB whose reservation was lost paused its upstream until the deadline; an upstream that had answered whole counted as given up if the turn could not be stored.

--- a/packages/programs/front/src/answer-stream.ts
+++ b/packages/programs/front/src/answer-stream.ts
@@ -107,11 +107,12 @@
     return this.hasAnswerEnded && this.answerHead?.status === okStatus
   }
 
-  /** Calls the listener once the upstream's answer has ended, which may be now; not if the request ends before. */
-  onceEnded (listener: () => void): void {
+  /** Reads the answer to its end without relaying it, and calls the listener then, which may be now; not if the request ends before. */
+  holdToEnd (listener: () => void): void {
     if (this.isFinished) return
+    this.endListener = listener
     if (this.hasAnswerEnded) listener()
-    else this.endListener = listener
+    else this.dispatch.resume()
   }
 
   start (): void {
@@ -171,7 +172,8 @@
     if (isNext) this.pendingChunks[this.pendingChunks.length - 1] = Buffer.from(last.buffer, last.byteOffset, last.length + chunk.length)
     else this.pendingChunks.push(chunk)
     this.pendingBytes += chunk.length
-    if (!this.isRelaying && this.pendingBytes > maxPendingBytes) this.dispatch.pause()
+    const isWaitingForStore = !this.isRelaying && this.endListener === undefined
+    if (isWaitingForStore && this.pendingBytes > maxPendingBytes) this.dispatch.pause()
   }
 
   private addEvent (event: eventSplitter.StreamEvent): void {
--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -300,6 +300,8 @@
         }
         this.silenceTimer.cancel()
         noteFirstBytes()
+        // Cancelled from now on, the send is not one that its upstream left unanswered.
+        this.isInFlight = false
         this.releaseSlot?.()
         trackUpstreams.noteSuccess(upstream)
         this.noteAnswered(status)
--- a/packages/programs/front/src/serve-turn.ts
+++ b/packages/programs/front/src/serve-turn.ts
@@ -126,7 +126,7 @@
       return
     }
     if (this.admission.isCovered) return
-    if (this.answer.mayHaveRun) this.answer.onceEnded(() => { void this.storeBeforeRelaying() })
+    if (this.answer.mayHaveRun) this.answer.holdToEnd(() => { void this.storeBeforeRelaying() })
     else this.answer.abort({ type: 'shardMoving', retryAfterMs: shardRetryMs })
   }
 
