--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -12,7 +12,6 @@
 import type * as inbound from './inbound.js'
 import type * as resumePoints from './resume-point.js'
 import type * as retryBudget from './retry-budget.js'
-import * as silenceTimers from './silence-timer.js'
 import type * as upstreamCrashes from './upstream-crashes.js'
 import type * as upstreamHealth from './upstream-health.js'
 
@@ -114,7 +113,7 @@
   private hasHead = false
   /** Takes the current attempt off its upstream's count of running requests. */
   private releaseSlot: (() => void) | undefined
-  private readonly silenceTimer: silenceTimers.SilenceTimer
+  private silenceTimer: timerService.Subscription | undefined
   /** The upstream of the last attempt, and when it was sent, in monotonic ms. */
   private lastSend: upstreamCrashes.BrokenSend | undefined
   /** That upstream sends nothing to this process. */
@@ -125,9 +124,7 @@
     private readonly req: inbound.InboundRequest,
     private readonly options: DispatchOptions,
     private readonly sink: DispatchSink
-  ) {
-    this.silenceTimer = new silenceTimers.SilenceTimer(ports.timers)
-  }
+  ) {}
 
   /** Whether an upstream may have processed the request. */
   get mayHaveRun (): boolean {
@@ -145,7 +142,7 @@
     this.ports.crashes.release(this.req)
     this.isFinished = true
     this.isCancelled = true
-    this.silenceTimer.cancel()
+    this.silenceTimer?.cancel()
     this.releaseSlot?.()
     this.exchange?.cancel()
   }
@@ -230,7 +227,7 @@
       isAwaitingFirstBytes = false
     }
     const failAttempt = (failure: errors.Failure, reused?: boolean, isEndless = false): void => {
-      this.silenceTimer.cancel()
+      this.silenceTimer?.cancel()
       if (isEndless) health.noteEndlessAnswer(upstream)
       else health.noteFailure(upstream)
       if (failure.verdict !== 'notRun') this.noteBroken(isAccepted || reused === false)
@@ -273,7 +270,7 @@
           this.relayHead(head, id)
           return
         }
-        this.silenceTimer.cancel()
+        this.silenceTimer?.cancel()
         this.leaveAnswer(rejection.reason)
         this.noteRejection(upstream, rejection.reason)
         this.onAttemptFailed(upstream, rejection.failure)
@@ -298,7 +295,7 @@
           failAttempt({ tag: 'answerBroken', verdict: 'mayHaveRun', message: defect, detail: 'truncated' })
           return
         }
-        this.silenceTimer.cancel()
+        this.silenceTimer?.cancel()
         noteFirstBytes()
         // Cancelled from now on, the send is not one that its upstream left unanswered.
         this.isInFlight = false
@@ -363,7 +360,8 @@
 
   /** Restarts the silence timeout, in ms. */
   private restartSilenceTimer (upstream: trackUpstreams.Upstream, waitStartedAt: number, timeoutMs: number): void {
-    this.silenceTimer.restart(timeoutMs, () => { this.onSilenceTimeout(upstream, waitStartedAt, timeoutMs) })
+    this.silenceTimer?.cancel()
+    this.silenceTimer = this.ports.timers.after(timeoutMs, () => { this.onSilenceTimeout(upstream, waitStartedAt, timeoutMs) })
   }
 
   private computeSilenceTimeoutMs (): number {
