program-home: tests for a home that is claimed from because it is not listed

There the home is taken out of the host list a second after a call of 18 s began, as by a platform that unlists a host that is told to end. 4 s later a call of another branch makes another host claim the program. The first call runs a second time, and its caller, who had the whole text, gets "timeout, no answer from engine-2; retry with the same key", verdict ran, 26 s after it began.

--- a/packages/programs/program-home/src/take-over.test.ts
+++ b/packages/programs/program-home/src/take-over.test.ts
@@ -47,6 +47,19 @@
   t.equal(claims, 0)
 })
 
+// Guards against a call whose record is void, though it ran whole: its home was no longer listed, but had not ended.
+tap.test('a home that is not listed any more is asked to release its program', async (t) => {
+  const busy: errors.Failure = { tag: 'inProgress', verdict: 'notRun', message: 'a call is in flight', retryAfterMs: 500 }
+  const unlisted = { stateOf: () => 'gone' as const, isFirstChoice: () => false }
+  const kept = await takeOverFromSuspect({ ...unlisted, requestRelease: async () => errors.fail(busy) })
+  t.match(kept.state, { ok: false, failure: { tag: 'notHome', verdict: 'notRun' } })
+  t.equal(kept.claims, 0)
+  for (const answer of [errors.ok(true), errors.fail(refused), errors.fail(noAnswer)]) {
+    const { claims } = await takeOverFromSuspect({ ...unlisted, requestRelease: async () => answer })
+    t.ok(claims > 0)
+  }
+})
+
 tap.test('a program is claimed once its home has released it, is not running, or is suspect and does not answer', async (t) => {
   for (const hosts of [
     { requestRelease: async () => errors.ok(true) },
--- a/packages/testing/system-tests/src/moving-programs.test.ts
+++ b/packages/testing/system-tests/src/moving-programs.test.ts
@@ -48,4 +48,19 @@
   t.comment(`home ${first}, then ${second}, now ${await readHome(program)}`)
 })
 
+tap.test('a call that runs while its home is taken out of the host list is answered whole and runs once', async (t) => {
+  const program = 'unlisted'
+  const home = await start(program)
+  const long = recorder.ask(recorders.modelCall(program, 'long', 1, { maxTokens: longTokens, timeoutMs: longTimeoutMs }))
+  await recorders.pause(1_000)
+  system.hostList.removeHost(home)
+  await recorders.pause(4_000)
+  const side = recorder.askUntilWhole(recorders.modelCall(program, 'side', 1, { branch: 'side', maxTokens: 2 }), 30_000)
+  const answer = await long
+  t.match(answer, { ok: true }, JSON.stringify(answer.ok ? answer.value.totalMs : answer.failure))
+  t.match(await side, { ok: true })
+  t.equal(recorder.executions(program, 'long'), 1)
+  t.comment(`home ${home}, now ${await readHome(program)}`)
+})
+
 shared.checkAtEnd(tap, recorder)
