program-home: an unlisted home is asked to release its program

Callers saw: the whole text of an answer and then, at the end of the call's timeout, "timeout, no answer from ...", verdict ran. The call ran twice.

Cause: the home of a program that was missing from the host list for 3 s was claimed from without being asked. A home that is told to end is unlisted while it still finishes its calls, for a minute at most. The record of such a call had no effect, and the new home began it again.

Change: an unlisted home is asked to release the program, as a listed one is. One with calls in flight refuses and keeps the program until they have ended.

paused-home.test "a home that missed a takeover" took its home out of the list so that another one would claim from it unawares. Such a home is asked now, so the test lists it at an address where connections are refused instead, and checks that it was not asked.

--- a/packages/programs/program-home/src/take-over.ts
+++ b/packages/programs/program-home/src/take-over.ts
@@ -73,11 +73,11 @@
 async function decideClaim (deps: TakeOverDeps, program: types.ProgramId, head: JournalHead): Promise<ClaimDecision> {
   const { host, incarnation } = head.home
   if (host === deps.self.host) return incarnation === deps.self.incarnation ? { type: 'own' } : { type: 'claim' }
-  if (deps.hosts.stateOf(host) === 'gone') return { type: 'claim' }
   const latest = deps.hosts.getIncarnation(host)
   if (latest !== undefined && latest !== incarnation) return { type: 'claim' }
-  if (!deps.hosts.isFirstChoice(program)) return await claimIfReplaced(deps, head.home)
-  return await requestRelease(deps, program, head.home)
+  // A host that is not listed any more may still finish its calls.
+  if (deps.hosts.stateOf(host) === 'gone' || deps.hosts.isFirstChoice(program)) return await requestRelease(deps, program, head.home)
+  return await claimIfReplaced(deps, head.home)
 }
 
 /**
@@ -94,14 +94,14 @@
 
 /**
  * Allows a claim if the home releases the program, is no longer its home, or its process is not running. A home that
- * does not answer in time may wait for the log, so it is asked for its incarnation before the program is claimed.
+ * does not answer in time may wait for the log, so a suspect one is asked for its incarnation before a claim.
  */
 async function requestRelease (deps: TakeOverDeps, program: types.ProgramId, home: types.ProcessRef): Promise<ClaimDecision> {
   const released = await deps.hosts.requestRelease(home.host, program)
   if (released.ok) return { type: 'claim' }
   if (released.failure.tag === 'inProgress') return createRefusal(home.host, `${home.host} has calls of the program in flight`)
-  const decision = claimIfGone(deps, home.host, released.failure)
-  return decision.type === 'claim' && released.failure.verdict !== 'notRun' ? await claimIfReplaced(deps, home) : decision
+  const mayBeBusy = released.failure.verdict !== 'notRun' && deps.hosts.stateOf(home.host) === 'suspect'
+  return mayBeBusy ? await claimIfReplaced(deps, home) : claimIfGone(deps, home.host, released.failure)
 }
 
 /** A refused connection means that the process is not running. A timeout allows a claim only once the host is suspect. */
--- a/packages/testing/system-tests/src/paused-home.test.ts
+++ b/packages/testing/system-tests/src/paused-home.test.ts
@@ -36,10 +36,10 @@
   }, 20_000)
 }
 
-/** Leaves a living home out of the host list until another one has taken a turn of each program, and puts it back unawares. */
+/** Lists a living home where nothing listens until another one has taken a turn of each program, and puts it back unawares. */
 async function takeTurnsElsewhere (home: string, calls: readonly recorders.CallRequest[]): Promise<readonly recorders.Answer[]> {
   const entry = (await (await fetch(`${system.hostList.address}/v1/hosts`)).json() as types.HostList).hosts.find(({ host }) => host === home)!
-  system.hostList.removeHost(home)
+  system.hostList.setHost({ ...entry, address: await testUtils.refusingAddress() })
   await untilAsked(home, false)
   const answers = await Promise.all(calls.map((call) => recorder.askUntilWhole(call, 15_000)))
   system.hostList.setHost(entry)
@@ -64,6 +64,7 @@
   const { home, programs: [first, second] } = await startTwo()
   const answers = await takeTurnsElsewhere(home, [recorders.modelCall(first, 'k2', 2), recorders.modelCall(second, 'k2', 2)])
   t.ok(answers.every((answer) => answer.ok))
+  t.notOk(system.sidecars.get(home)!.process.output().some((line) => line.includes('released a program')), 'it was not asked to release them')
   const read = await recorder.caller(0).readHistory(first)
   t.same(read.ok && read.value.history.map((turn) => turn.key), ['k1', 'k2'])
   t.match(await recorder.ask(recorders.modelCall(second, 'k3', 3)), { ok: true })
