entry: test for calls in flight that are given up when their connection fails

Red on this commit: of 50 calls in flight to one home whose connection fails once, 43 end at once as notHome, verdict mayHaveRun. The home runs them on and would answer each of them when asked again.

--- a/packages/programs/entry/src/forward.test.ts
+++ b/packages/programs/entry/src/forward.test.ts
@@ -29,12 +29,35 @@
       return getAnswer(host, timers.monotonic() - startedAt) as errors.Result<T>
     }
   })
+  async function forwardOne (): Promise<errors.Result<string>> {
+    return await forwarder.forward<string>(program, timers.monotonic() + timeoutMs, async (_peer: sidecarClient.PeerClient) => errors.ok(''))
+  }
   async function forward (): Promise<errors.Result<string>> {
-    const result = forwarder.forward<string>(program, timers.monotonic() + timeoutMs, async (_peer: sidecarClient.PeerClient) => errors.ok(''))
+    const result = forwardOne()
     for (let at = 0; at < 2 * timeoutMs; at += 50) await timers.advanceAsync(50)
     return await result
   }
-  return { triedHosts, forward }
+  return { triedHosts, forward, forwardOne, timers }
+}
+
+/** Number of calls in flight to one home. */
+const callCount = 50
+
+/** Answers each call at its home once the connection, on which all of them were in flight, has failed. */
+function createReconnectingFixture (verdict: types.Verdict) {
+  let failedCount = 0
+  return createFixture((host) => {
+    if (host !== first) return errors.fail(createNotHomeFailure(first))
+    failedCount += 1
+    return failedCount <= callCount ? errors.fail({ ...unavailable, verdict }) : errors.ok('whole')
+  })
+}
+
+/** Forwards all calls at once; returns the results of those that failed. */
+async function forwardAll ({ forwardOne, timers }: ReturnType<typeof createFixture>): Promise<errors.Result<string>[]> {
+  const results = Promise.all(Array.from({ length: callCount }, forwardOne))
+  for (let at = 0; at < 2 * timeoutMs; at += 50) await timers.advanceAsync(50)
+  return (await results).filter(({ ok }) => !ok)
 }
 
 // Guards against 503 notHome although the home is healthy: a host that was unreachable once was skipped for the rest of the request.
@@ -62,3 +85,14 @@
   const { forward } = createFixture((host) => errors.fail(host === first ? { ...unavailable, verdict: 'mayHaveRun' } : createNotHomeFailure(third)))
   t.match(await forward(), { ok: false, failure: { verdict: 'mayHaveRun' } })
 })
+
+// Guards against calls that run and are given up at once: their home was out of reach for a moment, and the retry budget was used up.
+tap.test('calls in flight are asked for again when the connection to their home fails', async (t) => {
+  t.same(await forwardAll(createReconnectingFixture('mayHaveRun')), [])
+})
+
+tap.test('calls that have not run are retried only within the retry budget', async (t) => {
+  const failed = await forwardAll(createReconnectingFixture('notRun'))
+  t.ok(failed.length > callCount / 2, `${failed.length} of ${callCount}`)
+  t.ok(failed.every((result) => !result.ok && result.failure.verdict === 'notRun'))
+})
