entry: a call that may have run is asked for again whatever the retry budget

Callers saw: 503 notHome, verdict mayHaveRun, for calls that ran on at their home and had most of their timeout left.

Cause: when the connection to a home fails, all calls in flight on it are repeated at once, and each repeat after the first hosts costs one of the retries of the process: 3, and 8 for each 100 requests. The calls beyond that were given up, though their home is there and a repeat would wait there for the same answer.

Change: only requests that have not run are counted in the retry budget, which is there to keep new load from a system that refuses it. The others end by the number of attempts and their deadline, as before.

--- a/packages/programs/entry/src/forward.ts
+++ b/packages/programs/entry/src/forward.ts
@@ -22,6 +22,8 @@
 const retrySettings: decideRetry.RetrySettings = { maxAttempts: 10, firstWaitMs: 50, maxWaitMs: 500 }
 /** Maximum number of attempts that are followed by the next host without a backoff. */
 const maxImmediateRetries = 3
+/** Budget of a retry that is not limited. */
+const oneRetry: decideRetry.RetryAllowance = { retriesLeft: 1 }
 /** Grace period after the deadline, in milliseconds. A home answers by its own timeout; a request without an answer after this has failed. */
 const answerGraceMs = 5_000
 /** Maximum number of remembered homes that are not the first choice. */
@@ -50,7 +52,7 @@
       combinedVerdict = errors.combineVerdicts(combinedVerdict, result.failure.verdict)
       if (!isHomeFailure(result.failure)) return errors.fail(withVerdict(result.failure, combinedVerdict))
       const isOtherHostNext = this.learnFromFailure(program, host, result.failure, unreachableHosts)
-      const backoffMs = isOtherHostNext && attempt <= maxImmediateRetries ? 0 : this.computeBackoffMs(result.failure, attempt, deadline)
+      const backoffMs = isOtherHostNext && attempt <= maxImmediateRetries ? 0 : this.computeBackoffMs(result.failure, combinedVerdict, attempt, deadline)
       if (backoffMs === undefined) return errors.fail(withVerdict(result.failure, combinedVerdict))
       if (backoffMs > 0) await timerService.sleep(this.deps.timers, backoffMs)
     }
@@ -63,19 +65,21 @@
     return await timerService.withTimeout(timers, this.deps.callPeer(host, send), timeoutMs) ?? errors.fail(createTimeoutFailure(host, timeoutMs))
   }
 
-  private computeBackoffMs (failure: errors.Failure, attempt: number, deadline: number): number | undefined {
+  /** A request that may have run is not counted in the retry budget: its repeat waits at its home for the same answer. */
+  private computeBackoffMs (failure: errors.Failure, verdict: types.Verdict, attempt: number, deadline: number): number | undefined {
+    const isCounted = verdict === 'notRun'
     const decision = decideRetry.decideRetry({
       failure,
       idempotent: true,
       attempt,
-      programBudget: { retriesLeft: 1 },
-      processBudget: this.retryBudget,
+      programBudget: oneRetry,
+      processBudget: isCounted ? this.retryBudget : oneRetry,
       now: this.deps.timers.monotonic(),
       deadline,
       random: this.deps.random
     }, retrySettings)
     if (decision.type === 'giveUp') return undefined
-    this.retryBudget = limitClient.spendRetry(this.retryBudget)
+    if (isCounted) this.retryBudget = limitClient.spendRetry(this.retryBudget)
     return decision.afterMs
   }
 
