--- a/packages/peers/caller-server/src/caller-server.test.ts
+++ b/packages/peers/caller-server/src/caller-server.test.ts
@@ -1,5 +1,6 @@
 import tap from 'tap'
 import * as crypto from 'node:crypto'
+import * as http from 'node:http'
 import type * as errors from '@eelgrasswind/errors'
 import * as logger from '@eelgrasswind/logger'
 import * as stream from 'node:stream'
@@ -190,6 +191,29 @@
   t.equal(await Promise.race([drained, timeout]), undefined)
 })
 
+// Guards against a call with an unknown end: its connection was closed while the call was on its way.
+tap.test('a call that is sent on a kept connection as the server drains is refused as notRun', async (t) => {
+  const { url, received, server } = await startServer(t)
+  const agent = new http.Agent({ keepAlive: true, maxSockets: 1 })
+  t.teardown(() => { agent.destroy() })
+  const send = (): Promise<{ status: number | undefined, text: string }> => new Promise((resolve, reject) => {
+    const req = http.request(`${url}/v1/programs/p1/chat/completions`, { agent, method: 'POST', headers }, (res) => {
+      let text = ''
+      res.setEncoding('utf8').on('data', (piece: string) => { text += piece }).on('end', () => { resolve({ status: res.statusCode, text }) })
+    })
+    req.on('error', reject).end(JSON.stringify(completion))
+  })
+  t.equal((await send()).status, 200)
+  await new Promise((resolve) => { setTimeout(resolve, 20) })
+  const crossing = send()
+  const drained = server.drain()
+  const { status, text } = await crossing
+  t.equal(status, 503)
+  t.match(JSON.parse(text), { error: { code: 'shuttingDown', verdict: 'notRun' } })
+  t.equal(received.calls.length, 1)
+  await drained
+})
+
 tap.test('failures are mapped to an HTTP status and a Retry-After value', async (t) => {
   t.equal(errorBody.toHttpStatus({ tag: 'sealed', verdict: 'notRun', message: '' }), 409)
   t.equal(errorBody.toRetryAfterSeconds({ tag: 'internal', verdict: 'mayHaveRun', message: '' }), undefined)
