membership: test for a host that is restarted after it has said it is leaving

Red on this commit: such a host is never probed, and stays leaving for leavingMs, 15 minutes, unless the host list shows it missing or leaving meanwhile.

--- a/packages/decide/membership/src/membership.test.ts
+++ b/packages/decide/membership/src/membership.test.ts
@@ -57,6 +57,26 @@
   t.equal(getState(table, h0), 'live')
 })
 
+// Guards against a system without hosts after all of them were restarted: nobody asked a host again that had said it was leaving.
+tap.test('a host that has said it is leaving is probed with a backoff until another incarnation responds', async (t) => {
+  const table = createTable()
+  table.noteAnswer(h0, first, true, 0)
+  const probes: number[] = []
+  for (let now = settings.batchMs; now <= 60_000; now += settings.batchMs) {
+    table.tick(now)
+    if (!table.takeProbes(now).includes(h0)) continue
+    probes.push(now)
+    table.noteAnswer(h0, first, true, now)
+  }
+  t.equal(getState(table, h0), 'leaving')
+  t.same(probes.slice(0, 3), [1_000, 2_000, 4_000])
+  t.ok(probes.length >= 4 && probes.length <= 8, `${probes.length} probes`)
+  table.noteAnswer(h0, second, false, 60_000)
+  table.tick(61_000)
+  t.equal(getState(table, h0), 'live')
+  for (let now = 62_000; now <= 70_000; now += settings.batchMs) t.same(table.takeProbes(now), [])
+})
+
 tap.test('a leaving host immediately gets no new work, until another incarnation responds', async (t) => {
   const table = createTable()
   table.noteAnswer(h0, first, false, 10)
