membership: a host that has said it is leaving is probed

Callers saw: 503 for every call, "no live sidecar is eligible as the home", after the sidecars of all hosts had been restarted one after the other.

Cause: a host that answers that it is leaving gets no requests any more, and only an answer of its next incarnation, or a host list in which it was missing or leaving meanwhile, made it live before leavingMs (15 minutes). Only suspect hosts were probed.

Change: a host that reported to be leaving is probed as a suspect one is, with the same backoff of 1 to 15 s, which answers of the leaving process do not reset, and within the same number of probes for each batch.

--- a/packages/decide/membership/src/membership.ts
+++ b/packages/decide/membership/src/membership.ts
@@ -51,7 +51,7 @@
   /** Applies the changes of a batch interval to the view; true if it changed. Call at least once every `batchMs`. */
   tick: (now: number) => boolean
   getView: () => MembershipView
-  /** Returns the suspect hosts to probe now, at most `probesPerBatch`, with exponential backoff per host. */
+  /** Returns the suspect and leaving hosts to probe now, at most `probesPerBatch`, with exponential backoff per host. */
   takeProbes: (now: number) => types.HostId[]
   /** Returns when the last host list was applied; undefined before the first. */
   getListAppliedAt: () => number | undefined
@@ -137,8 +137,8 @@
     if (member === undefined || !members.acceptIncarnation(member, incarnation)) return
     if (member.failures > 0 || member.publishedState !== 'live') unsettled.add(member)
     member.failures = 0
-    member.probeBackoffMs = 0
     if (isLeaving) markLeaving(member, now)
+    else member.probeBackoffMs = 0
   }
 
   function noteFailure (host: types.HostId, now: number): void {
@@ -150,6 +150,10 @@
   }
 
   function markLeaving (member: members.Member, now: number): void {
+    if (member.leavingAt === undefined) {
+      member.probeBackoffMs = 0
+      member.nextProbeAt = now + settings.probeMs
+    }
     member.leavingAt = now
     unsettled.add(member)
     if (member.publishedState !== 'live' && member.publishedState !== 'suspect') return
--- a/packages/decide/membership/src/probes.ts
+++ b/packages/decide/membership/src/probes.ts
@@ -1,9 +1,15 @@
-/** Schedules probes of suspect hosts with exponential backoff. */
+/** Schedules probes of suspect hosts, and of those that reported to be leaving, with exponential backoff. */
 import type * as members from './member.js'
 import type * as config from './settings.js'
 
+/** Whether only an answer can change the state. A host that reported to be leaving gets no requests that would show its next incarnation. */
+function needsProbe (member: members.Member): boolean {
+  if (member.publishedState === 'suspect') return member.failures > 0
+  return member.publishedState === 'leaving' && member.leavingAt !== undefined
+}
+
 function isDue (member: members.Member, now: number): boolean {
-  return member.publishedState === 'suspect' && member.failures > 0 && member.nextProbeAt <= now
+  return needsProbe(member) && member.nextProbeAt <= now
 }
 
 function scheduleNextProbe (member: members.Member, settings: config.MembershipSettings, now: number): void {
--- a/packages/decide/membership/src/settings.ts
+++ b/packages/decide/membership/src/settings.ts
@@ -22,10 +22,10 @@
   readonly maxRecoveries: number
   /** A report that a host is leaving expires after this many milliseconds. */
   readonly leavingMs: number
-  /** Initial interval between probes of a suspect host in milliseconds; it doubles up to `maxProbeMs`. */
+  /** Initial interval between probes of a suspect or leaving host in milliseconds; it doubles up to `maxProbeMs`. */
   readonly probeMs: number
   readonly maxProbeMs: number
-  /** Maximum number of probes per batch interval, regardless of the number of suspect hosts. */
+  /** Maximum number of probes per batch interval, regardless of the number of such hosts. */
   readonly probesPerBatch: number
 }
 
