--- a/packages/peers/send-http/src/open-connections.ts
+++ b/packages/peers/send-http/src/open-connections.ts
@@ -35,8 +35,8 @@
 
   /** Number of connections that the other side has just closed. */
   countClosedByPeer (address: string): number {
-    const state = this.states.get(address)
-    return state === undefined ? 0 : listRecent(state.closedAt).length
+    const now = performance.now()
+    return this.states.get(address)?.closedAt.filter((at) => now - at < simultaneousMs).length ?? 0
   }
 
   /** Calls the listener for each connection to the address that is closed, until the returned function is called. */
@@ -60,20 +60,15 @@
   private remove (address: string, state: AddressState, socket: net.Socket): void {
     state.sockets.delete(socket)
     const byPeer = connectionEnd.getConnectionEnd(socket) !== 'open'
-    if (byPeer) state.closedAt = [...listRecent(state.closedAt), performance.now()]
+    if (byPeer) {
+      const now = performance.now()
+      state.closedAt = [...state.closedAt.filter((at) => now - at < simultaneousMs), now]
+    }
     for (const listener of [...state.listeners]) listener(byPeer)
-    this.dropIfUnused(address, state)
+    if (state.sockets.size === 0) setTimeout(() => { this.dropIfUnused(address, state) }, simultaneousMs).unref()
   }
 
-  /** Drops the state of an address without connections once no recent close is left that `countClosedByPeer` would count. */
   private dropIfUnused (address: string, state: AddressState): void {
-    if (state.sockets.size > 0 || state.listeners.size > 0 || this.states.get(address) !== state) return
-    if (listRecent(state.closedAt).length === 0) this.states.delete(address)
-    else setTimeout(() => { this.dropIfUnused(address, state) }, simultaneousMs).unref()
+    if (state.sockets.size === 0 && state.listeners.size === 0 && this.states.get(address) === state) this.states.delete(address)
   }
 }
-
-function listRecent (closedAt: readonly number[]): number[] {
-  const now = performance.now()
-  return closedAt.filter((at) => now - at < simultaneousMs)
-}
