--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -297,7 +297,7 @@
         }
         this.silenceTimer?.cancel()
         noteFirstBytes()
-        // Cancelled from now on, the send is not one that its upstream left unanswered.
+        // The upstream has answered: cancelling from now on does not count as giving it up.
         this.isInFlight = false
         this.releaseSlot?.()
         trackUpstreams.noteSuccess(upstream)
