Lines peersPinged and busy; the predecessor of a refused turn

Cause: the lines did not tell why an owner was late (its own work, or the pings and repeats of others), nor which turn a refused one continues from. Change: a line for each round of pings to all peers, one for each second in which the event loop had work for 80 % of the time, `previous` in the refusals of the process that has the client. No decision changes.

--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -120,6 +120,10 @@
   | { readonly event: 'assignment', readonly generation: number, readonly owned: number, readonly handedOver: number }
   /** A peer has not answered pings. `connection`: whether its host accepted a new connection, as it does for a process that is merely busy; `pingedMs`: how long it had to answer. */
   | { readonly event: 'peerUnanswered', readonly peer: string, readonly connection: 'accepted' | 'refused' | 'noAnswer', readonly pingedMs: number }
+  /** All peers were pinged, as some were suspected. `unreachable`: those whose hosts accepted no connection. */
+  | { readonly event: 'peersPinged', readonly suspects: readonly string[], readonly pinged: number, readonly unreachable: number, readonly tookMs: number }
+  /** The event loop of this process was busy for nearly all of the last period. `busyShare`: from 0 to 1. */
+  | { readonly event: 'busy', readonly busyShare: number, readonly underWay: number, readonly shards: number }
   | { readonly event: 'leaseNotRenewed', readonly failure: FailureField }
   /** The process that counts the requests of the group's accounts can't be reached. */
   | { readonly event: 'meterOwnerAway', readonly group: number, readonly why: string, readonly term: number, readonly answerAgeMs: number, readonly hosts: number }
@@ -205,6 +209,8 @@
   timedOut: { level: 'warn', message: 'request timed out' },
   peerAnswerLost: { level: 'warn', message: 'no complete answer from the owner of the program' },
   peerUnanswered: { level: 'info', message: 'no answer to pings; examined whether the host accepts connections' },
+  peersPinged: { level: 'info', message: 'pinged all peers, as some were suspected' },
+  busy: { level: 'warn', message: 'hardly any processor time left; answers to clients and peers are late' },
   answerEnded: { level: 'info', message: 'end of an answer that its framing does not mark' },
   streamBroken: { level: 'warn', message: 'stream ended without a complete answer' },
   turnSettledElsewhere: { level: 'info', message: 'turn stored by the next owner of its shard' },
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -32,6 +32,7 @@
 import * as upstreamCrashes from './upstream-crashes.js'
 import * as upstreamProbe from './upstream-probe.js'
 import * as upstreamView from './upstream-view.js'
+import * as watchLoad from './watch-load.js'
 
 /** Location and encoding of the published documents; a platform's adapter implements it. */
 export interface DocumentFormat {
@@ -100,6 +101,7 @@
   private readonly readyServer: http.Server
   private readonly shutdown = new shutdowns.Shutdown()
   private pendingStop: Promise<void> | undefined
+  private loadWatch: timerService.Subscription | undefined
 
   constructor (private readonly cfg: settings.FrontSettings, private readonly ports: FrontPorts) {
     const { documents } = ports
@@ -187,6 +189,7 @@
     this.routing.start()
     this.shards.start()
     this.crashes.start()
+    this.loadWatch = watchLoad.watchLoad({ ...this.ports, countWork: () => ({ underWay: this.inFlightRequestCount, shards: this.servedShardCount }) })
     this.ports.decisions.record({ event: 'started', client: this.cfg.clientAddress, peer: this.cfg.peerAddress, zone: this.cfg.availabilityZone, settings: this.ports.settingsFile })
   }
 
@@ -232,6 +235,7 @@
 
   /** Stops at once without handing over shards, as tests need it. */
   close (): void {
+    this.loadWatch?.cancel()
     this.routing.stop()
     this.upstreams.stop()
     this.shards.close()
--- a/packages/programs/front/src/peer-failure-detector.ts
+++ b/packages/programs/front/src/peer-failure-detector.ts
@@ -97,9 +97,11 @@
     const suspects = [...this.suspects]
     this.suspects.clear()
     if (peers.length < minPeerCount) return true
+    const startedAt = this.ports.timers.monotonic()
     const reachable = await Promise.all(peers.map((address) => this.isReachable(address)))
     const silent = peers.filter((_, index) => reachable[index] !== true)
     const canReachPeers = peers.length - silent.length >= peers.length * minReachableShare
+    this.ports.decisions.record({ event: 'peersPinged', suspects, pinged: peers.length, unreachable: silent.length, tookMs: Math.round(this.ports.timers.monotonic() - startedAt) })
     if (canReachPeers && !this.isolated) this.reportSilent(suspects.filter((address) => silent.includes(address)))
     return canReachPeers
   }
--- a/packages/programs/front/src/route-turn.ts
+++ b/packages/programs/front/src/route-turn.ts
@@ -56,7 +56,7 @@
 export async function routeTurn (ports: RouteTurnPorts, req: inbound.InboundRequest, turn: dialects.TurnFields): Promise<void> {
   const { timers, shards } = ports
   if (ports.failureDetector.isIsolated) {
-    ports.decisions.record({ event: 'turnRefused', reason: 'cut off from the owners', request: req.attempt.id, program: turn.program, detail: {} })
+    ports.decisions.record({ event: 'turnRefused', reason: 'cut off from the owners', request: req.attempt.id, program: turn.program, previous: turn.previous, detail: {} })
     req.reply.refuse({ type: 'peerUnreachable', retryAfterMs: serveTurn.shardRetryMs })
     return
   }
@@ -76,7 +76,7 @@
     await timerService.sleep(timers, pollIntervalMs)
   } while (!req.reply.over && timers.monotonic() - startedAt < maxHandoverWaitMs)
   const retryAfterMs = estimateRetryMs(ports, partition)
-  ports.decisions.record({ event: 'turnRefused', reason: 'nobody serves the shard', request: req.attempt.id, program: turn.program, detail: { partition, waitedMs: Math.round(timers.monotonic() - startedAt), ownersAgeMs: Math.round(shards.ownersAgeMs), last: lastStep } })
+  ports.decisions.record({ event: 'turnRefused', reason: 'nobody serves the shard', request: req.attempt.id, program: turn.program, previous: turn.previous, detail: { partition, waitedMs: Math.round(timers.monotonic() - startedAt), ownersAgeMs: Math.round(shards.ownersAgeMs), last: lastStep } })
   req.reply.refuse({ type: 'shardMoving', retryAfterMs })
 }
 
