peer-failure-detector: only suspected peers are pinged while their hosts accept connections

Cause: a process that suspects one peer pings all 28, in rounds of 0.3 s, and connects to each that is late. What detects lateness added to the work of the late. Change: the suspects are asked first, all peers only if one of them has not proved to be alive within 100 ms; an accepted connection is enough. A peer that is suspected between two rounds is examined in the next one; it was left out. `close` ends the rounds, which kept a closed front's process alive.

--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -239,6 +239,7 @@
     this.routing.stop()
     this.upstreams.stop()
     this.shards.close()
+    this.failureDetector.close()
     this.limits.close()
     this.crashes.close()
     closeServers([this.clientServer.server, this.peerServer, this.readyServer])
--- a/packages/programs/front/src/peer-failure-detector.test.ts
+++ b/packages/programs/front/src/peer-failure-detector.test.ts
@@ -11,9 +11,11 @@
   const busy = new Set<string>()
   const isolationChanges: boolean[] = []
   const reported: string[] = []
+  const pinged: string[] = []
   const detector = new peerFailureDetector.PeerFailureDetector({
     peers: () => [...members],
     ping: async (address) => {
+      pinged.push(address)
       const isLate = silent.has(address) || busy.has(address)
       await timerService.sleep(timers, isLate ? 200 : 1)
       return !isLate
@@ -27,7 +29,7 @@
     timers,
     decisions: decisionLog.createSilentDecisionLog()
   })
-  return { timers, members, silent, busy, isolationChanges, reported, detector }
+  return { timers, members, silent, busy, isolationChanges, reported, pinged, detector }
 }
 
 tap.test('a process that reaches no member for longer than a lease is isolated', async (t) => {
@@ -111,3 +113,24 @@
   await timers.advanceAsync(5_000)
   t.same(isolationChanges, [])
 })
+
+// Guards against a busy host that gets more work from each process that suspects it.
+tap.test('only the suspects are pinged while their hosts accept connections', async (t) => {
+  const { timers, busy, pinged, detector } = fixture(5)
+  busy.add('peer-0')
+  detector.suspect('peer-0')
+  detector.suspect('peer-1')
+  await timers.advanceAsync(5_000)
+  t.same([...new Set(pinged)].sort(), ['peer-0', 'peer-1'])
+})
+
+// Guards against a dead peer that keeps its shards because it was suspected between two rounds.
+tap.test('a peer that is suspected after a round is examined in the next one', async (t) => {
+  const { timers, silent, reported, detector } = fixture(5)
+  silent.add('peer-1')
+  detector.suspect('peer-0')
+  await timers.advanceAsync(100)
+  detector.suspect('peer-1')
+  await timers.advanceAsync(1_000)
+  t.same(reported, ['peer-1'])
+})
--- a/packages/programs/front/src/peer-failure-detector.ts
+++ b/packages/programs/front/src/peer-failure-detector.ts
@@ -41,12 +41,15 @@
  * its group again at once, and evicting it again and again would cost the others more than waiting for its lease to expire.
  */
 const minReportIntervalMs = 3_000
+/** If a suspected peer has not proved to be alive after this time, in ms, all others are pinged as well. */
+const suspectCheckMs = 100
 /** With fewer peers, the detector can't determine which process is isolated. */
 const minPeerCount = 2
 
-/** Sends no pings in normal operation; a suspected peer makes it ping all peers in rounds. */
+/** Sends no pings in normal operation; a suspected peer that does not prove to be alive makes it ping all peers in rounds. */
 export class PeerFailureDetector {
   private isProbing = false
+  private isClosed = false
   private isolated = false
   /** Since when the rounds have contradicted `isolated`, in monotonic ms. */
   private contradictedSince: number | undefined
@@ -61,6 +64,11 @@
     return this.isolated
   }
 
+  /** Sends no further pings. */
+  close (): void {
+    this.isClosed = true
+  }
+
   /** Registers that a peer did not answer; pings all peers until it is clear which process is isolated. */
   suspect (address: string): void {
     this.suspects.add(address)
@@ -77,7 +85,7 @@
     do {
       this.updateIsolation(await this.probePeers())
       await timerService.sleep(this.ports.timers, roundIntervalMs)
-    } while (this.isolated || this.contradictedSince !== undefined)
+    } while (!this.isClosed && (this.isolated || this.contradictedSince !== undefined || this.suspects.size > 0))
     this.isProbing = false
   }
 
@@ -91,14 +99,16 @@
     if (now - this.contradictedSince >= (this.isolated ? recoveryThresholdMs : isolationThresholdMs)) this.setIsolated(!this.isolated)
   }
 
-  /** Pings all peers, reports the suspects that can't be reached, and returns whether enough peers can. */
+  /** Pings the suspects and, unless they are alive, all peers; reports the suspects that can't be reached, and returns whether enough peers can. */
   private async probePeers (): Promise<boolean> {
     const peers = this.ports.peers()
     const suspects = [...this.suspects]
     this.suspects.clear()
     if (peers.length < minPeerCount) return true
     const startedAt = this.ports.timers.monotonic()
-    const reachable = await Promise.all(peers.map((address) => this.isReachable(address)))
+    const checks = new Map(peers.filter((address) => suspects.includes(address)).map((address) => [address, this.isReachable(address)]))
+    if (!this.isolated && await this.areAlive([...checks.values()])) return true
+    const reachable = await Promise.all(peers.map((address) => checks.get(address) ?? this.isReachable(address)))
     const silent = peers.filter((_, index) => reachable[index] !== true)
     const canReachPeers = peers.length - silent.length >= peers.length * minReachableShare
     this.ports.decisions.record({ event: 'peersPinged', suspects, pinged: peers.length, unreachable: silent.length, tookMs: Math.round(this.ports.timers.monotonic() - startedAt) })
@@ -106,16 +116,25 @@
     return canReachPeers
   }
 
+  /** Whether all suspects, of which there is at least one, have proved to be alive. Pinging all peers would add to the work of hosts that are late already. */
+  private async areAlive (checks: readonly Promise<boolean>[]): Promise<boolean> {
+    if (checks.length === 0) return false
+    const reachable = await timerService.withTimeout(this.ports.timers, Promise.all(checks), suspectCheckMs)
+    return reachable?.every((isReachable) => isReachable) === true
+  }
+
   /** A process that is merely busy answers no ping in time, but its host accepts connections: its lease tells whether it goes on. */
   private async isReachable (address: string): Promise<boolean> {
     const { timers, decisions } = this.ports
     const startedAt = timers.monotonic()
     const answer = this.ports.ping(address)
     if (await timerService.withTimeout(timers, answer, peerProbe.firstAnswerMs) === true) return true
-    const [connection, isAnswered] = await Promise.all([this.ports.connect(address), answer])
-    if (isAnswered) return true
-    decisions.record({ event: 'peerUnanswered', peer: address, connection, pingedMs: Math.round(timers.monotonic() - startedAt) })
-    return connection === 'accepted'
+    const connection = await this.ports.connect(address)
+    const isAnswered = answer.then((hasAnswered) => {
+      if (!hasAnswered) decisions.record({ event: 'peerUnanswered', peer: address, connection, pingedMs: Math.round(timers.monotonic() - startedAt) })
+      return hasAnswered
+    })
+    return connection === 'accepted' || isAnswered
   }
 
   private reportSilent (silent: readonly string[]): void {
