Owners that are alive and late are waited for when a turn is forwarded

While an owner loaded a shard it refused turns, and each of them asked it again every 20 ms on a new connection. Change: a turn that is not accepted after 250 ms waits for its owner while that is alive and owns the shard, for a lease at most; it is given up as soon as the shard moves or the host proves unreachable. Reservations the same. An owner that is opening the shard keeps the turn, reservation or settled turn until it serves. A member that says it is not the owner is asked again only once the owners were read anew. A turn looks for its owner for a lease, not for 250 ms: a handover on a small host takes 0.5 to 0.9 s. Fixtures of forward-turn.test and serve-unretained.test confirm the request, as an owner that accepts it does; their checks are unchanged.

--- a/packages/base/decision-log/src/decisions.ts
+++ b/packages/base/decision-log/src/decisions.ts
@@ -77,6 +77,8 @@
   /** Not sent to an upstream, as too many have ended under it: `ends` as in `crashLimitReached`. `ran`: an earlier attempt may have run. */
   | RequestFields & { readonly event: 'crashLimited', readonly fingerprint: types.RequestFingerprint, readonly ends: readonly string[], readonly retryAfterMs: number, readonly ran: boolean }
   | RequestFields & { readonly event: 'upstreamSilent', readonly upstream: types.UpstreamId, readonly afterMs: number }
+  /** The owner of the program has not confirmed the request yet; it is waited for while it is alive and owns the shard. */
+  | RequestFields & { readonly event: 'ownerLate', readonly peer: string }
   | RequestFields & { readonly event: 'peerAnswerLost', readonly peer: string, readonly cause: string, readonly detail: string }
   /** The end of an upstream's answer that broke off, or that only the end of its connection marked. `whole`: it was taken for complete. */
   | RequestFields & messageFraming.AnswerEnd & { readonly event: 'answerEnded', readonly upstream: types.UpstreamId, readonly whole: boolean }
@@ -207,6 +209,7 @@
   crashLimited: { level: 'warn', message: 'not sent: too many upstreams have ended under this request' },
   upstreamSilent: { level: 'warn', message: 'no data from the upstream; new requests avoid it' },
   timedOut: { level: 'warn', message: 'request timed out' },
+  ownerLate: { level: 'info', message: 'the owner of the program is late; examining whether it is alive' },
   peerAnswerLost: { level: 'warn', message: 'no complete answer from the owner of the program' },
   peerUnanswered: { level: 'info', message: 'no answer to pings; examined whether the host accepts connections' },
   peersPinged: { level: 'info', message: 'pinged all peers, as some were suspected' },
--- a/packages/peers/send-http/src/send-http.ts
+++ b/packages/peers/send-http/src/send-http.ts
@@ -63,6 +63,8 @@
 
 /** Receives the answer. No callback follows `onComplete` or `onFailed`. An error that `onHead` or `onData` throws fails the exchange. */
 export interface AnswerSink {
+  /** `100 Continue` has arrived; the body is sent, so that the request may run from now on. */
+  readonly onConfirmed?: () => void
   readonly onHead: (head: AnswerHead) => void
   readonly onData: (chunk: Buffer) => void
   /** The whole answer has been received. */
@@ -287,6 +289,7 @@
     if (this.isDone) return
     this.endPhase()
     this.hasSent = true
+    this.sink.onConfirmed?.()
     this.req.end(this.request.body)
   }
 
--- a/packages/programs/front/src/forward-turn.test.ts
+++ b/packages/programs/front/src/forward-turn.test.ts
@@ -7,13 +7,18 @@
 import type * as inbound from './inbound.js'
 import * as peerProbe from './peer-probe.js'
 
-/** A turn forwarded to an owner that accepts it and answers pings after `pingMs`, at once if not given; `playAnswer` schedules the owner's answer. */
-function fixture (ownerAnswers: boolean, playAnswer: (sink: sendHttp.AnswerSink, timers: timerService.TimerService) => void, pingMs = 0) {
+/** A turn forwarded to an owner that accepts it after `acceptMs` and answers pings after `pingMs`, both at once if not given; `playAnswer` schedules the owner's answer. */
+function fixture (ownerAnswers: boolean, playAnswer: (sink: sendHttp.AnswerSink, timers: timerService.TimerService) => void, pingMs = 0, acceptMs = 0) {
   const timers = timerService.createManualTimers()
   const replyEvents: string[] = []
   let isCancelled = false
   let pingCount = 0
-  const send: sendHttp.Sender['send'] = (_request, sink) => {
+  let isOwner = true
+  const suspected: string[] = []
+  const send: sendHttp.Sender['send'] = ({ continueTimeoutMs }, sink) => {
+    if (acceptMs === 0) sink.onConfirmed?.()
+    else if (acceptMs <= continueTimeoutMs!) timers.after(acceptMs, () => { if (!isCancelled) sink.onConfirmed?.() })
+    else timers.after(continueTimeoutMs!, () => { if (!isCancelled) sink.onFailed({ verdict: 'notRun', cause: 'unconfirmed', detail: '', reused: false }) })
     playAnswer(sink, timers)
     return { cancel: () => { isCancelled = true }, discard: () => {}, pause: () => {}, resume: () => {} }
   }
@@ -32,6 +37,7 @@
     dialect: { peerHeaders: () => [], answerHeaders: () => [], answerFacts: () => ({ requestId: 'r', signed: true, notRun: false, wrongIncarnation: false }) } as unknown as dialects.Dialect,
     timers,
     decisions: decisionLog.createSilentDecisionLog(),
+    failureDetector: { suspect: (address: string) => { suspected.push(address) } },
     peerProbe: new peerProbe.PeerProbe({
       ping: async (_address, timeoutMs) => {
         pingCount += 1
@@ -44,8 +50,8 @@
       decisions: decisionLog.createSilentDecisionLog()
     })
   } as unknown as forwardTurn.ForwardPorts
-  const outcome = forwardTurn.forwardTurn(ports, req, 'peer:1')
-  return { timers, outcome, replyEvents, pingCount: () => pingCount, isCancelled: () => isCancelled }
+  const outcome = forwardTurn.forwardTurn(ports, req, { address: 'peer:1', isOwner: () => isOwner, answerTimeoutMs: 1_100 })
+  return { timers, outcome, replyEvents, suspected, pingCount: () => pingCount, isCancelled: () => isCancelled, moveShard: () => { isOwner = false } }
 }
 
 tap.test('a turn is refused when its owner is silent and does not answer pings', async (t) => {
@@ -96,3 +102,36 @@
   t.same(await outcome, { type: 'answered' })
   t.same(replyEvents, ['head 200', 'end'])
 })
+
+// Guards against turns refused again and again by an owner that is alive and too busy to accept them at once.
+tap.test('an owner that is alive and accepts a turn late is waited for', async (t) => {
+  const { timers, outcome, replyEvents, suspected } = fixture(true, (sink, fakeTimers) => {
+    fakeTimers.after(1_100, () => { sink.onHead({ status: 200, headers: {}, rawHeaders: [] }) })
+    fakeTimers.after(1_200, () => { sink.onComplete({ framing: 'chunked', connection: 'open', bodyBytes: 0 }) })
+  }, 700, 1_000)
+  await timers.advanceAsync(1_300)
+  t.same(await outcome, { type: 'answered' })
+  t.same([replyEvents, suspected], [['head 200', 'end'], ['peer:1']])
+})
+
+tap.test('a turn has not run at an owner that is alive and has not accepted it within its lease', async (t) => {
+  const { timers, outcome, replyEvents } = fixture(true, () => {}, 0, 5_000)
+  await timers.advanceAsync(1_200)
+  t.same(await outcome, { type: 'late' })
+  t.same(replyEvents, [])
+})
+
+tap.test('an owner that has not accepted a turn is given up once the shard has another owner', async (t) => {
+  const { timers, outcome, isCancelled, moveShard } = fixture(true, () => {}, 0, 5_000)
+  timers.after(400, moveShard)
+  await timers.advanceAsync(450)
+  t.same(await outcome, { type: 'moved' })
+  t.ok(isCancelled())
+})
+
+tap.test('an owner that has not accepted a turn is given up once its host proves unreachable', async (t) => {
+  const { timers, outcome, isCancelled } = fixture(false, () => {}, 0, 5_000)
+  await timers.advanceAsync(700)
+  t.match(await outcome, { type: 'unreachable', ended: false })
+  t.ok(isCancelled())
+})
--- a/packages/programs/front/src/forward-turn.ts
+++ b/packages/programs/front/src/forward-turn.ts
@@ -1,8 +1,10 @@
 /** Forwards a turn to the process that owns its program, and relays the answer. */
 import type * as sendHttp from '@eelgrasswind/send-http'
+import type * as timerService from '@eelgrasswind/timer-service'
 import type * as dispatch from './dispatch.js'
 import * as forwardHeader from './forward-header.js'
 import type * as inbound from './inbound.js'
+import * as lateOwner from './late-owner.js'
 import type * as peerProbe from './peer-probe.js'
 
 /** Outcome of forwarding a turn. */
@@ -11,17 +13,15 @@
   | { readonly type: 'answered' }
   /** The other process does not own the program; the turn has not run. */
   | { readonly type: 'notOwner' }
-  /** No connection, or no `100 Continue`; the turn has not run. `ended`: the host refused the connection, so the process has ended. */
+  /** The shard has another owner now; the turn has not run. */
+  | { readonly type: 'moved' }
+  /** The owner is alive and has not accepted the turn in time; the turn has not run. */
+  | { readonly type: 'late' }
+  /** No connection, or a process that does not respond; the turn has not run. `ended`: the host refused the connection, so the process has ended. */
   | { readonly type: 'unreachable', readonly detail: string, readonly ended: boolean }
 
 /** Connect timeout for peers, in ms: network links take about one ms, so only an unreachable host takes longer. */
 const connectTimeoutMs = 200
-/**
- * Timeout for the owner's `100 Continue`, in ms. A process that does not respond is detected after this time, and the
- * turn has certainly not run there; a slow machine, or one whose CPU quota is used up, answers within about 120.
- */
-const confirmTimeoutMs = 250
-
 /**
  * The owner is probed if nothing has arrived from it for this long, in ms. A host that has lost power closes no
  * connection: without the probe, each turn there waits for its full timeout, and so does its client. An owner that is
@@ -30,87 +30,143 @@
 const silenceThresholdMs = 400
 
 /** Dependencies of `forwardTurn`. */
-export interface ForwardPorts extends dispatch.DispatchPorts {
+export interface ForwardPorts extends dispatch.DispatchPorts, Pick<lateOwner.LateOwnerPorts, 'failureDetector'> {
   readonly peerProbe: peerProbe.PeerProbe
 }
 
-/** Resolves when the request is over, or when it is certain that the turn has not run. */
-export function forwardTurn (ports: ForwardPorts, req: inbound.InboundRequest, address: string): Promise<ForwardOutcome> {
-  const { dialect, sender, timers } = ports
-  const remainingMs = Math.floor(req.deadlineAt - timers.monotonic())
-  return new Promise((resolve) => {
-    const { reply } = req
-    let isRelaying = false
-    let isFinished = false
-    let lastReceivedAt = timers.monotonic()
-    const exchange = sender.send({
-      address,
+/** Resolves when the request is over, or when it is certain that the turn has not run: without `100 Continue` its body was not sent. */
+export function forwardTurn (ports: ForwardPorts, req: inbound.InboundRequest, owner: lateOwner.OwnerTarget): Promise<ForwardOutcome> {
+  return new Promise((resolve) => { new ForwardedTurn(ports, req, owner, resolve).start() })
+}
+
+/** One turn from the time it is sent to its owner. */
+class ForwardedTurn {
+  private isConfirmed = false
+  private isRelaying = false
+  private isFinished = false
+  private lastReceivedAt = 0
+  private exchange: sendHttp.Exchange | undefined
+  /** Watches the owner until it has accepted the turn. */
+  private ownerWatch: timerService.Subscription | undefined
+  /** Watches it from then on. */
+  private silenceTimer: timerService.Subscription | undefined
+  private deadlineTimer: timerService.Subscription | undefined
+
+  constructor (
+    private readonly ports: ForwardPorts,
+    private readonly req: inbound.InboundRequest,
+    private readonly owner: lateOwner.OwnerTarget,
+    private readonly resolve: (outcome: ForwardOutcome) => void
+  ) {}
+
+  start (): void {
+    const { ports, req, owner } = this
+    const { dialect, sender, timers } = ports
+    const remainingMs = Math.floor(req.deadlineAt - timers.monotonic())
+    this.deadlineTimer = timers.after(remainingMs, () => { this.onDeadline() })
+    this.ownerWatch = lateOwner.watchOwner(ports, req.attempt.id, owner, (reason) => { this.giveUpOwner(reason) })
+    req.reply.onGone(() => { this.cancel({ type: 'answered' }) })
+    this.exchange = sender.send({
+      address: owner.address,
       method: req.method,
       path: req.path,
       headers: [...dialect.peerHeaders(req.rawHeaders, { deadlineMs: remainingMs, bodyBytes: req.body.length, caller: req.caller }), ...forwardHeader.encode(req)],
       body: req.body,
       connectTimeoutMs,
-      continueTimeoutMs: confirmTimeoutMs,
+      continueTimeoutMs: owner.answerTimeoutMs,
       // The owner's `100 Continue` shows that the connection is alive.
       atMostOnce: false,
       maxAnswerBytes: ports.maxAnswerBytes
     }, {
-      onHead: (head) => {
-        lastReceivedAt = timers.monotonic()
-        if (forwardHeader.isNotOwnerRefusal(head.headers)) {
-          exchange.cancel()
-          finish({ type: 'notOwner' })
-          return
-        }
-        isRelaying = true
-        // Only an upstream signs its answers; one without a signature is the owner's own.
-        reply.head(head.status, dialect.answerHeaders(head.rawHeaders), dialect.answerFacts(head).signed ? 'upstream' : 'front')
-      },
-      onData: (chunk) => {
-        lastReceivedAt = timers.monotonic()
-        if (reply.data(chunk)) return
-        exchange.pause()
-        reply.onDrain(() => { exchange.resume() })
-      },
+      onConfirmed: () => { this.onConfirmed() },
+      onHead: (head) => { this.onHead(head) },
+      onData: (chunk) => { this.onData(chunk) },
       onComplete: () => {
-        reply.end()
-        finish({ type: 'answered' })
+        req.reply.end()
+        this.finish({ type: 'answered' })
       },
-      onFailed: (failure) => { onFail(failure) }
+      onFailed: (failure) => { this.onFailed(failure) }
     })
-    const finish = (outcome: ForwardOutcome): void => {
-      isFinished = true
-      deadlineTimer.cancel()
-      silenceTimer.cancel()
-      resolve(outcome)
-    }
-    const silenceTimer = timers.every(silenceThresholdMs, () => { void checkOwner() })
-    const checkOwner = async (): Promise<void> => {
-      const silentSince = lastReceivedAt
-      if (timers.monotonic() - silentSince < silenceThresholdMs || await ports.peerProbe.isAlive(address)) return
-      if (isFinished || lastReceivedAt !== silentSince) return
-      exchange.cancel()
-      onFail({ verdict: 'mayHaveRun', cause: 'cancelled', detail: 'the owner of the program no longer responds', reused: false })
+  }
+
+  private onConfirmed (): void {
+    const { timers } = this.ports
+    this.isConfirmed = true
+    this.ownerWatch?.cancel()
+    this.lastReceivedAt = timers.monotonic()
+    this.silenceTimer = timers.every(silenceThresholdMs, () => { void this.checkOwner() })
+  }
+
+  private onHead (head: sendHttp.AnswerHead): void {
+    const { dialect, timers } = this.ports
+    this.lastReceivedAt = timers.monotonic()
+    if (forwardHeader.isNotOwnerRefusal(head.headers)) {
+      this.cancel({ type: 'notOwner' })
+      return
     }
-    const onFail = (failure: sendHttp.SendFailure): void => {
-      if (failure.verdict === 'notRun') {
-        finish({ type: 'unreachable', detail: failure.detail, ended: failure.cause === 'refused' })
-        return
-      }
-      ports.decisions.record({ event: 'peerAnswerLost', request: req.attempt.id, peer: address, cause: failure.cause, detail: failure.detail })
-      if (isRelaying) reply.abort()
-      else reply.refuse({ type: 'answerLost', detail: 'the connection to the owner of the program was lost' })
-      finish({ type: 'answered' })
+    this.ownerWatch?.cancel()
+    this.isRelaying = true
+    // Only an upstream signs its answers; one without a signature is the owner's own.
+    this.req.reply.head(head.status, dialect.answerHeaders(head.rawHeaders), dialect.answerFacts(head).signed ? 'upstream' : 'front')
+  }
+
+  private onData (chunk: Buffer): void {
+    const { reply } = this.req
+    this.lastReceivedAt = this.ports.timers.monotonic()
+    if (reply.data(chunk)) return
+    this.exchange?.pause()
+    reply.onDrain(() => { this.exchange?.resume() })
+  }
+
+  private onFailed (failure: sendHttp.SendFailure): void {
+    if (failure.verdict !== 'notRun') this.loseAnswer(failure)
+    else if (failure.cause === 'unconfirmed') this.finish({ type: 'late' })
+    else this.finish({ type: 'unreachable', detail: failure.detail, ended: failure.cause === 'refused' })
+  }
+
+  private giveUpOwner (reason: lateOwner.GiveUpReason): void {
+    this.cancel(reason === 'moved' ? { type: 'moved' } : { type: 'unreachable', detail: 'the owner does not respond', ended: false })
+  }
+
+  /** The owner has accepted the turn, and has sent nothing for a while. */
+  private async checkOwner (): Promise<void> {
+    const { peerProbe: probe, timers } = this.ports
+    const silentSince = this.lastReceivedAt
+    if (timers.monotonic() - silentSince < silenceThresholdMs || await probe.isAlive(this.owner.address)) return
+    if (this.isFinished || this.lastReceivedAt !== silentSince) return
+    this.exchange?.cancel()
+    this.loseAnswer({ cause: 'cancelled', detail: 'the owner of the program no longer responds' })
+  }
+
+  private loseAnswer ({ cause, detail }: Pick<sendHttp.SendFailure, 'cause' | 'detail'>): void {
+    const { reply, attempt } = this.req
+    this.ports.decisions.record({ event: 'peerAnswerLost', request: attempt.id, peer: this.owner.address, cause, detail })
+    if (this.isRelaying) reply.abort()
+    else reply.refuse({ type: 'answerLost', detail: 'the connection to the owner of the program was lost' })
+    this.finish({ type: 'answered' })
+  }
+
+  private onDeadline (): void {
+    if (!this.isConfirmed) {
+      this.cancel({ type: 'late' })
+      return
     }
-    const deadlineTimer = timers.after(remainingMs, () => {
-      exchange.cancel()
-      if (isRelaying) reply.abort()
-      else reply.refuse({ type: 'timeout' })
-      finish({ type: 'answered' })
-    })
-    reply.onGone(() => {
-      exchange.cancel()
-      finish({ type: 'answered' })
-    })
-  })
+    this.exchange?.cancel()
+    if (this.isRelaying) this.req.reply.abort()
+    else this.req.reply.refuse({ type: 'timeout' })
+    this.finish({ type: 'answered' })
+  }
+
+  private cancel (outcome: ForwardOutcome): void {
+    this.exchange?.cancel()
+    this.finish(outcome)
+  }
+
+  private finish (outcome: ForwardOutcome): void {
+    this.isFinished = true
+    this.deadlineTimer?.cancel()
+    this.silenceTimer?.cancel()
+    this.ownerWatch?.cancel()
+    this.resolve(outcome)
+  }
 }
--- /dev/null
+++ b/packages/programs/front/src/late-owner.ts
@@ -0,0 +1,56 @@
+/** Watches an owner that has not answered yet: one that is merely late is waited for, one that has ended or lost the shard is not. */
+import type * as decisionLog from '@eelgrasswind/decision-log'
+import type * as timerService from '@eelgrasswind/timer-service'
+import type * as peerFailureDetector from './peer-failure-detector.js'
+import type * as peerProbe from './peer-probe.js'
+
+/** Dependencies of `watchOwner`. */
+export interface LateOwnerPorts {
+  readonly timers: timerService.TimerService
+  readonly decisions: decisionLog.DecisionLog
+  readonly peerProbe: Pick<peerProbe.PeerProbe, 'isAlive'>
+  readonly failureDetector: Pick<peerFailureDetector.PeerFailureDetector, 'suspect'>
+}
+
+/** The owner of a program's shard, as the process that needs it knows it. */
+export interface OwnerTarget {
+  /** IP:PORT. */
+  readonly address: string
+  /** Whether it still owns the shard, as far as this process knows. */
+  readonly isOwner: () => boolean
+  /** How long an owner that is alive may take to answer, in ms. */
+  readonly answerTimeoutMs: number
+}
+
+/** Why an owner is no longer waited for: the shard has another owner, or its process has ended or can't be reached. */
+export type GiveUpReason = 'moved' | 'unreachable'
+
+/** An owner that has not answered after this time, in ms, is late; one on a slow host answers within about 120. */
+export const lateAfterMs = 250
+/** Poll interval for another owner of the shard while the owner is late, in ms. */
+const ownerPollMs = 25
+
+/** Calls `onGiveUp` once if the owner need not be waited for, unless the watch is cancelled before. */
+export function watchOwner (ports: LateOwnerPorts, request: string, { address, isOwner }: OwnerTarget, onGiveUp: (reason: GiveUpReason) => void): timerService.Subscription {
+  const { timers, decisions, peerProbe: probe, failureDetector } = ports
+  let isOver = false
+  let poll: timerService.Subscription | undefined
+  const stop = (): void => {
+    isOver = true
+    lateTimer.cancel()
+    poll?.cancel()
+  }
+  const giveUp = (reason: GiveUpReason): void => {
+    if (isOver) return
+    stop()
+    onGiveUp(reason)
+  }
+  const onLate = async (): Promise<void> => {
+    decisions.record({ event: 'ownerLate', request, peer: address })
+    failureDetector.suspect(address)
+    poll = timers.every(ownerPollMs, () => { if (!isOwner()) giveUp('moved') })
+    if (!await probe.isAlive(address)) giveUp('unreachable')
+  }
+  const lateTimer = timers.after(lateAfterMs, () => { void onLate() })
+  return { cancel: stop }
+}
--- a/packages/programs/front/src/peer-listener.ts
+++ b/packages/programs/front/src/peer-listener.ts
@@ -2,8 +2,11 @@
 import * as http from 'node:http'
 import type * as shardLog from '@eelgrasswind/shard-log'
 import * as shardLogs from '@eelgrasswind/shard-log'
+import type * as ownShards from '@eelgrasswind/own-shards'
+import type * as types from '@eelgrasswind/types'
 import type * as accountLimits from './account-limits.js'
 import * as accountScope from './account-scope.js'
+import type * as dialects from './dialect.js'
 import * as findChain from './find-chain.js'
 import * as forwardHeader from './forward-header.js'
 import * as inbound from './inbound.js'
@@ -47,11 +50,34 @@
   }
   const attempt = accountScope.scopeAttempt(decoded.attempt, forwarded.caller)
   const turn = attempt.turn!
-  const shard = ports.crashes.isLoaded ? routeTurn.findServingShard(ports, turn.program) : undefined
-  if (shard === undefined) {
-    reply.refuse({ type: 'shardMoving', retryAfterMs: 0 }, [...forwardHeader.notOwnerHeaders, 'Connection', 'close'])
-    return
-  }
+  awaitShard(ports, turn.program).then((shard) => {
+    // The forwarding process may have left meanwhile.
+    if (reply.over) return
+    if (shard === undefined) reply.refuse({ type: 'shardMoving', retryAfterMs: 0 }, [...forwardHeader.notOwnerHeaders, 'Connection', 'close'])
+    else acceptTurn(ports, req, res, { forwarded, attempt, turn, shard, reply, arrivedAt })
+  }, (err: unknown) => {
+    ports.decisions.record({ event: 'unexpected', err, request: attempt.id })
+    reply.fail()
+  })
+}
+
+/** Until a process knows what others have counted, it serves no turns. */
+async function awaitShard (ports: PeerListenerPorts, program: types.ProgramId): Promise<ownShards.OwnedShard | undefined> {
+  return ports.crashes.isLoaded ? routeTurn.awaitServingShard(ports, program) : undefined
+}
+
+/** A forwarded turn whose program this process owns. */
+interface AcceptedTurn {
+  readonly forwarded: forwardHeader.ForwardedContext
+  readonly attempt: dialects.ClientAttempt
+  readonly turn: dialects.TurnFields
+  readonly shard: ownShards.OwnedShard
+  readonly reply: inbound.Reply
+  /** Monotonic ms. */
+  readonly arrivedAt: number
+}
+
+function acceptTurn (ports: PeerListenerPorts, req: http.IncomingMessage, res: http.ServerResponse, { forwarded, attempt, turn, shard, reply, arrivedAt }: AcceptedTurn): void {
   res.writeContinue()
   ports.inFlightRequests.add(res, reply, attempt, 'passedOnTurn', arrivedAt)
   readRequest.readBody(req, peerCalls.maxCallBytes, (body) => {
@@ -106,7 +132,7 @@
       ports.shards.joinNow()
       return { type: 'heard' }
     case 'reserve': {
-      const shard = routeTurn.findServingShard(ports, call.request.program)
+      const shard = await routeTurn.awaitServingShard(ports, call.request.program)
       return shard === undefined ? { type: 'notOwner' } : reserveTurn.reserveLocally(ports, shard, call)
     }
     case 'release': {
@@ -119,7 +145,7 @@
     case 'findChain': return findChain.findChainLocally(ports.shards, { turn: call.turn, account: call.account })
     case 'settle':
     case 'settleUnreserved': {
-      const shard = routeTurn.findServingShard(ports, call.request.program)
+      const shard = await routeTurn.awaitServingShard(ports, call.request.program)
       if (shard === undefined) return { type: 'notOwner' }
       return settleTurn.settleLocally(ports, shard, call)
     }
--- a/packages/programs/front/src/route-turn.ts
+++ b/packages/programs/front/src/route-turn.ts
@@ -5,6 +5,7 @@
 import * as timerService from '@eelgrasswind/timer-service'
 import type * as dialects from './dialect.js'
 import * as forwardTurn from './forward-turn.js'
+import type * as lateOwner from './late-owner.js'
 import type * as inbound from './inbound.js'
 import * as memberName from './member-name.js'
 import type * as peerFailureDetector from './peer-failure-detector.js'
@@ -47,8 +48,6 @@
 /** A member that is suspected again at least this long after its last suspicion ended, in ms, counts as newly suspected: it answered in between. */
 const suspicionMemoryMs = 1_000
 
-/** How long a turn waits for the handover of a shard, in ms. A planned handover is faster; after a crash the lease takes longer to expire. */
-const maxHandoverWaitMs = 250
 /** Poll interval for the new owner of a shard, in ms. */
 const pollIntervalMs = 20
 
@@ -62,19 +61,18 @@
   }
   const partition = shards.getPartition(turn.program)
   const startedAt = timers.monotonic()
+  const denial = new OwnerDenial(ports)
   let lastStep: unknown
   do {
     const location = shards.locate(partition)
-    const step = await tryLocation(ports, req, turn, location)
+    const step: RoutingStep = denial.isCurrent(location) ? { type: 'again', reason: 'notOwner' } : await tryLocation(ports, req, turn, partition, location)
     if (step.type === 'done') return
-    if (step.type === 'later') {
-      lastStep = { place: describeLocation(location), step }
-      break
-    }
     lastStep = { place: describeLocation(location), step }
+    if (step.type === 'later') break
+    if (step.reason === 'notOwner') denial.note(location)
     void shards.refreshOwners()
     await timerService.sleep(timers, pollIntervalMs)
-  } while (!req.reply.over && timers.monotonic() - startedAt < maxHandoverWaitMs)
+  } while (!req.reply.over && timers.monotonic() - startedAt < shards.leaseMs)
   const retryAfterMs = estimateRetryMs(ports, partition)
   ports.decisions.record({ event: 'turnRefused', reason: 'nobody serves the shard', request: req.attempt.id, program: turn.program, previous: turn.previous, detail: { partition, waitedMs: Math.round(timers.monotonic() - startedAt), ownersAgeMs: Math.round(shards.ownersAgeMs), last: lastStep } })
   req.reply.refuse({ type: 'shardMoving', retryAfterMs })
@@ -98,6 +96,25 @@
 /** Time from an expired lease until the shard is served again, in ms: half a heartbeat interval, the handover, and loading the shard. */
 const takeoverMs = 300
 
+/** A member that has just said that it does not own the shard is asked again only after the owners were read anew. */
+class OwnerDenial {
+  private member: string | undefined
+  private deniedAt = 0
+
+  constructor (private readonly ports: Pick<RouteTurnPorts, 'shards' | 'timers'>) {}
+
+  note (location: ownShards.ShardLocation): void {
+    if (this.isCurrent(location)) return
+    this.member = location.type === 'member' ? location.member : undefined
+    this.deniedAt = this.ports.timers.monotonic()
+  }
+
+  isCurrent (location: ownShards.ShardLocation): boolean {
+    if (location.type !== 'member' || location.member !== this.member) return false
+    return this.ports.timers.monotonic() - this.ports.shards.ownersAgeMs <= this.deniedAt
+  }
+}
+
 /** Result of one attempt to reach the owner. */
 type RoutingStep =
   | { readonly type: 'done' }
@@ -106,7 +123,7 @@
   /** Nothing ran, and a retry soon would fail the same way. */
   | { readonly type: 'later', readonly reason: string }
 
-async function tryLocation (ports: RouteTurnPorts, req: inbound.InboundRequest, turn: dialects.TurnFields, location: ownShards.ShardLocation): Promise<RoutingStep> {
+async function tryLocation (ports: RouteTurnPorts, req: inbound.InboundRequest, turn: dialects.TurnFields, partition: shardLog.Partition, location: ownShards.ShardLocation): Promise<RoutingStep> {
   switch (location.type) {
     case 'unknown': return { type: 'again', reason: 'no owner known' }
     case 'here':
@@ -114,17 +131,18 @@
       if (!isRetained(req)) return toRoutingStep(await tryUnretained(ports, req, turn, { type: 'here', shard: location.shard }))
       await serveTurn.serveTurn(ports, req, turn, location.shard)
       return { type: 'done' }
-    case 'member': return tryPeer(ports, req, turn, location.member)
+    case 'member': return tryPeer(ports, req, turn, partition, location.member)
   }
 }
 
-async function tryPeer (ports: RouteTurnPorts, req: inbound.InboundRequest, turn: dialects.TurnFields, member: string): Promise<RoutingStep> {
+async function tryPeer (ports: RouteTurnPorts, req: inbound.InboundRequest, turn: dialects.TurnFields, partition: shardLog.Partition, member: string): Promise<RoutingStep> {
   const { shards, suspects, timers } = ports
   if (suspects.has(member, timers.monotonic())) {
     return { type: shards.hasRecentlyEvicted(member) ? 'again' : 'later', reason: 'the owner did not answer just now' }
   }
   const address = memberName.parsePeerAddress(member)
-  const step = isRetained(req) ? await forwardToOwner(ports, req, turn, member) : await tryUnretained(ports, req, turn, { type: 'peer', address })
+  const owner: lateOwner.OwnerTarget = { address, isOwner: () => isMember(shards.locate(partition), member), answerTimeoutMs: shards.leaseMs }
+  const step = isRetained(req) ? await forwardToOwner(ports, req, turn, member, owner) : await tryUnretained(ports, req, turn, { type: 'peer', owner })
   if (step.type !== 'unresponsive') return step
   suspects.add(member, timers.monotonic())
   if (step.ended) void shards.evict(member, 'ended')
@@ -132,6 +150,10 @@
   return toRoutingStep(step)
 }
 
+function isMember (location: ownShards.ShardLocation, member: string): boolean {
+  return location.type === 'member' && location.member === member
+}
+
 function toRoutingStep (step: RoutingStep | UnresponsiveOwner): RoutingStep {
   return step.type === 'unresponsive' ? { type: 'again', reason: 'unreachable' } : step
 }
@@ -144,12 +166,14 @@
 }
 
 /** Forwards a retained turn, which only the owner of its program may serve. */
-async function forwardToOwner (ports: RouteTurnPorts, req: inbound.InboundRequest, turn: dialects.TurnFields, member: string): Promise<RoutingStep | UnresponsiveOwner> {
+async function forwardToOwner (ports: RouteTurnPorts, req: inbound.InboundRequest, turn: dialects.TurnFields, member: string, owner: lateOwner.OwnerTarget): Promise<RoutingStep | UnresponsiveOwner> {
   ports.decisions.record({ event: 'passedOn', request: req.attempt.id, program: turn.program, owner: member, ownersAgeMs: Math.round(ports.shards.ownersAgeMs) })
-  const outcome = await forwardTurn.forwardTurn(ports, req, memberName.parsePeerAddress(member))
+  const outcome = await forwardTurn.forwardTurn(ports, req, owner)
   switch (outcome.type) {
     case 'answered': return { type: 'done' }
-    case 'notOwner': return { type: 'again', reason: outcome.type }
+    case 'notOwner':
+    case 'moved': return { type: 'again', reason: outcome.type }
+    case 'late': return { type: 'later', reason: 'the owner has not accepted the turn in time' }
     case 'unreachable': return { type: 'unresponsive', ended: outcome.ended }
   }
 }
@@ -158,7 +182,12 @@
 async function tryUnretained (ports: RouteTurnPorts, req: inbound.InboundRequest, turn: dialects.TurnFields, owner: serveUnretained.ReservationOwner): Promise<RoutingStep | UnresponsiveOwner> {
   const call = serveUnretained.createReserveCall(req, turn)
   const outcome = await serveUnretained.reserveTokens(ports, owner, call)
-  if (outcome.type === 'none') return { type: 'unresponsive', ended: outcome.ended }
+  switch (outcome.type) {
+    case 'none': return { type: 'unresponsive', ended: outcome.ended }
+    case 'moved': return { type: 'again', reason: outcome.type }
+    case 'late': return { type: 'later', reason: 'the owner has not answered in time' }
+    case 'answer':
+  }
   const { answer } = outcome
   switch (answer.type) {
     case 'notOwner': return { type: 'again', reason: answer.type }
@@ -181,8 +210,24 @@
 
 /** Returns the shard of a program if this process serves it now. */
 export function findServingShard (ports: Pick<RouteTurnPorts, 'shards'>, program: types.ProgramId): ownShards.OwnedShard | undefined {
+  const shard = findOwnShard(ports, program)
+  return shard?.state === 'serving' ? shard : undefined
+}
+
+/**
+ * The same, once the shard has been opened: the former owner has released it, so that no other process could serve the
+ * program meanwhile. Waits for a lease at most.
+ */
+export async function awaitServingShard (ports: Pick<RouteTurnPorts, 'shards' | 'timers'>, program: types.ProgramId): Promise<ownShards.OwnedShard | undefined> {
+  const shard = findOwnShard(ports, program)
+  if (shard?.state === 'opening') await timerService.withTimeout(ports.timers, shard.opened, ports.shards.leaseMs)
+  return findServingShard(ports, program)
+}
+
+/** Returns the shard of a program if it is assigned to this process. */
+function findOwnShard (ports: Pick<RouteTurnPorts, 'shards'>, program: types.ProgramId): ownShards.OwnedShard | undefined {
   const location = ports.shards.locate(ports.shards.getPartition(program))
-  return location.type === 'here' && location.shard.state === 'serving' ? location.shard : undefined
+  return location.type === 'here' ? location.shard : undefined
 }
 
 function describeLocation (location: ownShards.ShardLocation): { readonly type: string, readonly state?: string, readonly member?: string, readonly partition?: shardLog.Partition } {
--- a/packages/programs/front/src/serve-unretained.test.ts
+++ b/packages/programs/front/src/serve-unretained.test.ts
@@ -15,18 +15,33 @@
   promptParts: []
 }
 
-/** Makes a reservation at a peer that doesn't answer or refuses the connection, and collects the calls that it gets. */
-async function collectPeerCalls (answer: 'nothing' | 'refused') {
+const answerTimeoutMs = 1_100
+
+/** Makes a reservation at a peer that doesn't answer, refuses the connection, or is alive and answers after `lateMs`; collects the calls that it gets. */
+async function collectPeerCalls (answer: 'nothing' | 'refused' | 'late', lateMs = 0) {
   const timers = timerService.createManualTimers()
   const calls: peerCalls.PeerCall[] = []
   const send: sendHttp.Sender['send'] = (request, sink) => {
     calls.push(peerCalls.decodeCall(Buffer.from(request.body)))
+    if (answer === 'late' && lateMs < answerTimeoutMs) {
+      timers.after(lateMs, () => {
+        sink.onHead({ status: 200, headers: {}, rawHeaders: [] })
+        sink.onData(peerCalls.encodeAnswer({ type: 'reserved' }))
+        sink.onComplete({ framing: 'length', connection: 'open', bodyBytes: 1 })
+      })
+    }
     if (answer === 'refused') timers.after(1, () => { sink.onFailed({ verdict: 'notRun', cause: 'refused', reused: false, detail: '' }) })
     return { cancel () {}, discard () {}, pause () {}, resume () {} }
   }
-  const ports = { sender: { send, close () {} }, timers, decisions: decisionLog.createSilentDecisionLog() } as unknown as serveUnretained.UnretainedPorts
-  const outcome = serveUnretained.reserveTokens(ports, { type: 'peer', address: 'peer:1' }, call)
-  await timers.advanceAsync(1_000)
+  const ports = {
+    sender: { send, close () {} },
+    timers,
+    decisions: decisionLog.createSilentDecisionLog(),
+    peerProbe: { isAlive: async () => answer === 'late' },
+    failureDetector: { suspect: () => {} }
+  } as unknown as serveUnretained.UnretainedPorts
+  const outcome = serveUnretained.reserveTokens(ports, { type: 'peer', owner: { address: 'peer:1', isOwner: () => true, answerTimeoutMs } }, call)
+  await timers.advanceAsync(2_000)
   return { outcome: await outcome, calls }
 }
 
@@ -41,3 +56,16 @@
   t.same(outcome, { type: 'none', ended: true })
   t.match(calls.map(({ type }) => type), ['reserve'])
 })
+
+// Guards against turns refused again and again by an owner that is alive and too busy to reserve their tokens at once.
+tap.test('an owner that is alive and answers a reservation late is waited for', async (t) => {
+  const { outcome, calls } = await collectPeerCalls('late', 900)
+  t.same(outcome, { type: 'answer', answer: { type: 'reserved' } })
+  t.equal(calls.length, 1)
+})
+
+tap.test('a reservation that an owner has not answered within its lease is released', async (t) => {
+  const { outcome, calls } = await collectPeerCalls('late', 5_000)
+  t.same(outcome, { type: 'late' })
+  t.match(calls.map(({ type }) => type), ['reserve', 'release'])
+})
--- a/packages/programs/front/src/serve-unretained.ts
+++ b/packages/programs/front/src/serve-unretained.ts
@@ -7,19 +7,27 @@
 import type * as dialects from './dialect.js'
 import type * as dispatch from './dispatch.js'
 import type * as inbound from './inbound.js'
+import * as lateOwner from './late-owner.js'
 import * as peerCalls from './peer-calls.js'
 import * as reserveTurn from './reserve-turn.js'
 
 /** Dependencies for running such turns. */
-export interface UnretainedPorts extends dispatch.DispatchPorts, reserveTurn.ReservePorts {}
+export interface UnretainedPorts extends dispatch.DispatchPorts, reserveTurn.ReservePorts, lateOwner.LateOwnerPorts {}
 
-/** The owner that reserves the tokens of a turn: this process or a peer, by its address IP:PORT. */
+/** The owner that reserves the tokens of a turn: this process or a peer. */
 export type ReservationOwner =
   | { readonly type: 'here', readonly shard: ownShards.OwnedShard }
-  | { readonly type: 'peer', readonly address: string }
+  | { readonly type: 'peer', readonly owner: lateOwner.OwnerTarget }
 
-/** Timeouts for a peer's answer, in ms. A reservation may need one call to the store. */
-const reserveTimeoutMs = 300
+/** Outcome of reserving tokens. */
+export type ReserveOutcome =
+  | peerCalls.CallOutcome<peerCalls.ReserveAnswer>
+  /** The shard has another owner now. */
+  | { readonly type: 'moved' }
+  /** The owner is alive and has not answered in time. */
+  | { readonly type: 'late' }
+
+/** Timeout for a peer's answer to a release, in ms. */
 const releaseTimeoutMs = 400
 
 /** Creates the reservation call for a turn. */
@@ -41,14 +49,30 @@
  * Reserves tokens at the owner of the program. Don't retry the same turn at a peer that did not answer: the release of
  * the first reservation could undo the second.
  */
-export async function reserveTokens (ports: UnretainedPorts, owner: ReservationOwner, call: peerCalls.ReserveCall): Promise<peerCalls.CallOutcome<peerCalls.ReserveAnswer>> {
-  if (owner.type === 'here') return { type: 'answer', answer: await reserveTurn.reserveLocally(ports, owner.shard, call) }
-  const outcome = await peerCalls.tryCallPeer<peerCalls.ReserveAnswer>(ports, owner.address, call, reserveTimeoutMs)
+export async function reserveTokens (ports: UnretainedPorts, holder: ReservationOwner, call: peerCalls.ReserveCall): Promise<ReserveOutcome> {
+  if (holder.type === 'here') return { type: 'answer', answer: await reserveTurn.reserveLocally(ports, holder.shard, call) }
+  const outcome = await callOwner(ports, holder.owner, call)
   // If only the answer was lost, the tokens are reserved but will not be used; release them for other turns of the program.
-  if (outcome.type === 'none' && !outcome.ended) releaseReservation(ports, owner, { ...call, type: 'release', tokens: 0 })
+  if (outcome.type !== 'answer' && !(outcome.type === 'none' && outcome.ended)) releaseReservation(ports, holder, { ...call, type: 'release', tokens: 0 })
   return outcome
 }
 
+/** Waits for an owner that is late while it is alive and owns the shard. */
+function callOwner (ports: UnretainedPorts, owner: lateOwner.OwnerTarget, call: peerCalls.ReserveCall): Promise<ReserveOutcome> {
+  const { timers } = ports
+  const startedAt = timers.monotonic()
+  return new Promise((resolve, reject) => {
+    const watch = lateOwner.watchOwner(ports, call.request.turn, owner, (reason) => {
+      resolve(reason === 'moved' ? { type: 'moved' } : { type: 'none', ended: false })
+    })
+    peerCalls.tryCallPeer<peerCalls.ReserveAnswer>(ports, owner.address, call, owner.answerTimeoutMs).then((outcome) => {
+      watch.cancel()
+      const hasTimedOut = outcome.type === 'none' && !outcome.ended && timers.monotonic() - startedAt >= owner.answerTimeoutMs
+      resolve(hasTimedOut ? { type: 'late' } : outcome)
+    }, reject)
+  })
+}
+
 /** Runs the turn and reports its actual token count to the owner. If the report is lost, the turn counts with its maximum. */
 export function runReservedTurn (ports: UnretainedPorts, req: inbound.InboundRequest, turn: dialects.TurnFields, owner: ReservationOwner, call: peerCalls.ReserveCall, holder: types.UpstreamId | undefined): void {
   let upstream: types.UpstreamId | undefined
@@ -75,5 +99,5 @@
 /** Releases a reservation, except for the tokens that the call reports as used. */
 export function releaseReservation (ports: UnretainedPorts, owner: ReservationOwner, call: peerCalls.ReleaseCall): void {
   if (owner.type === 'here') reserveTurn.releaseLocally(ports, owner.shard, call)
-  else void peerCalls.callPeer(ports, owner.address, call, releaseTimeoutMs)
+  else void peerCalls.callPeer(ports, owner.owner.address, call, releaseTimeoutMs)
 }
--- a/packages/state/own-shards/src/owned-shard.ts
+++ b/packages/state/own-shards/src/owned-shard.ts
@@ -33,6 +33,9 @@
   readonly ledger = new turnLedger.TurnLedger()
   private readonly writer: shardWriter.ShardWriter
   private currentState: ShardState = 'opening'
+  private settleOpening = (): void => {}
+  /** Resolves when the shard is no longer being opened: it serves, or it never will. */
+  readonly opened = new Promise<void>((resolve) => { this.settleOpening = resolve })
   /** The write that activates the allowance of programs without a record was sent and may be stored. */
   private hasSentAllowance = false
 
@@ -59,7 +62,7 @@
     this.hasSentAllowance = true
     const activation = await this.commit(this.ledger.activateAllowance(this.ports.timers.now() as types.EpochMs))
     if (this.currentState !== 'opening' || activation.type === 'lost') return
-    this.currentState = 'serving'
+    this.setState('serving')
     const tookMs = Math.round(this.ports.timers.monotonic() - startedAtMs)
     this.ports.decisions.record({ event: 'shardOpened', partition: this.partition, epoch: this.epoch, records: recordCount, tookMs })
   }
@@ -85,7 +88,7 @@
   }
 
   refuseNewTurns (): void {
-    if (this.currentState !== 'lost') this.currentState = 'closing'
+    if (this.currentState !== 'lost') this.setState('closing')
   }
 
   /**
@@ -101,7 +104,7 @@
 
   /** Stops owning the shard at once, without a handover. */
   close (): void {
-    this.currentState = 'lost'
+    this.setState('lost')
     this.writer.close()
   }
 
@@ -112,9 +115,14 @@
     if (writes.length > 0) void this.commit(writes)
   }
 
+  private setState (state: Exclude<ShardState, 'opening'>): void {
+    this.currentState = state
+    this.settleOpening()
+  }
+
   private handleLost (reason: string): void {
     if (this.currentState === 'lost') return
-    this.currentState = 'lost'
+    this.setState('lost')
     this.ports.onLost(this, reason)
   }
 
