find-chain: an owner that is late is waited for

What callers saw: a turn that continues from one of another program is refused again and again while the owner of that one is late. Change: owners that are late are waited for, for a lease; the others are asked again meanwhile, as shards may have moved.

--- a/packages/programs/front/src/find-chain.ts
+++ b/packages/programs/front/src/find-chain.ts
@@ -1,6 +1,7 @@
 /** Finds a turn in any shard: a program may continue from a turn of another program, whose shard may have another owner. */
 import type * as ownShards from '@eelgrasswind/own-shards'
 import * as shardLog from '@eelgrasswind/shard-log'
+import * as timerService from '@eelgrasswind/timer-service'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
 import * as memberName from './member-name.js'
@@ -25,31 +26,68 @@
   /** The owners of some shards could not be reached; `asked` counts the shards with a confirmed answer. */
   | { readonly type: 'unsure', readonly asked: number }
 
-/** Timeout for a peer's answer, in ms; the peer makes one call to the store. */
-const peerTimeoutMs = 250
+/** Owners that have not answered after this time, in ms, are late; the others are asked again meanwhile, as shards may have moved. */
+const lateAfterMs = 250
 
-/** Queries all owners, and once more after refreshing the owner table if some shards gave no answer: they may have new owners. */
-export async function findChainAtOwners (ports: FindChainPorts, query: ChainQuery): Promise<FindChainResult> {
-  const found = await askOwners(ports, query)
-  if (found.type !== 'unsure') return found
-  await ports.shards.refreshOwners()
-  return askOwners(ports, query)
+/** Queries all owners, and once more after refreshing the owner table if some shards gave no answer. An owner that is late is waited for, for a lease. */
+export function findChainAtOwners (ports: FindChainPorts, query: ChainQuery): Promise<FindChainResult> {
+  return new Promise((resolve, reject) => { new ChainSearch(ports, query, resolve).run().catch(reject) })
 }
 
-async function askOwners (ports: FindChainPorts, query: ChainQuery): Promise<FindChainResult> {
-  const { shards } = ports
-  const otherMembers = shards.listMembers().filter((member) => !shards.isSelf(member))
-  const pendingAnswers = otherMembers.map((member) => peerCalls.callPeer<peerCalls.FindChainAnswer>(ports, memberName.parsePeerAddress(member), { type: 'findChain', ...query }, peerTimeoutMs))
-  pendingAnswers.push(findChainLocally(shards, query))
-  return new Promise((resolve, reject) => {
-    for (const pending of pendingAnswers) pending.then((answer) => { if (answer?.type === 'found') resolve(answer) }, reject)
-    Promise.all(pendingAnswers).then((answers) => { resolve(summarizeAbsence(shards, answers)) }, reject)
-  })
+/** The longest time that a search takes, in ms. */
+export function getSearchTimeoutMs (shards: ownShards.ShardOwner): number {
+  return lateAfterMs + shards.leaseMs
 }
 
-function summarizeAbsence (shards: ownShards.ShardOwner, answers: readonly (peerCalls.FindChainAnswer | undefined)[]): FindChainResult {
-  const confirmed = new Set(answers.flatMap((answer) => answer?.type === 'absent' ? answer.partitions : []))
-  return confirmed.size >= shards.shardCount ? { type: 'absent' } : { type: 'unsure', asked: confirmed.size }
+/** One search; its turn was stored before, so that what an owner has confirmed stays true. */
+class ChainSearch {
+  private readonly confirmed = new Set<shardLog.PartitionName>()
+  private readonly pending = new Map<string, Promise<void>>()
+
+  constructor (private readonly ports: FindChainPorts, private readonly query: ChainQuery, private readonly resolve: (result: FindChainResult) => void) {}
+
+  async run (): Promise<void> {
+    const { shards, timers } = this.ports
+    this.askOwners()
+    await timerService.withTimeout(timers, this.awaitAnswers(), lateAfterMs)
+    if (!this.isComplete()) {
+      await shards.refreshOwners()
+      this.askOwners()
+      await this.awaitAnswers()
+    }
+    this.resolve(this.isComplete() ? { type: 'absent' } : { type: 'unsure', asked: this.confirmed.size })
+  }
+
+  /** Asks every owner whose answer is not awaited already. */
+  private askOwners (): void {
+    const { shards } = this.ports
+    const others = shards.listMembers().filter((member) => !shards.isSelf(member))
+    for (const member of others) this.ask(member, () => this.callOwner(member))
+    this.ask('self', () => findChainLocally(shards, this.query))
+  }
+
+  private callOwner (member: string): Promise<peerCalls.FindChainAnswer | undefined> {
+    return peerCalls.callPeer(this.ports, memberName.parsePeerAddress(member), { type: 'findChain', ...this.query }, this.ports.shards.leaseMs)
+  }
+
+  private ask (member: string, call: () => Promise<peerCalls.FindChainAnswer | undefined>): void {
+    if (this.pending.has(member)) return
+    const noted = call().then((result) => {
+      this.pending.delete(member)
+      if (result?.type === 'found') this.resolve(result)
+      if (result?.type === 'absent') for (const partition of result.partitions) this.confirmed.add(partition)
+    })
+    this.pending.set(member, noted)
+  }
+
+  /** Resolves once all owners have answered or all shards are confirmed. */
+  private async awaitAnswers (): Promise<void> {
+    while (this.pending.size > 0 && !this.isComplete()) await Promise.race(this.pending.values())
+  }
+
+  private isComplete (): boolean {
+    return this.confirmed.size >= this.ports.shards.shardCount
+  }
 }
 
 /** Searches the shards of this process. */
--- a/packages/programs/front/src/serve-turn.ts
+++ b/packages/programs/front/src/serve-turn.ts
@@ -27,7 +27,7 @@
 /** Retry-after during a change of the shard's owner, in ms: about the time in which a lease expires or a handover completes. */
 export const shardRetryMs = 400
 
-/** Timeout for the store and the other owners to confirm a refusal, in ms. */
+/** Timeout for the store to confirm a refusal, in ms. */
 const confirmTimeoutMs = 500
 
 /** Serves one turn on a shard that this process owns and that is in state `serving`. */
@@ -74,7 +74,7 @@
 /** Handles a previous turn that this shard doesn't have: copies its chain from another program's shard, or refuses the turn. */
 async function continueFromOtherShard (ports: TurnPorts, req: inbound.InboundRequest, turn: dialects.TurnFields, request: turnLedger.TurnRequest, shard: ownShards.OwnedShard): Promise<void> {
   const previous = request.previous
-  const found = previous === undefined ? undefined : await timerService.withTimeout(ports.timers, findChain.findChainAtOwners(ports, { turn: previous, account: request.account }), confirmTimeoutMs)
+  const found = previous === undefined ? undefined : await timerService.withTimeout(ports.timers, findChain.findChainAtOwners(ports, { turn: previous, account: request.account }), findChain.getSearchTimeoutMs(ports.shards))
   if (found?.type === 'found' && shard.state === 'serving') {
     const admission = shard.ledger.admitTurn(request, ports.timers.now() as types.EpochMs, found.chain)
     if (admission.type === 'admitted') {
