forward-turn: an owner whose host accepts connections is not given up

What callers saw: answers cut off. A small host whose processor quota is used up takes longer. Change: `examine` tells a busy peer from one that can't be reached; only the latter is given up, everything else waits for the deadline of the turn.

--- a/packages/programs/front/src/forward-turn.test.ts
+++ b/packages/programs/front/src/forward-turn.test.ts
@@ -114,6 +114,18 @@
   t.same([replyEvents, suspected], [['head 200', 'end'], ['peer:1']])
 })
 
+// Guards against answers that were cut off because their owner, which was alive, was too busy to answer any ping for a lease.
+tap.test('an owner that answers no ping for longer than a lease is waited for while its host accepts connections', async (t) => {
+  const { timers, outcome, replyEvents, isCancelled } = fixture(true, (sink, fakeTimers) => {
+    fakeTimers.after(100, () => { sink.onHead({ status: 200, headers: {}, rawHeaders: [] }) })
+    fakeTimers.after(3_000, () => { sink.onComplete({ framing: 'chunked', connection: 'open', bodyBytes: 0 }) })
+  }, 10_000)
+  await timers.advanceAsync(3_100)
+  t.same(await outcome, { type: 'answered' })
+  t.same(replyEvents, ['head 200', 'end'])
+  t.notOk(isCancelled())
+})
+
 tap.test('a turn has not run at an owner that is alive and has not accepted it within its lease', async (t) => {
   const { timers, outcome, replyEvents } = fixture(true, () => {}, 0, 5_000)
   await timers.advanceAsync(1_200)
--- a/packages/programs/front/src/forward-turn.ts
+++ b/packages/programs/front/src/forward-turn.ts
@@ -24,8 +24,8 @@
 const connectTimeoutMs = 200
 /**
  * The owner is probed if nothing has arrived from it for this long, in ms. A host that has lost power closes no
- * connection: without the probe, each turn there waits for its full timeout, and so does its client. An owner that is
- * busy, or waits for the store, is waited for.
+ * connection: without the probe, each turn there waits for its full timeout, and so does its client. An owner whose
+ * host accepts connections is waited for, however late it is: giving it up would cut off an answer that it may complete.
  */
 const silenceThresholdMs = 400
 
@@ -132,7 +132,7 @@
   private async checkOwner (): Promise<void> {
     const { peerProbe: probe, timers } = this.ports
     const silentSince = this.lastReceivedAt
-    if (timers.monotonic() - silentSince < silenceThresholdMs || await probe.isAlive(this.owner.address)) return
+    if (timers.monotonic() - silentSince < silenceThresholdMs || await probe.examine(this.owner.address) !== 'unreachable') return
     if (this.isFinished || this.lastReceivedAt !== silentSince) return
     this.exchange?.cancel()
     this.loseAnswer({ cause: 'cancelled', detail: 'the owner of the program no longer responds' })
--- a/packages/programs/front/src/late-owner.ts
+++ b/packages/programs/front/src/late-owner.ts
@@ -8,7 +8,7 @@
 export interface LateOwnerPorts {
   readonly timers: timerService.TimerService
   readonly decisions: decisionLog.DecisionLog
-  readonly peerProbe: Pick<peerProbe.PeerProbe, 'isAlive'>
+  readonly peerProbe: Pick<peerProbe.PeerProbe, 'examine'>
   readonly failureDetector: Pick<peerFailureDetector.PeerFailureDetector, 'suspect'>
 }
 
@@ -49,7 +49,7 @@
     decisions.record({ event: 'ownerLate', request, peer: address })
     failureDetector.suspect(address)
     poll = timers.every(ownerPollMs, () => { if (!isOwner()) giveUp('moved') })
-    if (!await probe.isAlive(address)) giveUp('unreachable')
+    if (await probe.examine(address) === 'unreachable') giveUp('unreachable')
   }
   const lateTimer = timers.after(lateAfterMs, () => { void onLate() })
   return { cancel: stop }
--- a/packages/programs/front/src/peer-probe.ts
+++ b/packages/programs/front/src/peer-probe.ts
@@ -9,7 +9,7 @@
   readonly ping: (address: string, timeoutMs: number) => Promise<boolean>
   /** Opens a connection to a peer. Its host accepts it whether or not the process is busy. */
   readonly connect: (address: string) => Promise<sendHttp.ConnectionProbe>
-  /** A process whose host accepts connections counts as suspended once it has not answered for this long, in ms: by then its lease has expired. */
+  /** How long a process whose host accepts connections may take to answer, in ms. */
   readonly leaseMs: number
   readonly timers: timerService.TimerService
   readonly decisions: decisionLog.DecisionLog
@@ -18,27 +18,27 @@
 /** Time for the first answer, in ms; after it the host is asked for a connection as well. */
 export const firstAnswerMs = 50
 
+/** What a probe found. `busy`: the host accepts connections, and the process has answered nothing for the duration of a lease. */
+export type PeerState = 'alive' | 'busy' | 'unreachable'
+
 /** Requests that wait for the same peer share one probe. */
 export class PeerProbe {
-  private readonly pendingProbes = new Map<string, Promise<boolean>>()
+  private readonly pendingProbes = new Map<string, Promise<PeerState>>()
 
   constructor (private readonly ports: PeerProbePorts) {}
 
-  /**
-   * Whether the peer is alive. It is not if its host refuses or does not accept connections, or if it answers nothing for
-   * the duration of a lease; a process that is merely busy answers late.
-   */
-  async isAlive (address: string): Promise<boolean> {
+  /** Examines a peer. Only a host that refuses connections, or accepts none, shows that its process has ended. */
+  async examine (address: string): Promise<PeerState> {
     const pendingProbe = this.pendingProbes.get(address)
     if (pendingProbe !== undefined) return pendingProbe
-    const answer = this.probe(address)
-    this.pendingProbes.set(address, answer)
-    const isAlive = await answer
+    const probe = this.probe(address)
+    this.pendingProbes.set(address, probe)
+    const state = await probe
     this.pendingProbes.delete(address)
-    return isAlive
+    return state
   }
 
-  private async probe (address: string): Promise<boolean> {
+  private async probe (address: string): Promise<PeerState> {
     const { timers, ping, leaseMs } = this.ports
     const startedAt = timers.monotonic()
     let hasAnswered = false
@@ -46,15 +46,15 @@
       hasAnswered = isAnswered
       return isAnswered
     })
-    if (await timerService.withTimeout(timers, firstPing, firstAnswerMs) === true) return true
+    if (await timerService.withTimeout(timers, firstPing, firstAnswerMs) === true) return 'alive'
     const connection = await this.connectTwice(address)
-    if (hasAnswered) return true
+    if (hasAnswered) return 'alive'
     const pingedMs = timers.monotonic() - startedAt
     this.ports.decisions.record({ event: 'peerUnanswered', peer: address, connection, pingedMs: Math.round(pingedMs) })
-    if (connection !== 'accepted') return false
+    if (connection !== 'accepted') return 'unreachable'
     // On another connection, as that of the first ping may have gone silent.
     const secondPing = ping(address, Math.max(firstAnswerMs, leaseMs - pingedMs))
-    return isAnyTrue([firstPing, secondPing])
+    return await isAnyTrue([firstPing, secondPing]) ? 'alive' : 'busy'
   }
 
   /** Tries a second time before the host counts as unreachable, since one packet may be lost. */
