A late owner that can be reached is waited for until the deadline; connections to peers are kept

Giving a turn up after a lease destroys its connection and sends it to the end of the queue. Change: a turn, a reservation or a settled turn waits for an owner that can be reached until its deadline, or until the shard moves; the owners are read again every 300 ms meanwhile. Connections to peers are kept for 10 s, not 3.5 s. A kept connection that is reset before the turn is confirmed is not taken for a silent owner. A caller that has left reserves nothing.

--- a/packages/programs/front/src/forward-turn.test.ts
+++ b/packages/programs/front/src/forward-turn.test.ts
@@ -33,7 +33,7 @@
   }
   const req = { attempt: { id: 'r1' }, method: 'POST', path: '/', rawHeaders: [], body: Buffer.alloc(0), deadlineAt: timers.monotonic() + 4_000, reply } as unknown as inbound.InboundRequest
   const ports = {
-    sender: { send, close: () => {} },
+    peerSender: { send, close: () => {} },
     dialect: { peerHeaders: () => [], answerHeaders: () => [], answerFacts: () => ({ requestId: 'r', signed: true, notRun: false, wrongIncarnation: false }) } as unknown as dialects.Dialect,
     timers,
     decisions: decisionLog.createSilentDecisionLog(),
@@ -53,7 +53,7 @@
       decisions: decisionLog.createSilentDecisionLog()
     })
   } as unknown as forwardTurn.ForwardPorts
-  const outcome = forwardTurn.forwardTurn(ports, req, { address: 'peer:1', isOwner: () => isOwner, answerTimeoutMs: 1_100 })
+  const outcome = forwardTurn.forwardTurn(ports, req, { address: 'peer:1', isOwner: () => isOwner, refreshOwners: () => {}, answerTimeoutMs: 1_100 })
   return { timers, outcome, replyEvents, isProbed: () => isProbed, pingCount: () => pingCount, isCancelled: () => isCancelled, moveShard: () => { isOwner = false } }
 }
 
@@ -150,3 +150,13 @@
   t.match(await outcome, { type: 'unreachable', ended: false })
   t.ok(isCancelled())
 })
+
+// Guards against an owner that counts as silent because it, or one before it at its address, had closed an idle connection.
+tap.test('a turn whose idle connection was closed has not run, and its owner is not given up', async (t) => {
+  const { timers, outcome, replyEvents } = fixture(true, (sink, fakeTimers) => {
+    fakeTimers.after(1, () => { sink.onFailed({ verdict: 'notRun', cause: 'reset', detail: '', reused: true }) })
+  }, 0, 500)
+  await timers.advanceAsync(10)
+  t.same(await outcome, { type: 'connectionLost' })
+  t.same(replyEvents, [])
+})
--- a/packages/programs/front/src/forward-turn.ts
+++ b/packages/programs/front/src/forward-turn.ts
@@ -5,6 +5,7 @@
 import * as forwardHeader from './forward-header.js'
 import type * as inbound from './inbound.js'
 import * as lateOwner from './late-owner.js'
+import type * as peerCalls from './peer-calls.js'
 import type * as peerProbe from './peer-probe.js'
 
 /** Outcome of forwarding a turn. */
@@ -15,6 +16,8 @@
   | { readonly type: 'notOwner' }
   /** The shard has another owner now; the turn has not run. */
   | { readonly type: 'moved' }
+  /** A connection that had been idle was closed under the turn, which has not run; the owner may be alive. */
+  | { readonly type: 'connectionLost' }
   /** The owner is alive and has not accepted the turn in time; the turn has not run. */
   | { readonly type: 'late' }
   /** No connection, or a process that does not respond; the turn has not run. `ended`: the host refused the connection, so the process has ended. */
@@ -30,8 +33,8 @@
 const silenceThresholdMs = 400
 
 /** Dependencies of `forwardTurn`. */
-export interface ForwardPorts extends dispatch.DispatchPorts {
-  readonly peerProbe: peerProbe.PeerProbe
+export interface ForwardPorts extends dispatch.DispatchPorts, Pick<peerCalls.PeerCallPorts, 'peerSender'> {
+  readonly peerProbe: Pick<peerProbe.PeerProbe, 'isReachable'>
 }
 
 /** Resolves when the request is over, or when it is certain that the turn has not run: without `100 Continue` its body was not sent. */
@@ -61,12 +64,12 @@
 
   start (): void {
     const { ports, req, owner } = this
-    const { dialect, sender, timers } = ports
+    const { dialect, peerSender, timers } = ports
     const remainingMs = Math.floor(req.deadlineAt - timers.monotonic())
     this.deadlineTimer = timers.after(remainingMs, () => { this.onDeadline() })
     this.ownerWatch = lateOwner.watchOwner(ports, req.attempt.id, owner, (reason) => { this.giveUpOwner(reason) })
     req.reply.onGone(() => { this.cancel({ type: 'answered' }) })
-    this.exchange = sender.send({
+    this.exchange = peerSender.send({
       address: owner.address,
       method: req.method,
       path: req.path,
@@ -121,6 +124,7 @@
   private onFailed (failure: sendHttp.SendFailure): void {
     if (failure.verdict !== 'notRun') this.loseAnswer(failure)
     else if (failure.cause === 'unconfirmed') this.finish({ type: 'late' })
+    else if (failure.cause === 'reset' && failure.reused) this.finish({ type: 'connectionLost' })
     else this.finish({ type: 'unreachable', detail: failure.detail, ended: failure.cause === 'refused' })
   }
 
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -82,12 +82,18 @@
 const announceTimeoutMs = 500
 /** Timeout for opening a connection to watch an upstream, in ms: as for a request. */
 const idleConnectionTimeoutMs = 250
+/**
+ * Idle outgoing connections to peers are closed after this time, in ms. Two processes forward a turn to each other every
+ * few seconds, and a busy process accepts only one new connection in each round of its event loop.
+ */
+const peerIdleConnectionMs = 10_000
 /** Idle timeout of connections between front processes on the called side, in ms: longer than on the calling side. */
-const peerKeepAliveMs = 10 * idleConnectionMs
+const peerKeepAliveMs = 3 * peerIdleConnectionMs
 
 /** One front process, from start to exit. */
 export class Front {
   private readonly sender: sendHttp.PooledSender
+  private readonly peerSender: sendHttp.PooledSender
   private readonly inFlightRequests: inFlightRequests.InFlightRequests
   private readonly peerCallPorts: peerCalls.PeerCallPorts
   private readonly shards: ownShards.ShardOwner
@@ -105,9 +111,11 @@
 
   constructor (private readonly cfg: settings.FrontSettings, private readonly ports: FrontPorts) {
     const { documents } = ports
-    this.sender = sendHttp.createSender({ idleTimeoutMs: idleConnectionMs, shortIdleTimeoutMs: freshConnectionMs, onSinkError: (err) => { ports.decisions.record({ event: 'unexpected', err }) } })
+    const onSinkError = (err: unknown): void => { ports.decisions.record({ event: 'unexpected', err }) }
+    this.sender = sendHttp.createSender({ idleTimeoutMs: idleConnectionMs, shortIdleTimeoutMs: freshConnectionMs, onSinkError })
+    this.peerSender = sendHttp.createSender({ idleTimeoutMs: peerIdleConnectionMs, shortIdleTimeoutMs: peerIdleConnectionMs, onSinkError })
     this.inFlightRequests = new inFlightRequests.InFlightRequests(ports)
-    this.peerCallPorts = { sender: this.sender, timers: ports.timers, decisions: ports.decisions }
+    this.peerCallPorts = { peerSender: this.peerSender, timers: ports.timers, decisions: ports.decisions }
     const log = this.createRelayedLog()
     this.shards = this.createShards(log)
     this.failureDetector = this.createFailureDetector()
@@ -244,6 +252,7 @@
     this.crashes.close()
     closeServers([this.clientServer.server, this.peerServer, this.readyServer])
     this.sender.close()
+    this.peerSender.close()
   }
 
   private createRelayedLog (): shardLog.ShardLog {
@@ -288,6 +297,7 @@
     const { upstreams } = this
     return {
       ...this.peerCallPorts,
+      sender: this.sender,
       dialect: this.ports.dialect,
       shards: this.shards,
       failureDetector: this.failureDetector,
--- a/packages/programs/front/src/late-owner.ts
+++ b/packages/programs/front/src/late-owner.ts
@@ -16,7 +16,9 @@
   readonly address: string
   /** Whether it still owns the shard, as far as this process knows. */
   readonly isOwner: () => boolean
-  /** How long an owner that is alive may take to answer, in ms. */
+  /** Reads the owners again, unless that was done just now. */
+  readonly refreshOwners: () => void
+  /** How long an owner that can be reached may take to answer, in ms: giving it up would move the request to the end of its queue. */
   readonly answerTimeoutMs: number
 }
 
@@ -27,16 +29,20 @@
 export const lateAfterMs = 250
 /** Poll interval for another owner of the shard while the owner is late, in ms. */
 const ownerPollMs = 25
+/** Interval at which the owners are read again meanwhile, in ms: a suspended owner loses the shard when its lease expires. */
+const refreshIntervalMs = 300
 
 /** Calls `onGiveUp` once if the owner need not be waited for, unless the watch is cancelled before. */
-export function watchOwner (ports: LateOwnerPorts, request: string, { address, isOwner }: OwnerTarget, onGiveUp: (reason: GiveUpReason) => void): timerService.Subscription {
+export function watchOwner (ports: LateOwnerPorts, request: string, { address, isOwner, refreshOwners }: OwnerTarget, onGiveUp: (reason: GiveUpReason) => void): timerService.Subscription {
   const { timers, decisions, peerProbe: probe } = ports
   let isOver = false
   let poll: timerService.Subscription | undefined
+  let refresh: timerService.Subscription | undefined
   const stop = (): void => {
     isOver = true
     lateTimer.cancel()
     poll?.cancel()
+    refresh?.cancel()
   }
   const giveUp = (reason: GiveUpReason): void => {
     if (isOver) return
@@ -46,6 +52,7 @@
   const onLate = async (): Promise<void> => {
     decisions.record({ event: 'ownerLate', request, peer: address })
     poll = timers.every(ownerPollMs, () => { if (!isOwner()) giveUp('moved') })
+    refresh = timers.every(refreshIntervalMs, refreshOwners)
     if (!await probe.isReachable(address)) giveUp('unreachable')
   }
   const lateTimer = timers.after(lateAfterMs, () => { void onLate() })
--- a/packages/programs/front/src/peer-calls.ts
+++ b/packages/programs/front/src/peer-calls.ts
@@ -125,7 +125,8 @@
 
 /** Dependencies of peer calls. */
 export interface PeerCallPorts {
-  readonly sender: sendHttp.Sender
+  /** Sends to peers; its connections stay open longer than those to upstreams. */
+  readonly peerSender: sendHttp.Sender
   readonly timers: timerService.TimerService
   readonly decisions: decisionLog.DecisionLog
 }
@@ -145,7 +146,7 @@
 /** Calls a peer and, if there is no answer within the timeout, in ms, reports whether its process has ended. */
 export async function tryCallPeer<Answer> (ports: PeerCallPorts, address: string, call: PeerCall, timeoutMs: number): Promise<CallOutcome<Answer>> {
   const body = encodeMessage(call)
-  const outcome = await sendHttp.sendBuffered(ports.sender, ports.timers, {
+  const outcome = await sendHttp.sendBuffered(ports.peerSender, ports.timers, {
     address,
     method: 'PUT',
     path: peerCallPath,
--- a/packages/programs/front/src/peer-listener.ts
+++ b/packages/programs/front/src/peer-listener.ts
@@ -112,7 +112,7 @@
       reply.refuse({ type: 'bodyTooLarge', limitBytes: peerCalls.maxCallBytes }, ['Connection', 'close'])
       return
     }
-    answerCall(ports, body).then(
+    answerCall(ports, body, () => reply.over).then(
       (answer) => { reply.send(200, [], peerCalls.encodeAnswer(answer)) },
       (err: unknown) => {
         ports.decisions.record({ event: 'peerCallFailed', err })
@@ -122,7 +122,8 @@
   })
 }
 
-async function answerCall (ports: PeerListenerPorts, body: Buffer): Promise<peerCalls.PeerAnswer> {
+/** `hasLeft`: whether the caller waits for the answer no longer. */
+async function answerCall (ports: PeerListenerPorts, body: Buffer, hasLeft: () => boolean): Promise<peerCalls.PeerAnswer> {
   const call = peerCalls.decodeCall(body)
   switch (call.type) {
     case 'store': return shardLogs.runStoreCall(ports.directLog, call.call)
@@ -133,7 +134,7 @@
       return { type: 'heard' }
     case 'reserve': {
       const shard = await routeTurn.awaitServingShard(ports, call.request.program)
-      return shard === undefined ? { type: 'notOwner' } : reserveTurn.reserveLocally(ports, shard, call)
+      return shard === undefined || hasLeft() ? { type: 'notOwner' } : reserveTurn.reserveLocally(ports, shard, call)
     }
     case 'release': {
       // Takes effect behind its reservation, which may still wait for the shard.
--- a/packages/programs/front/src/route-turn.ts
+++ b/packages/programs/front/src/route-turn.ts
@@ -141,7 +141,12 @@
     return { type: shards.hasRecentlyEvicted(member) ? 'again' : 'later', reason: 'the owner did not answer just now' }
   }
   const address = memberName.parsePeerAddress(member)
-  const owner: lateOwner.OwnerTarget = { address, isOwner: () => isMember(shards.locate(partition), member), answerTimeoutMs: shards.leaseMs }
+  const owner: lateOwner.OwnerTarget = {
+    address,
+    isOwner: () => isMember(shards.locate(partition), member),
+    refreshOwners: () => { void shards.refreshOwners() },
+    answerTimeoutMs: Math.max(0, req.deadlineAt - timers.monotonic())
+  }
   const step = isRetained(req) ? await forwardToOwner(ports, req, turn, member, owner) : await tryUnretained(ports, req, turn, { type: 'peer', owner })
   if (step.type !== 'unresponsive') return step
   suspects.add(member, timers.monotonic())
@@ -172,7 +177,8 @@
   switch (outcome.type) {
     case 'answered': return { type: 'done' }
     case 'notOwner':
-    case 'moved': return { type: 'again', reason: outcome.type }
+    case 'moved':
+    case 'connectionLost': return { type: 'again', reason: outcome.type }
     case 'late': return { type: 'later', reason: 'the owner has not accepted the turn in time' }
     case 'unreachable': return { type: 'unresponsive', ended: outcome.ended }
   }
--- a/packages/programs/front/src/serve-turn.ts
+++ b/packages/programs/front/src/serve-turn.ts
@@ -11,13 +11,15 @@
 import type * as dialects from './dialect.js'
 import * as findChain from './find-chain.js'
 import type * as inbound from './inbound.js'
+import type * as lateOwner from './late-owner.js'
+import type * as peerCalls from './peer-calls.js'
 import type * as programAdmission from './program-admission.js'
 import type * as promptLocations from './prompt-locations.js'
 import * as settleTurn from './settle-turn.js'
 import * as storeOutage from './store-outage.js'
 
 /** Dependencies for serving turns as the owner of their programs. */
-export interface TurnPorts extends dispatch.DispatchPorts {
+export interface TurnPorts extends dispatch.DispatchPorts, peerCalls.PeerCallPorts, lateOwner.LateOwnerPorts {
   readonly shards: ownShards.ShardOwner
   readonly promptLocations: promptLocations.PromptLocations
   readonly deferredTurns: storeOutage.DeferredTurns
--- a/packages/programs/front/src/serve-unretained.test.ts
+++ b/packages/programs/front/src/serve-unretained.test.ts
@@ -34,12 +34,12 @@
     return { cancel () {}, discard () {}, pause () {}, resume () {} }
   }
   const ports = {
-    sender: { send, close () {} },
+    peerSender: { send, close () {} },
     timers,
     decisions: decisionLog.createSilentDecisionLog(),
     peerProbe: { isReachable: async () => answer === 'late' }
   } as unknown as serveUnretained.UnretainedPorts
-  const outcome = serveUnretained.reserveTokens(ports, { type: 'peer', owner: { address: 'peer:1', isOwner: () => true, answerTimeoutMs } }, call)
+  const outcome = serveUnretained.reserveTokens(ports, { type: 'peer', owner: { address: 'peer:1', isOwner: () => true, refreshOwners: () => {}, answerTimeoutMs } }, call)
   await timers.advanceAsync(2_000)
   return { outcome: await outcome, calls }
 }
@@ -73,7 +73,7 @@
 tap.test('a reservation that an owner has not answered within its lease is late on the clock of the process, too', async (t) => {
   const timers = timerService.createRealTimers()
   const ports = {
-    sender: { send: () => ({ cancel () {}, discard () {}, pause () {}, resume () {} }), close () {} },
+    peerSender: { send: () => ({ cancel () {}, discard () {}, pause () {}, resume () {} }), close () {} },
     timers,
     decisions: decisionLog.createSilentDecisionLog(),
     peerProbe: { isReachable: async () => true }
@@ -81,7 +81,7 @@
   const outcomes: string[] = []
   for (let round = 0; round < 40; round += 1) {
     await timerService.sleep(timers, 0.3 * round)
-    outcomes.push((await serveUnretained.reserveTokens(ports, { type: 'peer', owner: { address: 'peer:1', isOwner: () => true, answerTimeoutMs: 60 } }, call)).type)
+    outcomes.push((await serveUnretained.reserveTokens(ports, { type: 'peer', owner: { address: 'peer:1', isOwner: () => true, refreshOwners: () => {}, answerTimeoutMs: 60 } }, call)).type)
   }
   t.same(outcomes.filter((type) => type !== 'late'), [])
 })
--- a/packages/programs/front/src/serve-unretained.ts
+++ b/packages/programs/front/src/serve-unretained.ts
@@ -12,7 +12,7 @@
 import * as reserveTurn from './reserve-turn.js'
 
 /** Dependencies for running such turns. */
-export interface UnretainedPorts extends dispatch.DispatchPorts, reserveTurn.ReservePorts, lateOwner.LateOwnerPorts {}
+export interface UnretainedPorts extends dispatch.DispatchPorts, peerCalls.PeerCallPorts, reserveTurn.ReservePorts, lateOwner.LateOwnerPorts {}
 
 /** The owner that reserves the tokens of a turn: this process or a peer. */
 export type ReservationOwner =
--- a/packages/programs/front/src/settle-turn.ts
+++ b/packages/programs/front/src/settle-turn.ts
@@ -1,14 +1,16 @@
 /** Stores a completed turn at the current owner of its program. */
 import type * as ownShards from '@eelgrasswind/own-shards'
 import * as timerService from '@eelgrasswind/timer-service'
+import type * as shardLog from '@eelgrasswind/shard-log'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
 import * as findChain from './find-chain.js'
+import * as lateOwner from './late-owner.js'
 import * as memberName from './member-name.js'
 import * as peerCalls from './peer-calls.js'
 
 /** Dependencies for reaching the owner of a program. */
-export interface SettlePorts extends peerCalls.PeerCallPorts {
+export interface SettlePorts extends peerCalls.PeerCallPorts, lateOwner.LateOwnerPorts {
   readonly shards: ownShards.ShardOwner
 }
 
@@ -19,10 +21,8 @@
 const retryIntervalMs = 25
 /** Retry interval while the owner does not know the chain, in ms: the turn that is missing may be on its way to it. */
 const unknownChainRetryMs = 250
-/** Timeout for the search of a chain at the other owners, in ms: leaves time for the append within `peerTimeoutMs`. */
+/** Timeout for the search of a chain at the other owners, in ms. */
 const findChainTimeoutMs = 500
-/** Timeout for a peer's answer, in ms; the peer appends to the store before it answers. */
-const peerTimeoutMs = 800
 
 /** Stores the turn and returns whether that succeeded. Retries until `deadlineAt`, monotonic ms, as a shard briefly has no owner during a handover. */
 export async function settleCompletedTurn (ports: SettlePorts, shard: ownShards.OwnedShard, call: SettleCall, deadlineAt: number): Promise<boolean> {
@@ -31,7 +31,7 @@
   if (localOutcome.type === 'kept') return true
   const partition = ports.shards.getPartition(request.program)
   while (ports.timers.monotonic() < deadlineAt) {
-    const outcome = await settleAtOwner(ports, ports.shards.locate(partition), call)
+    const outcome = await settleAtOwner(ports, partition, call, deadlineAt)
     if (outcome.type === 'kept') {
       ports.decisions.record({ event: 'turnSettledElsewhere', request: request.turn, program: request.program })
       return true
@@ -44,12 +44,13 @@
   return false
 }
 
-async function settleAtOwner (ports: SettlePorts, location: ownShards.ShardLocation, call: SettleCall): Promise<peerCalls.SettleAnswer> {
+async function settleAtOwner (ports: SettlePorts, partition: shardLog.Partition, call: SettleCall, deadlineAt: number): Promise<peerCalls.SettleAnswer> {
+  const location = ports.shards.locate(partition)
   switch (location.type) {
     case 'unknown': return { type: 'notOwner' }
     case 'here': return settleLocally(ports, location.shard, call)
     case 'member': {
-      const answer = await peerCalls.callPeer<peerCalls.SettleAnswer | null>(ports, memberName.parsePeerAddress(location.member), call, peerTimeoutMs)
+      const answer = await callOwner(ports, partition, location.member, call, deadlineAt)
       // An earlier release does not know a turn without a reservation, and answers null.
       if (answer === null) return { type: 'unknown' }
       return answer ?? { type: 'notOwner' }
@@ -57,6 +58,24 @@
   }
 }
 
+/** Waits for an owner that is late while it can be reached and owns the shard; it appends to the store before it answers. */
+function callOwner (ports: SettlePorts, partition: shardLog.Partition, member: string, call: SettleCall, deadlineAt: number): Promise<peerCalls.SettleAnswer | null | undefined> {
+  const { shards, timers } = ports
+  const address = memberName.parsePeerAddress(member)
+  const answerTimeoutMs = Math.max(0, deadlineAt - timers.monotonic())
+  const isOwner = (): boolean => {
+    const location = shards.locate(partition)
+    return location.type === 'member' && location.member === member
+  }
+  return new Promise((resolve, reject) => {
+    const watch = lateOwner.watchOwner(ports, call.request.turn, { address, isOwner, refreshOwners: () => { void shards.refreshOwners() }, answerTimeoutMs }, () => { resolve(undefined) })
+    peerCalls.callPeer<peerCalls.SettleAnswer | null>(ports, address, call, answerTimeoutMs).then((answer) => {
+      watch.cancel()
+      resolve(answer)
+    }, reject)
+  })
+}
+
 /** Stores a turn in a shard of this process. */
 export async function settleLocally (ports: SettlePorts, shard: ownShards.OwnedShard, call: SettleCall): Promise<peerCalls.SettleAnswer> {
   if (shard.state !== 'serving') return { type: 'notOwner' }
