account-owners: reports are answered before their sender gives up

Cause: a report carries all accounts of a group. It waited up to 150 ms for the group to be opened and twice 150 ms for lower floors, while its sender gives up after 250 ms. So one busy account beside a late store made the owner look away for every account of its group.

Change: an owner decides within 200 ms of a call, opening included. Requests that would need a lower floor are refused by the owner then, with a time to come back; the floor itself holds as before, so no account gets more.

The context of account-group.test names the new field, without a bound.

--- a/packages/programs/front/src/account-group.test.ts
+++ b/packages/programs/front/src/account-group.test.ts
@@ -13,7 +13,7 @@
 const debt = -meterAccount.computeLowestLevel(limit)
 const formerOwnerMs = 1_200
 const group = 3
-const context = { share: 1, reportTtlMs: 1_200 }
+const context = { share: 1, reportTtlMs: 1_200, decideBy: Infinity }
 
 /** A store, and the groups that use it one after the other. */
 function createSite () {
--- a/packages/programs/front/src/account-group.ts
+++ b/packages/programs/front/src/account-group.ts
@@ -33,13 +33,16 @@
 }
 
 /** What a report is judged by, besides its content. */
-export type CountContext = Pick<meterAccount.ReportContext, 'share' | 'reportTtlMs'>
+export interface CountContext extends Pick<meterAccount.ReportContext, 'share' | 'reportTtlMs'> {
+  /** When its requests are decided at the latest, although the store has not answered, monotonic ms. */
+  readonly decideBy: number
+}
 
 type GroupState = 'opening' | 'open' | 'closed'
 
 /** Without a record no owner has ever counted. */
 const noFormerOwner: accountRecords.OwnerRecord = { type: 'handedOver', term: -1, address: '', isSole: true, restedMs: Infinity }
-/** Time that a report waits for a lower floor to be stored, in ms; its sender waits for 250. */
+/** Time that a report waits for a lower floor to be stored, in ms. */
 const floorTimeoutMs = 150
 /** Timeout of a call to the former owner, and the pause before the next look, in ms. */
 const formerTimeoutMs = 250
@@ -82,7 +85,7 @@
   }
 
   /** Applies a call's reports; `undefined` if the process has sent a later call, or if the ownership ends meanwhile. */
-  async count (call: meterCall.MeterCall, context: CountContext): Promise<readonly meterAccount.MeterAnswer[] | undefined> {
+  async count (call: meterCall.MeterCall, { decideBy, ...context }: CountContext): Promise<readonly meterAccount.MeterAnswer[] | undefined> {
     const reporter = `${call.host} ${call.incarnation}`
     const { meter } = this
     if (meter === undefined || !this.isNewest(reporter, call.sequence)) return undefined
@@ -90,7 +93,7 @@
     meter.advance(this.ports.timers.monotonic(), context.share)
     if (call.ended !== undefined) this.noteEnded(meter, call.ended, context.reportTtlMs)
     for (const report of call.reports) this.charge(meter, report, createContext(), call.host)
-    await this.lowerFloors(meter, call.reports)
+    await this.lowerFloors(meter, call.reports, decideBy)
     if (!this.isOpen) return undefined
     const answers = call.reports.map((report) => meter.decide(report, createContext()))
     this.logOpenings(meter, call.host)
@@ -234,11 +237,13 @@
   }
 
   /** Stores lower floors where reports need them, and waits for those without which requests would be refused. */
-  private async lowerFloors (meter: meterAccount.GroupMeter, reports: readonly meterCall.MeterReport[]): Promise<void> {
+  private async lowerFloors (meter: meterAccount.GroupMeter, reports: readonly meterCall.MeterReport[], decideBy: number): Promise<void> {
+    const { timers } = this.ports
     for (let step = 0; step < maxFloorSteps && this.isOpen; step += 1) {
       this.storeFloors(meter, reports)
-      if (!reports.some((report) => meter.needsLowerFloor(report))) return
-      await timerService.withTimeout(this.ports.timers, this.lastWrite, floorTimeoutMs)
+      const leftMs = decideBy - timers.monotonic()
+      if (leftMs <= 0 || !reports.some((report) => meter.needsLowerFloor(report))) return
+      await timerService.withTimeout(timers, this.lastWrite, Math.min(floorTimeoutMs, leftMs))
     }
   }
 
--- a/packages/programs/front/src/account-limits.ts
+++ b/packages/programs/front/src/account-limits.ts
@@ -38,7 +38,7 @@
 /** Number of groups into which accounts are partitioned. It bounds the number of owners that a host reports to, whatever the number of hosts. */
 const accountGroupCount = 8
 /** Timeout for the owner's answer, in ms; the owner makes no further calls. */
-const ownerTimeoutMs = 250
+export const ownerTimeoutMs = 250
 /** Hosts that are cut off still use their share of the limits: they are counted for at least this long, in ms. */
 const hostMemoryMs = 15_000
 /** Interval for removing idle accounts, in ms. */
--- a/packages/programs/front/src/account-owners.ts
+++ b/packages/programs/front/src/account-owners.ts
@@ -27,8 +27,10 @@
   readonly countHosts: (reporterCount: number) => number
 }
 
-/** Time that a call waits for a group to be opened, in ms; its sender waits for 250. */
+/** Time that a call waits for a group to be opened, in ms. */
 const openTimeoutMs = 150
+/** Time from a call to its answer, whatever the store does, in ms; its sender waits for 250. */
+const countTimeoutMs = 200
 /** Time for the records of a handover, in ms: a slow store takes about 300. */
 const handoverTimeoutMs = 900
 
@@ -44,6 +46,7 @@
   /** Applies the reports of another host or of this one; `partition`: the shard whose owner counts the group. */
   async countReports (call: meterCall.MeterCall, partition: shardLog.Partition): Promise<meterCall.MeterCallAnswer> {
     const { timers, shards } = this.ports
+    const decideBy = timers.monotonic() + countTimeoutMs
     const location = shards.locate(partition)
     if (location.type !== 'here') return this.refuse(call.group, 'elsewhere')
     const tenure = this.getTenure(call.group)
@@ -57,7 +60,8 @@
     const { hostCount, reporterCount } = decided
     const answers = await group.count(call, {
       share: meterAccount.computeOwnerShare(decided.tenure, reporterCount, hostCount),
-      reportTtlMs: meterChannel.computeReportTtlMs(hostCount)
+      reportTtlMs: meterChannel.computeReportTtlMs(hostCount),
+      decideBy
     })
     if (answers === undefined) return { type: 'notOwner', reason: 'outdated' }
     return { type: 'metered', term: group.term, hosts: hostCount, answers }
