account-group: a group that is handed over while it opens stays handed over

Cause: an owner that is told to stop while it opens a group closed it without a record. If it had already sent the record that it counts, the store then names an owner that may still count. The next one starts from the floors instead of from what was left, and refills nothing until it has found that its predecessor has ended.

Change: from the moment of that record on, a handover stores what is left, as for an open group. Earlier there is nothing to store: the record of the former handover still holds. A group whose former owner may still count is handed over as such, so no account gets more.

--- a/packages/programs/front/src/account-group.test.ts
+++ b/packages/programs/front/src/account-group.test.ts
@@ -31,11 +31,11 @@
     decisions,
     /** Answers of former owners. */
     former: { type: 'noAnswer', ended: false } as meterCall.MeterCallAnswer | meterCall.NoOwnerAnswer,
-    /** `address`: another one for each process. */
-    async open (term: number, faults = standIns.noFaults(), address = `10.0.0.${term}:7000`) {
+    /** `address`: another one for each process; `forMs`: how long it is opened. */
+    async open (term: number, faults = standIns.noFaults(), address = `10.0.0.${term}:7000`, forMs = 20) {
       const callPeer = (): Promise<meterCall.MeterCallAnswer | meterCall.NoOwnerAnswer> => Promise.resolve(this.former)
       const opened = new accountGroup.AccountGroup({ group, term, host: `host-${term}`, address, formerOwnerMs }, { callPeer, log: store.client(faults), timers, decisions: { record: (decision) => { decisions.push(decision) } }, getLimit: () => limit, getVersion: () => 1 })
-      await timers.advanceAsync(20)
+      await timers.advanceAsync(forMs)
       return opened
     },
     /** Asks for many requests at once; resolves with the number of granted ones, and `undefined` if the group does not count. */
@@ -75,6 +75,23 @@
   t.ok(Math.abs(next - (meterAccount.computeCapacity(limit) - 50 + debt)) <= 3, `${next}`)
 })
 
+// Guards against a group that counts as not handed over because its owner was stopped while it opened it.
+tap.test('an owner that hands over while it opens a group leaves what its predecessor left', async (t) => {
+  for (const openedMs of [0, 1, 2, 3, 4, 5, 6, 7]) {
+    const site = createSite()
+    const former = await site.open(1)
+    t.equal(await site.ask(former, 50), 50)
+    void former.handOver(900)
+    await site.timers.advanceAsync(20)
+    void (await site.open(2, undefined, undefined, openedMs)).handOver(900)
+    await site.timers.advanceAsync(20)
+    const next = (await site.ask(await site.open(3), 500)) ?? 0
+    const name = `handed over after ${openedMs} ms`
+    t.match(site.decisions.findLast(({ event }) => event === 'accountGroupOpened'), { term: 3, handedOver: true }, name)
+    t.ok(Math.abs(next - (meterAccount.computeCapacity(limit) - 50 + debt)) <= 3, `${name}: ${next}`)
+  }
+})
+
 tap.test('without the store an owner grants what is above the floor, and then the rate', async (t) => {
   const site = createSite()
   const faults = standIns.noFaults()
--- a/packages/programs/front/src/account-group.ts
+++ b/packages/programs/front/src/account-group.ts
@@ -54,6 +54,7 @@
 export class AccountGroup {
   private readonly writer: ownShards.ShardWriter
   private readonly lastSequences = new Map<string, number>()
+  /** From the time on at which this owner activates the group. */
   private meter: meterAccount.GroupMeter | undefined
   private state: GroupState = 'opening'
   private lastWrite: Promise<unknown> = Promise.resolve()
@@ -88,7 +89,7 @@
   async count (call: meterCall.MeterCall, { decideBy, ...context }: CountContext): Promise<readonly meterAccount.MeterAnswer[] | undefined> {
     const reporter = `${call.host} ${call.incarnation}`
     const { meter } = this
-    if (meter === undefined || !this.isNewest(reporter, call.sequence)) return undefined
+    if (meter === undefined || this.state === 'opening' || !this.isNewest(reporter, call.sequence)) return undefined
     const createContext = (): meterAccount.ReportContext => ({ ...context, reporter, configVersion: call.version, now: this.ports.timers.monotonic() })
     meter.advance(this.ports.timers.monotonic(), context.share)
     if (call.ended !== undefined) this.noteEnded(meter, call.ended, context.reportTtlMs)
@@ -103,7 +104,8 @@
   /** Ends the counting and stores what is left, so that the next owner goes on from there. */
   async handOver (timeoutMs: number): Promise<void> {
     const { meter } = this
-    if (meter === undefined || !this.isOpen) {
+    // Before there is a meter, the store still holds what the former owner has left.
+    if (meter === undefined || this.isClosed) {
       this.close()
       return
     }
@@ -149,10 +151,10 @@
     const restedMs = former.type === 'handedOver' ? former.restedMs : 0
     const meter = new meterAccount.GroupMeter({ term: this.term, startsAt: this.soleFrom, restedMs, stored })
     const writes = this.beginAccounts(meter, [...stored.keys()])
+    this.meter = meter
     const activation = await this.writer.commit([accountRecords.encodeOwner(this.ownRecord), ...writes.map(accountRecords.encodeAccount)])
     if (activation.type === 'lost' || this.state !== 'opening') return
     for (const write of writes) meter.confirmFloor(write)
-    this.meter = meter
     this.state = 'open'
     decisions.record({ event: 'accountGroupOpened', group: this.settings.group, term: this.term, stored: stored.size, handedOver: former.type === 'handedOver', tookMs: Math.round(timers.monotonic() - startedAt) })
     if (!isAlone) void this.becomeSole(meter)
