account-owners: a group is not opened while its shard is handed over

The group of a shard is opened with the first report for it. A report that arrived while the shard was being handed over opened the group after the handover had taken its list of groups: the store then named an owner that may still count, and the next one refilled nothing at first.

Such a report is answered "elsewhere" now. A group that is open already goes on to be counted until it is handed over itself.

--- a/packages/programs/front/src/account-owners.test.ts
+++ b/packages/programs/front/src/account-owners.test.ts
@@ -27,12 +27,13 @@
   const faults = standIns.noFaults()
   const client = new standIns.MemoryShardLog(timers, 1).client(faults)
   const store = { faults, callMs: 0 }
+  const shard: { readonly epoch: number, state: ownShards.ShardState } = { epoch: 1, state: 'serving' }
   const log = shardLog.createShardLog(async (call) => {
     await timerService.sleep(timers, store.callMs)
     return shardLog.runStoreCall(client, call)
   })
   const owners = new accountOwners.AccountOwners({
-    shards: { locate: () => ({ type: 'here', shard: { epoch: 1 } as ownShards.OwnedShard }), leaseAgeMs: 0, leaseMs: 1_100 },
+    shards: { locate: () => ({ type: 'here', shard: shard as ownShards.OwnedShard }), leaseAgeMs: 0, leaseMs: 1_100 },
     log,
     timers,
     decisions: decisionLog.createSilentDecisionLog(),
@@ -47,6 +48,7 @@
   return {
     timers,
     store,
+    shard,
     owners,
     /** Reports the requests that wait at a host; resolves with the answer and the time that it took, in ms. */
     async report (asked: ReadonlyMap<types.AccountId, number>): Promise<{ readonly answer: meterCall.MeterCallAnswer, readonly tookMs: number }> {
@@ -87,3 +89,16 @@
   t.equal(countGranted(answer, modest), 10)
   owners.close()
 })
+
+// Guards against an owner that begins to count while it hands its shard over, and never hands that group over.
+tap.test('a group is not opened while its shard is handed over, but goes on to be counted', async (t) => {
+  for (const isOpen of [true, false]) {
+    const { shard, owners, report } = createOwner()
+    if (isOpen) await report(new Map([[modest, 0]]))
+    shard.state = 'closing'
+    const { answer } = await report(new Map([[modest, 10]]))
+    if (isOpen) t.equal(countGranted(answer, modest), 10)
+    else t.match(answer, { type: 'notOwner', reason: 'elsewhere' })
+    owners.close()
+  }
+})
--- a/packages/programs/front/src/account-owners.ts
+++ b/packages/programs/front/src/account-owners.ts
@@ -51,7 +51,8 @@
     if (location.type !== 'here') return this.refuse(call.group, 'elsewhere')
     const tenure = this.getTenure(call.group)
     tenure.noteReport(call, timers.monotonic())
-    const group = this.getGroup(call.group, location.shard.epoch)
+    const group = this.getGroup(call.group, location.shard)
+    if (group === undefined) return this.refuse(call.group, 'elsewhere')
     if (!group.isOpen) await timerService.withTimeout(timers, group.opened, openTimeoutMs)
     if (group.isClosed) return this.refuse(call.group, 'elsewhere')
     if (!group.isOpen) return { type: 'notOwner', reason: 'opening' }
@@ -95,9 +96,11 @@
     this.endedTerms.set(group, owned.term)
   }
 
-  private getGroup (group: number, term: number): accountGroup.AccountGroup {
+  /** The group in the term of its shard; `undefined` if it is not open and the shard is being handed over, which would leave it out. */
+  private getGroup (group: number, { epoch: term, state }: Pick<ownShards.OwnedShard, 'epoch' | 'state'>): accountGroup.AccountGroup | undefined {
     const known = this.groups.get(group)
     if (known?.term === term) return known
+    if (state === 'closing') return undefined
     if (known !== undefined) this.end(group, known)
     const { shards, host, address } = this.ports
     const formerOwnerMs = Math.max(shards.leaseMs, meterChannel.computeReportTtlMs(this.ports.countHosts(0)))
