--- a/packages/programs/front/src/account-owners.ts
+++ b/packages/programs/front/src/account-owners.ts
@@ -27,8 +27,10 @@
   readonly countHosts: (reporterCount: number) => number
 }
 
-/** Time that a call waits for a group to be opened, in ms; its sender waits for 250. */
+/** Time that a call waits for a group to be opened, in ms. */
 const openTimeoutMs = 150
+/** Time from a call to its answer, whatever the store does, in ms; its sender waits for 250. */
+const countTimeoutMs = 200
 /** Time for the records of a handover, in ms: a slow store takes about 300. */
 const handoverTimeoutMs = 900
 
@@ -44,11 +46,13 @@
   /** Applies the reports of another host or of this one; `partition`: the shard whose owner counts the group. */
   async countReports (call: meterCall.MeterCall, partition: shardLog.Partition): Promise<meterCall.MeterCallAnswer> {
     const { timers, shards } = this.ports
+    const decideBy = timers.monotonic() + countTimeoutMs
     const location = shards.locate(partition)
     if (location.type !== 'here') return this.refuse(call.group, 'elsewhere')
     const tenure = this.getTenure(call.group)
     tenure.noteReport(call, timers.monotonic())
-    const group = this.getGroup(call.group, location.shard.epoch)
+    const group = this.getGroup(call.group, location.shard)
+    if (group === undefined) return this.refuse(call.group, 'elsewhere')
     if (!group.isOpen) await timerService.withTimeout(timers, group.opened, openTimeoutMs)
     if (group.isClosed) return this.refuse(call.group, 'elsewhere')
     if (!group.isOpen) return { type: 'notOwner', reason: 'opening' }
@@ -57,7 +61,8 @@
     const { hostCount, reporterCount } = decided
     const answers = await group.count(call, {
       share: meterAccount.computeOwnerShare(decided.tenure, reporterCount, hostCount),
-      reportTtlMs: meterChannel.computeReportTtlMs(hostCount)
+      reportTtlMs: meterChannel.computeReportTtlMs(hostCount),
+      decideBy
     })
     if (answers === undefined) return { type: 'notOwner', reason: 'outdated' }
     return { type: 'metered', term: group.term, hosts: hostCount, answers }
@@ -91,9 +96,11 @@
     this.endedTerms.set(group, owned.term)
   }
 
-  private getGroup (group: number, term: number): accountGroup.AccountGroup {
+  /** The group in the term of its shard; `undefined` if it is not open and the shard is being handed over, which would leave it out. */
+  private getGroup (group: number, { epoch: term, state }: Pick<ownShards.OwnedShard, 'epoch' | 'state'>): accountGroup.AccountGroup | undefined {
     const known = this.groups.get(group)
     if (known?.term === term) return known
+    if (state === 'closing') return undefined
     if (known !== undefined) this.end(group, known)
     const { shards, host, address } = this.ports
     const formerOwnerMs = Math.max(shards.leaseMs, meterChannel.computeReportTtlMs(this.ports.countHosts(0)))
