send-http: breaks of single requests are not taken for the end of a process

Callers would see harmless requests refused and streams not resumed: an upstream that broke several answers within 50 ms and went on counted as ended.

Cause: all connections that the other side closed within 50 ms counted as closed at one moment, also those that were opened after an earlier one had been closed. A trace of resumed-streams.test shows it: each request has the only connection to its upstream, closed before the next is opened, and the count is 2 and 3.

Change: connections were closed at one moment if all of them were open at that moment, and this process waited for events for less than 10 ms between their ends. Time in which it was busy or stalled does not set ends apart, as those that arrive then are read late. Ends are timed when they are read, not when the socket has closed: that is up to 4 ms later.

Tests: "connections that are closed one after the other do not show the end of a process" failed in both parts before (3 of 3 runs). "... whose ends are read before and after a stall ..." fails if the time between the ends is taken by the clock (2 of 2 runs, trial), "... whatever is closed right after" guards the other direction. All three green in 3 of 3 runs, resumed-streams.test as well.

--- a/packages/peers/send-http/src/open-connections.test.ts
+++ b/packages/peers/send-http/src/open-connections.test.ts
@@ -113,6 +113,62 @@
   }
 })
 
+/** Opens an idle connection and returns the socket at its other end. */
+async function openPair (address: string, sockets: readonly net.Socket[], connections: sendHttp.OpenConnections): Promise<net.Socket> {
+  const known = sockets.length
+  await openIdle(address, connections)
+  while (sockets.length === known) await timerService.sleep(timers, 1)
+  return sockets.at(-1)!
+}
+
+// Guards against a process that went on and was taken for ended, since it had closed one connection after the other.
+tap.test('connections that are closed one after the other do not show the end of a process', async (t) => {
+  const { address, sockets } = await startServer(t)
+  const connections = new sendHttp.OpenConnections()
+  t.teardown(connections.onClose(address, () => {}))
+  for (let opened = 1; opened <= 3; opened += 1) {
+    const socket = await openPair(address, sockets, connections)
+    socket.destroy()
+    await waitForOpen(address, connections, 0)
+  }
+  t.equal(await sendHttp.examineBreak(timers, address, connections), 'unclear', 'each was opened after the one before had been closed')
+  const overlapping = [await openPair(address, sockets, connections), await openPair(address, sockets, connections)]
+  for (const [index, socket] of overlapping.entries()) {
+    await timerService.sleep(timers, 25)
+    socket.destroy()
+    await waitForOpen(address, connections, 1 - index)
+  }
+  t.equal(await sendHttp.examineBreak(timers, address, connections), 'unclear', 'both were open, and closed 25 ms apart')
+})
+
+// Guards against a process that had ended and was taken for one that went on: this process stalled between the ends of two connections.
+tap.test('connections whose ends are read before and after a stall were closed at one moment', async (t) => {
+  const { address, sockets } = await startServer(t)
+  const connections = new sendHttp.OpenConnections()
+  t.teardown(connections.onClose(address, () => {}))
+  const [first, second] = [await openPair(address, sockets, connections), await openPair(address, sockets, connections)]
+  const stop = connections.onClose(address, () => {
+    stop()
+    second.destroy()
+    stall(30)
+  })
+  first.destroy()
+  await waitForOpen(address, connections, 0)
+  t.equal(await sendHttp.examineBreak(timers, address, connections), 'ended')
+})
+
+// Guards against an end that was overlooked because the process had started again and closed a further connection.
+tap.test('connections that are closed at one moment show the end of a process, whatever is closed right after', async (t) => {
+  const { address, sockets } = await startServer(t)
+  const connections = new sendHttp.OpenConnections()
+  t.teardown(connections.onClose(address, () => {}))
+  for (const socket of [await openPair(address, sockets, connections), await openPair(address, sockets, connections)]) socket.destroy()
+  await waitForOpen(address, connections, 0)
+  const next = await openPair(address, sockets, connections)
+  next.destroy()
+  t.equal(await sendHttp.examineBreak(timers, address, connections), 'ended')
+})
+
 tap.test('an address that can not be is never connected to', async (t) => {
   for (const address of ['127.0.0.1:0', '127.0.0.1:99999', '127.0.0.1:', '127.0.0.1:x']) {
     t.same(await sendHttp.openIdleConnection(address, timeoutMs, new sendHttp.OpenConnections()), { outcome: 'noAnswer' }, address)
--- a/packages/peers/send-http/src/probe-connection.ts
+++ b/packages/peers/send-http/src/probe-connection.ts
@@ -2,7 +2,7 @@
 import * as net from 'node:net'
 import * as timerService from '@eelgrasswind/timer-service'
 import * as connectionEnd from './connection-end.js'
-import type * as openConnections from './open-connections.js'
+import * as openConnections from './open-connections.js'
 import * as pendingEvents from './pending-events.js'
 
 /** Outcome of a connection attempt. `refused` shows that the host is up and no process listens there. */
@@ -31,22 +31,29 @@
  * connection has ended if it closed all others at that moment: then another process has taken its place.
  */
 export async function examineBreak (timers: timerService.TimerService, address: string, connections?: openConnections.OpenConnections): Promise<ProcessEvidence> {
-  const before = connections?.list(address) ?? []
-  const closedBefore = connections?.countClosedByPeer(address) ?? 0
+  const before = connections?.takeSnapshot(address)
   await timerService.sleep(timers, probeDelayMs)
   await new Promise<void>((resolve) => { pendingEvents.afterPendingEvents(resolve) })
-  const endedByPeer = before.filter((socket) => connectionEnd.getConnectionEnd(socket) !== 'open')
-  const hasLostAll = connections !== undefined && before.every((socket) => socket.destroyed || endedByPeer.includes(socket))
-  const hasClosedSeveral = closedBefore + endedByPeer.length > 1
+  const evidenceIfAccepted = before === undefined ? 'alive' : compare(before)
   switch (await probeConnection(address, probeTimeoutMs)) {
-    case 'accepted':
-      if (!hasLostAll) return 'alive'
-      return hasClosedSeveral ? 'ended' : 'unclear'
+    case 'accepted': return evidenceIfAccepted
     case 'refused': return 'ended'
     case 'noAnswer': return 'unreachable'
   }
 }
 
+/** What the connections from before a break show about a process that takes connections now. */
+function compare (before: openConnections.ConnectionSnapshot): ProcessEvidence {
+  if (before.open.some(({ socket }) => !socket.destroyed && connectionEnd.getEndTime(socket) === undefined)) return 'alive'
+  const closedSince = before.open.flatMap(({ socket, openedAt }) => {
+    const closed = connectionEnd.getEndTime(socket)
+    if (closed === undefined) return []
+    // Closed at one moment with those before, although the end was read later.
+    return { openedAt, closed: closed.at < before.takenAt.at ? closed : before.takenAt }
+  })
+  return openConnections.countClosedTogether([...before.closed, ...closedSince]) > 1 ? 'ended' : 'unclear'
+}
+
 /** Outcome of opening an idle connection; `close` closes it. */
 export type IdleConnection = { readonly outcome: 'accepted', readonly close: () => void } | { readonly outcome: 'refused' | 'noAnswer' }
 
