send-http: closed connections are counted after the last listener has left

Callers would see a request sent on after three upstreams had ended under it: one that had closed all its connections and listened again at once counted as unclear.

Cause: the state of an address without open connections, with those that the other side had just closed, was dropped with its last listener.

Change: the state is kept until no recent close is left.

--- a/packages/peers/send-http/src/open-connections.ts
+++ b/packages/peers/send-http/src/open-connections.ts
@@ -92,11 +92,14 @@
     const closed = connectionEnd.getEndTime(socket)
     if (closed !== undefined) state.closed = [...listRecent(state.closed), { openedAt, closed }]
     for (const listener of [...state.listeners]) listener(closed !== undefined)
-    if (state.sockets.size === 0) setTimeout(() => { this.dropIfUnused(address, state) }, recentMs).unref()
+    this.dropIfUnused(address, state)
   }
 
+  /** Drops the state of an address without connections once no connection is left that was closed just now. */
   private dropIfUnused (address: string, state: AddressState): void {
-    if (state.sockets.size === 0 && state.listeners.size === 0 && this.states.get(address) === state) this.states.delete(address)
+    if (state.sockets.size > 0 || state.listeners.size > 0 || this.states.get(address) !== state) return
+    if (listRecent(state.closed).length === 0) this.states.delete(address)
+    else setTimeout(() => { this.dropIfUnused(address, state) }, recentMs).unref()
   }
 }
 
