drain-server: a request behind a refusal that ends the connection is not served

A client that sends its next request right behind one whose head or body is too large had that request run, and got no answer: the connection was closed with the refusal before it.

Cause: the server stops passing requests on once an answer has announced the end of the connection, and looked for that in shouldKeepAlive only. A refusal that carries Connection: close in its own headers leaves that property as it is; the parser had read the next request from the same segment by then.

Change: the headers of writeHead count too. The new test failed before ('/behind' was served, answers 200 and 413).

--- a/packages/base/drain-server/src/drain-server.test.ts
+++ b/packages/base/drain-server/src/drain-server.test.ts
@@ -179,3 +179,29 @@
   socket.destroy()
   await shutdown
 })
+
+/** Sends the bytes to a server whose answers take 100 ms; resolves with the paths that were served and what the client received once the connection is closed. */
+async function exchangeBytes (options: http.ServerOptions, bytes: string): Promise<{ readonly served: readonly string[], readonly answers: readonly string[] }> {
+  const served: string[] = []
+  const drainable = drainServer.createDrainServer(options, (req, res) => {
+    served.push(req.url ?? '')
+    if (req.url === '/refused') res.writeHead(413, ['Content-Length', '0', 'Connection', 'close']).end()
+    else req.resume().on('end', () => { setTimeout(() => { res.writeHead(200, { 'Content-Length': 0 }).end() }, 100) })
+  })
+  const socket = net.connect(await listen(drainable.server), '127.0.0.1')
+  let received = ''
+  socket.on('data', (data: Buffer) => { received += data.toString() })
+  socket.on('error', () => {})
+  const closed = new Promise((resolve) => { socket.once('close', resolve) })
+  socket.write(bytes)
+  await closed
+  drainable.server.close()
+  if (drainable.openRequestCount !== 0) throw new Error('requests are still counted')
+  return { served, answers: [...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status!) }
+}
+
+// Guards against requests that run and get no answer: the refusal before them ended the connection.
+tap.test('a request behind a refusal that ends the connection is not served', async (t) => {
+  const bytes = ['/served', '/refused', '/behind'].map((path) => `GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`).join('')
+  t.same(await exchangeBytes({}, bytes), { served: ['/served', '/refused'], answers: ['200', '413'] })
+})
--- a/packages/base/drain-server/src/drain-server.ts
+++ b/packages/base/drain-server/src/drain-server.ts
@@ -52,6 +52,13 @@
   }
 }
 
+/** Whether headers, as an object or as alternating names and values, announce the end of the connection. */
+function hasCloseHeader (headers: unknown): boolean {
+  if (typeof headers !== 'object' || headers === null) return false
+  const texts = (Array.isArray(headers) ? headers : Object.entries(headers).flat()).map((text) => String(text).toLowerCase())
+  return texts.some((text, index) => index % 2 === 0 && text === 'connection' && texts[index + 1] === 'close')
+}
+
 /** Creates a server, which does not listen yet. Requests that arrive after the last answer of their connection are not passed to the listener. */
 export function createDrainServer (options: http.ServerOptions, onRequest: http.RequestListener): DrainServer {
   const connections = new WeakMap<net.Socket, Connection>()
@@ -66,7 +73,7 @@
       const mayEnd = connection?.isNewest(this) === true
       if (isDraining && mayEnd) this.shouldKeepAlive = false
       super.writeHead(...args as Parameters<http.ServerResponse['writeHead']>)
-      if (mayEnd && !this.shouldKeepAlive) connection.isEndAnnounced = true
+      if (mayEnd && (!this.shouldKeepAlive || hasCloseHeader(args.at(-1)))) connection.isEndAnnounced = true
       return this
     }
   }
