Front: requests that a client pipelines are served one after another

A client that sent requests without waiting for the answers before them had some of them run and not answered, at any time: the stream before them was cut at its deadline.

Cause: requests of one connection were served at the same time. A stream that breaks off can only be told to its client by closing the connection, and the answers that were ready behind it were lost with it.

Change: a request is passed on once the answer before it has been sent. Its deadline runs on meanwhile; one whose deadline passes is refused as not run.

--- a/packages/programs/front/src/client-listener.ts
+++ b/packages/programs/front/src/client-listener.ts
@@ -1,5 +1,6 @@
 /** Accepts client requests: checks their heads, reads their bodies and dispatches them by kind. */
 import type * as http from 'node:http'
+import type * as net from 'node:net'
 import * as drainServer from '@eelgrasswind/drain-server'
 import * as identifyClient from '@eelgrasswind/identify-client'
 import type * as routeRequest from '@eelgrasswind/route-request'
@@ -34,7 +35,12 @@
 
 /** Creates the HTTP server for clients, which does not listen yet. */
 export function createClientServer (ports: ClientListenerPorts): drainServer.DrainServer {
-  return drainServer.createDrainServer({ maxHeaderSize: serverMaxHeaderBytes, requestTimeout: 0 }, (req, res) => { handleRequest(ports, req, res) })
+  const newest = new WeakMap<net.Socket, http.ServerResponse>()
+  return drainServer.createDrainServer({ maxHeaderSize: serverMaxHeaderBytes, requestTimeout: 0 }, (req, res) => {
+    const former = newest.get(req.socket)
+    newest.set(req.socket, res)
+    handleRequest(ports, former, req, res)
+  })
 }
 
 /** Applies the timeouts of a routing to the client connections. */
@@ -43,7 +49,8 @@
   clientServer.server.headersTimeout = bounds.headerTimeoutMs
 }
 
-function handleRequest (ports: ClientListenerPorts, req: http.IncomingMessage, res: http.ServerResponse): void {
+/** `former`: the response to the request before on the connection. */
+function handleRequest (ports: ClientListenerPorts, former: http.ServerResponse | undefined, req: http.IncomingMessage, res: http.ServerResponse): void {
   const arrivedAt = ports.timers.monotonic()
   // HTTP/1.0 has no chunks: every end of the connection, also by the end of this process, would mark a streamed answer as complete.
   const reply = new inbound.Reply(res, (err) => { ports.decisions.record({ event: 'unexpected', err }) }, req.httpVersion === '1.0')
@@ -63,16 +70,27 @@
     return
   }
   readRequest.readBody(req, routing.bounds.maxBodyBytes, (body) => {
-    if (body === undefined) reply.refuse({ type: 'bodyTooLarge', limitBytes: routing.bounds.maxBodyBytes }, ['Connection', 'close'])
-    else {
+    if (body === undefined) {
+      reply.refuse({ type: 'bodyTooLarge', limitBytes: routing.bounds.maxBodyBytes }, ['Connection', 'close'])
+      return
+    }
+    const serve = (): void => {
       serveRequest(ports, checked, req, res, reply, body, arrivedAt).catch((err: unknown) => {
         ports.decisions.record({ event: 'unexpected', err, request: checked.attempt.id })
         reply.fail()
       })
     }
+    // An answer that breaks off closes the connection, also to the requests behind it: they must not have run.
+    whenSent(former, serve)
   })
 }
 
+/** Calls the listener once the answer has been sent whole, which may be now; never if its connection is closed before. */
+function whenSent (res: http.ServerResponse | undefined, listener: () => void): void {
+  if (res === undefined || res.writableFinished) listener()
+  else res.once('finish', listener)
+}
+
 async function serveRequest (ports: ClientListenerPorts, head: checkHead.CheckedHead, req: http.IncomingMessage, res: http.ServerResponse, reply: inbound.Reply, body: Buffer, arrivedAt: number): Promise<void> {
   const { decisions } = ports
   const { attempt, caller, kind, path, route, service, tokensPerEvent, version } = head
