Front: a request whose deadline has passed before it is passed on is refused as not run

A turn whose body arrived after its deadline was answered 400 or 504 by a host that does not own its program: 400 says that the request is not proper, and 504 that it may have run.

Cause: the turn was forwarded with less than no time, and the owner takes a negative deadline for an invalid field. Whether its 400 or the own timeout came first was chance.

Change: such a request is refused with 503 deadlinePassed by the host that took it, whatever its kind.

--- a/packages/programs/front/src/client-listener.ts
+++ b/packages/programs/front/src/client-listener.ts
@@ -32,6 +32,8 @@
 
 /** Retry-after during a shutdown, in ms: another process can serve the request now. */
 const shutdownRetryMs = 0
+/** Retry-after of a request whose deadline has passed, in ms: another attempt, with time of its own, can be served now. */
+const lateRetryMs = 0
 
 /** Creates the HTTP server for clients, which does not listen yet. */
 export function createClientServer (ports: ClientListenerPorts): drainServer.DrainServer {
@@ -96,6 +98,11 @@
   const { attempt, caller, kind, path, route, service, tokensPerEvent, version } = head
   const deadlineAt = arrivedAt + Math.min(route.timeoutMs, attempt.deadlineMs ?? Infinity)
   ports.inFlightRequests.add(res, reply, attempt, kind, arrivedAt)
+  // Its body was late, or the answer before it on its connection.
+  if (ports.timers.monotonic() >= deadlineAt) {
+    reply.refuse({ type: 'deadlinePassed', retryAfterMs: lateRetryMs })
+    return
+  }
   if (!ports.shutdown.canFinish(deadlineAt)) {
     decisions.record({ event: 'refusedAtShutdown', request: attempt.id, route: route.name, neededMs: Math.round(deadlineAt - arrivedAt) })
     reply.refuse({ type: 'shuttingDown', retryAfterMs: shutdownRetryMs })
--- a/packages/programs/front/src/inbound.ts
+++ b/packages/programs/front/src/inbound.ts
@@ -37,6 +37,8 @@
   /** Too many upstreams have ended under the request. */
   | { readonly type: 'crashLimit', readonly retryAfterMs: number }
   | { readonly type: 'noUpstream', readonly retryAfterMs: number }
+  /** The deadline passed before the request could be passed on. */
+  | { readonly type: 'deadlinePassed', readonly retryAfterMs: number }
   | { readonly type: 'peerUnreachable', readonly retryAfterMs: number }
   | { readonly type: 'unknownRoute' }
   | { readonly type: 'unknownKey' }
@@ -61,6 +63,7 @@
     case 'upstreamsFull':
     case 'crashLimit':
     case 'noUpstream':
+    case 'deadlinePassed':
     case 'peerUnreachable': return 503
     case 'unknownRoute':
     case 'unknownTurn': return 404
