drain-server: a connection that has ended is read on for a while

A client that had sent more behind its last request could lose the answer to that request, which had run: the server closed the connection with the answer, and what arrived then reset it.

Cause: Node.js closes both directions at once after the last answer. The kernel answers later bytes with a reset, and the client's side drops what its process has not read yet.

Change: the connection is ended, and read on for 250 ms or until its client ends it.

--- a/packages/base/drain-server/src/drain-server.ts
+++ b/packages/base/drain-server/src/drain-server.ts
@@ -19,6 +19,9 @@
 /** Idle timeout of connections while draining, in ms: several network round trips, so that a client that sends its next request at once gets an answer. */
 export const drainKeepAliveMs = 250
 
+/** How long a connection that has ended is read on, in ms: several network round trips. */
+const lingerMs = 250
+
 /** The requests of one connection. */
 class Connection {
   /** Responses that have not ended, oldest first; they are sent in this order. */
@@ -83,6 +86,13 @@
   ['HPE_HEADER_OVERFLOW', 431]
 ])
 
+/** Ends a connection and reads on for a while: closing it with unread bytes resets it, and its client loses what it has not read yet. */
+function closeLingering (socket: net.Socket): void {
+  socket.end()
+  const timer = setTimeout(() => { socket.destroy() }, lingerMs).unref()
+  socket.once('close', () => { clearTimeout(timer) })
+}
+
 function refuseUnread (socket: net.Socket, err: Error, connection?: Connection): void {
   if (socket.writable && connection?.isAnswering !== true) socket.write(formatRefusal(err))
   socket.destroySoon()
@@ -138,6 +148,8 @@
   })
 
   server.on('connection', (socket) => {
+    // Called after the last answer of a connection.
+    socket.destroySoon = () => { closeLingering(socket) }
     openSockets.add(socket)
     socket.once('close', () => { openSockets.delete(socket) })
   })
