--- a/packages/base/drain-server/src/drain-server.test.ts
+++ b/packages/base/drain-server/src/drain-server.test.ts
@@ -179,3 +179,76 @@
   socket.destroy()
   await shutdown
 })
+
+/** Sends the bytes to a server whose answers take 100 ms; resolves with the paths that were served and what the client received once the connection is closed. */
+async function exchangeBytes (options: http.ServerOptions, bytes: string): Promise<{ readonly served: readonly string[], readonly answers: readonly string[] }> {
+  const served: string[] = []
+  const drainable = drainServer.createDrainServer(options, (req, res) => {
+    served.push(req.url ?? '')
+    if (req.url === '/refused') res.writeHead(413, ['Content-Length', '0', 'Connection', 'close']).end()
+    else req.resume().on('end', () => { setTimeout(() => { res.writeHead(200, { 'Content-Length': 0 }).end() }, 100) })
+  })
+  const socket = net.connect(await listen(drainable.server), '127.0.0.1')
+  let received = ''
+  socket.on('data', (data: Buffer) => { received += data.toString() })
+  socket.on('error', () => {})
+  const closed = new Promise((resolve) => { socket.once('close', resolve) })
+  if (options.headersTimeout !== undefined) drainable.server.headersTimeout = options.headersTimeout
+  socket.write(bytes)
+  await closed
+  drainable.server.close()
+  while (drainable.openRequestCount > 0) await sleep(5)
+  return { served, answers: [...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status!) }
+}
+
+// Guards against requests that run and get no answer: the refusal before them ended the connection.
+tap.test('a request behind a refusal that ends the connection is not served', async (t) => {
+  const bytes = ['/served', '/refused', '/behind'].map((path) => `GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`).join('')
+  t.same(await exchangeBytes({}, bytes), { served: ['/served', '/refused'], answers: ['200', '413'] })
+})
+
+const twoRequests = 'GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n'
+/** What may follow whole requests on their connection, and the status with which it is refused. */
+const brokenEnds = [
+  { name: 'whose head is late', options: { headersTimeout: 20, connectionsCheckingInterval: 10 }, bytes: 'GET /3 HTTP/1.1\r\nHo', status: '408' },
+  { name: 'whose head is too large', options: { maxHeaderSize: 1_000 }, bytes: `GET /3 HTTP/1.1\r\nX: ${'x'.repeat(2_000)}`, status: '431' },
+  { name: 'that can not be parsed', options: {}, bytes: '\0\r\n\r\n', status: '400' },
+  { name: 'whose body can not be parsed', options: {}, bytes: 'POST /3 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n', status: '400' }
+] as const
+
+// Guards against requests that run and get no answer, or the refusal of another: what followed them on their connection ended it at once.
+for (const { name, options, bytes, status } of brokenEnds) {
+  tap.test(`requests are answered before one behind them ${name} is refused`, async (t) => {
+    t.same((await exchangeBytes(options, twoRequests + bytes)).answers, ['200', '200', status])
+    t.same((await exchangeBytes(options, bytes)).answers, [status], 'it is refused alone, too')
+  })
+}
+
+// Guards against requests that are served on for a client that has left: its last bytes were no request.
+tap.test('a request is given up when its client leaves after bytes that can not be parsed', async (t) => {
+  const drainable = drainServer.createDrainServer({}, () => {})
+  const socket = net.connect(await listen(drainable.server), '127.0.0.1')
+  socket.write(`${twoRequests}\0\r\n\r\n`)
+  while (drainable.openRequestCount < 2) await sleep(5)
+  socket.end()
+  while (drainable.openRequestCount > 0) await sleep(5)
+  drainable.server.close()
+  t.pass('no request is open')
+})
+
+// Guards against an answer that its client does not get: what it sent behind the request arrived after the connection was closed, which resets it.
+tap.test('the last answer of a connection reaches a client that has sent more', async (t) => {
+  const { socket, received, closed, shutDown } = await connectClient(2)
+  const shutdown = shutDown()
+  socket.pause()
+  socket.write('GET /1 HTTP/1.1\r\nHost: a\r\n\r\n')
+  for (const text of ['GET /2 HT', 'TP/1.1\r\n', 'Host: a']) {
+    await sleep(30)
+    socket.write(text)
+  }
+  await sleep(30)
+  socket.resume()
+  await closed
+  await shutdown
+  t.equal(received.head, 'HTTP/1.1 200 OK')
+})
--- a/packages/base/drain-server/src/drain-server.ts
+++ b/packages/base/drain-server/src/drain-server.ts
@@ -19,13 +19,16 @@
 /** Idle timeout of connections while draining, in ms: several network round trips, so that a client that sends its next request at once gets an answer. */
 export const drainKeepAliveMs = 250
 
+/** How long a connection that has ended is read on, in ms: several network round trips. */
+const lingerMs = 250
+
 /** The requests of one connection. */
 class Connection {
   /** Responses that have not ended, oldest first; they are sent in this order. */
   private readonly openResponses = new Set<http.ServerResponse>()
   private newestResponse: http.ServerResponse | undefined
-  /** An answer has announced the end of the connection, so no request after it is answered. */
-  isEndAnnounced = false
+  /** An answer has announced the end of the connection, or its bytes can't be read further: no request after that is answered. */
+  isEnding = false
 
   constructor (socket: net.Socket) {
     // Node.js emits 'close' only for the response that is being sent, not for those of pipelined requests behind it.
@@ -46,12 +49,55 @@
     return this.openResponses.size === 0
   }
 
+  /** Calls the listener once all requests that have arrived whole are answered, which may be now. */
+  whenAnswered (listener: () => void): void {
+    const newest = [...this.openResponses].filter(({ req }) => req.complete).at(-1)
+    if (newest === undefined) listener()
+    else newest.once('close', listener)
+  }
+
+  /** Whether a part of an answer was sent. */
+  get isAnswering (): boolean {
+    return [...this.openResponses].some(({ headersSent }) => headersSent)
+  }
+
   /** Whether no further request has arrived since, so that the connection may end with this answer. */
   isNewest (res: http.ServerResponse): boolean {
     return this.newestResponse === res
   }
 }
 
+/** Whether headers, as an object or as alternating names and values, announce the end of the connection. */
+function hasCloseHeader (headers: unknown): boolean {
+  if (typeof headers !== 'object' || headers === null) return false
+  const texts = (Array.isArray(headers) ? headers : Object.entries(headers).flat()).map((text) => String(text).toLowerCase())
+  return texts.some((text, index) => index % 2 === 0 && text === 'connection' && texts[index + 1] === 'close')
+}
+
+/** The answer to a request that can't be read. */
+function formatRefusal ({ code }: NodeJS.ErrnoException): string {
+  const status = refusalStatuses.get(code ?? '') ?? 400
+  return `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`
+}
+
+const refusalStatuses: ReadonlyMap<string, number> = new Map([
+  ['ERR_HTTP_REQUEST_TIMEOUT', 408],
+  ['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413],
+  ['HPE_HEADER_OVERFLOW', 431]
+])
+
+/** Ends a connection and reads on for a while: closing it with unread bytes resets it, and its client loses what it has not read yet. */
+function closeLingering (socket: net.Socket): void {
+  socket.end()
+  const timer = setTimeout(() => { socket.destroy() }, lingerMs).unref()
+  socket.once('close', () => { clearTimeout(timer) })
+}
+
+function refuseUnread (socket: net.Socket, err: Error, connection?: Connection): void {
+  if (socket.writable && connection?.isAnswering !== true) socket.write(formatRefusal(err))
+  socket.destroySoon()
+}
+
 /** Creates a server, which does not listen yet. Requests that arrive after the last answer of their connection are not passed to the listener. */
 export function createDrainServer (options: http.ServerOptions, onRequest: http.RequestListener): DrainServer {
   const connections = new WeakMap<net.Socket, Connection>()
@@ -66,7 +112,7 @@
       const mayEnd = connection?.isNewest(this) === true
       if (isDraining && mayEnd) this.shouldKeepAlive = false
       super.writeHead(...args as Parameters<http.ServerResponse['writeHead']>)
-      if (mayEnd && !this.shouldKeepAlive) connection.isEndAnnounced = true
+      if (mayEnd && (!this.shouldKeepAlive || hasCloseHeader(args.at(-1)))) connection.isEnding = true
       return this
     }
   }
@@ -79,7 +125,7 @@
 
   const server = http.createServer({ ...options, ServerResponse: DrainResponse }, (req, res) => {
     const connection = getConnection(req.socket)
-    if (connection.isEndAnnounced) {
+    if (connection.isEnding) {
       req.resume()
       return
     }
@@ -90,7 +136,20 @@
     onRequest(req, res)
   })
 
+  // Without a listener Node.js ends the connection at once, also under the requests before the one that can't be read.
+  server.on('clientError', (err, socket) => {
+    const connection = connections.get(socket as net.Socket)
+    if (socket.readableEnded || !socket.writable) socket.destroy(err)
+    else if (connection === undefined) refuseUnread(socket as net.Socket, err)
+    else if (!connection.isEnding) {
+      connection.isEnding = true
+      connection.whenAnswered(() => { refuseUnread(socket as net.Socket, err, connection) })
+    }
+  })
+
   server.on('connection', (socket) => {
+    // Called after the last answer of a connection.
+    socket.destroySoon = () => { closeLingering(socket) }
     openSockets.add(socket)
     socket.once('close', () => { openSockets.delete(socket) })
   })
