--- a/packages/programs/front/src/route-turn.ts
+++ b/packages/programs/front/src/route-turn.ts
@@ -190,7 +190,8 @@
   const outcome = await serveUnretained.reserveTokens(ports, owner, call)
   switch (outcome.type) {
     case 'none': return { type: 'unresponsive', ended: outcome.ended }
-    case 'moved': return { type: 'again', reason: outcome.type }
+    // Not again: if it is the same owner, the release of this reservation could undo the next one.
+    case 'moved': return { type: 'later', reason: outcome.type }
     case 'late': return { type: 'later', reason: 'the owner has not answered in time' }
     case 'answer':
   }
