limit-crashes: one crash of an upstream does not count several times

Callers saw a harmless popular call refused, with "too many upstreams have ended", after one upstream had ended once.

Cause: a report of a send that was later than the known end of the same upstream counted as the end of its next start. Such a send may have been made on a connection that had broken, but whose end this process had not read yet. Only requests of a program were concerned, others pass a check for the same crash first.

Change: a further end of the same upstream counts only if the upstream was alive when the request was sent, or ended 0.1 s later, as for ends of different upstreams. A process that knows of an end sends the request on new connections, which show that, so ends of a new start still count.

Test: "an upstream that may not have started again in between has ended once", all three checks failed before.

--- a/packages/decide/limit-crashes/src/crash-records.test.ts
+++ b/packages/decide/limit-crashes/src/crash-records.test.ts
@@ -83,6 +83,18 @@
   t.same(records.get(request, 200)?.ends, ['a', 'a#2', 'a#3'], 'two reports of the same end count once')
 })
 
+// Guards against a harmless request that is refused since one crash counted several times: it was sent on connections that had broken, but whose ends had not been read yet.
+tap.test('an upstream that may not have started again in between has ended once', async (t) => {
+  const records = new limitCrashes.CrashRecords(limits)
+  records.noteEnd(createReport('a', { sentAgoMs: 200 }), 0)
+  for (const now of [5, 10, 20]) records.noteEnd(createReport('a', { sentAgoMs: 2, endedAgoMs: 0, wasAlive: false }), now)
+  t.same(records.get(request, 20)?.ends, ['a'])
+  records.noteEnd(createReport('a', { sentAgoMs: 2, endedAgoMs: 0 }), 30)
+  t.same(records.get(request, 30)?.ends, ['a', 'a#2'], 'it was alive after it had ended')
+  records.noteEnd(createReport('a', { sentAgoMs: 2, endedAgoMs: 0, wasAlive: false }), 200)
+  t.same(records.get(request, 200)?.ends, ['a', 'a#2', 'a#3'], 'it ended much later')
+})
+
 tap.test('a reserved end counts for all but the process that reserved it, until it is withdrawn', async (t) => {
   const records = new limitCrashes.CrashRecords(limits)
   const reservation = limitCrashes.createReservation(request, 'attempt-1')
--- a/packages/decide/limit-crashes/src/crash-records.ts
+++ b/packages/decide/limit-crashes/src/crash-records.ts
@@ -124,7 +124,7 @@
     if (sentAt <= (this.answeredAt.get(report.request) ?? -Infinity)) return
     const mayShareCrash = !report.isExclusive || report.wasGivenUp === true
     if (known !== undefined && mayShareCrash && !isLaterCrash(report, known, now)) return
-    this.add(report, [createEndId(report.upstream, sentAt, known)], now - report.endedAgoMs, now)
+    this.add(report, [createEndId(report, known, now)], now - report.endedAgoMs, now)
   }
 
   /**
@@ -226,13 +226,22 @@
   }
 }
 
-/** A request that was sent to an upstream after that had ended met another start of it. */
-function createEndId (upstream: types.UpstreamId, sentAt: number, known: CrashRecord | undefined): EndId {
-  let end: EndId = upstream
-  for (let count = 2; sentAt > (known?.ends.get(end) ?? Infinity); count += 1) end = `${upstream}#${count}`
+function createEndId (report: CrashReport, known: CrashRecord | undefined, now: number): EndId {
+  let end: EndId = report.upstream
+  for (let count = 2; hasStartedAgain(report, known?.ends.get(end), now); count += 1) end = `${report.upstream}#${count}`
   return end
 }
 
+/**
+ * Whether an upstream that has ended before has started again in between: it was alive when the request was sent, or ended
+ * much later. Otherwise the request may have been sent on a connection whose end had not been read yet.
+ */
+function hasStartedAgain ({ sentAgoMs, endedAgoMs, wasAlive }: CrashReport, knownEndedAt: number | undefined, now: number): boolean {
+  if (knownEndedAt === undefined || now - sentAgoMs <= knownEndedAt) return false
+  // Reports of an earlier release do not say whether it was alive.
+  return wasAlive !== false || now - endedAgoMs - knownEndedAt >= simultaneousMs
+}
+
 /** Whether an end can't be part of the crash that brought about the one before: its upstream was alive after that, or ended much later. */
 function isLaterCrash ({ sentAgoMs, endedAgoMs, wasAlive, wasGivenUp, attempt }: CrashReport, { ends, lastAttempt }: CrashRecord, now: number): boolean {
   const lastEndedAt = Math.max(-Infinity, ...[...ends].filter(([end]) => !isReserved(end)).map(([, endedAt]) => endedAt))
