--- a/packages/base/drain-server/src/drain-server.test.ts
+++ b/packages/base/drain-server/src/drain-server.test.ts
@@ -252,3 +252,19 @@
   await shutdown
   t.equal(received.head, 'HTTP/1.1 200 OK')
 })
+
+// Guards against a request that runs after it was refused as late: its head was completed while the connection was read on.
+tap.test('a request whose head is completed after it was refused is not served', async (t) => {
+  const served: string[] = []
+  const drainable = drainServer.createDrainServer({ connectionsCheckingInterval: 10 }, (req) => { served.push(req.url ?? '') })
+  drainable.server.headersTimeout = 20
+  const socket = net.connect({ port: await listen(drainable.server), host: '127.0.0.1', allowHalfOpen: true })
+  socket.on('error', () => {})
+  socket.write('GET /late HTTP/1.1\r\n')
+  await new Promise((resolve) => { socket.once('data', resolve) })
+  socket.write('Host: a\r\n\r\n')
+  await sleep(50)
+  socket.destroy()
+  drainable.server.close()
+  t.same(served, [])
+})
--- a/packages/base/drain-server/src/drain-server.ts
+++ b/packages/base/drain-server/src/drain-server.ts
@@ -93,8 +93,8 @@
   socket.once('close', () => { clearTimeout(timer) })
 }
 
-function refuseUnread (socket: net.Socket, err: Error, connection?: Connection): void {
-  if (socket.writable && connection?.isAnswering !== true) socket.write(formatRefusal(err))
+function refuseUnread (socket: net.Socket, err: Error, connection: Connection): void {
+  if (socket.writable && !connection.isAnswering) socket.write(formatRefusal(err))
   socket.destroySoon()
 }
 
@@ -137,19 +137,22 @@
   })
 
   // Without a listener Node.js ends the connection at once, also under the requests before the one that can't be read.
-  server.on('clientError', (err, socket) => {
-    const connection = connections.get(socket as net.Socket)
+  server.on('clientError', (err, stream) => {
+    const socket = stream as net.Socket
+    const connection = getConnection(socket)
     if (socket.readableEnded || !socket.writable) socket.destroy(err)
-    else if (connection === undefined) refuseUnread(socket as net.Socket, err)
     else if (!connection.isEnding) {
       connection.isEnding = true
-      connection.whenAnswered(() => { refuseUnread(socket as net.Socket, err, connection) })
+      connection.whenAnswered(() => { refuseUnread(socket, err, connection) })
     }
   })
 
   server.on('connection', (socket) => {
     // Called after the last answer of a connection.
-    socket.destroySoon = () => { closeLingering(socket) }
+    socket.destroySoon = () => {
+      getConnection(socket).isEnding = true
+      closeLingering(socket)
+    }
     openSockets.add(socket)
     socket.once('close', () => { openSockets.delete(socket) })
   })
