--- a/packages/programs/front/src/peer-failure-detector.ts
+++ b/packages/programs/front/src/peer-failure-detector.ts
@@ -46,7 +46,7 @@
 /** With fewer peers, the detector can't determine which process is isolated. */
 const minPeerCount = 2
 
-/** Sends no pings in normal operation; a suspected peer that does not prove to be alive makes it ping all peers in rounds. */
+/** Sends no pings in normal operation; a suspected peer whose host accepts no connection makes it ping all peers in rounds. */
 export class PeerFailureDetector {
   private isProbing = false
   private isClosed = false
@@ -69,7 +69,7 @@
     this.isClosed = true
   }
 
-  /** Registers that a peer did not answer; pings all peers until it is clear which process is isolated. */
+  /** Registers that a peer did not answer; examines it and, if it can't be reached, all peers, until it is clear which process is isolated. */
   suspect (address: string): void {
     this.suspects.add(address)
     if (!this.isProbing) void this.probeUntilSettled()
@@ -99,7 +99,7 @@
     if (now - this.contradictedSince >= (this.isolated ? recoveryThresholdMs : isolationThresholdMs)) this.setIsolated(!this.isolated)
   }
 
-  /** Pings the suspects and, unless they are alive, all peers; reports the suspects that can't be reached, and returns whether enough peers can. */
+  /** Asks the suspects for a connection and, unless they accept it, pings all peers; reports the suspects that can't be reached, and returns whether enough peers can. */
   private async probePeers (): Promise<boolean> {
     const peers = this.ports.peers()
     const suspects = [...this.suspects]
