--- a/packages/programs/front/src/serve-unretained.ts
+++ b/packages/programs/front/src/serve-unretained.ts
@@ -99,7 +99,7 @@
 }
 
 /** Releases a reservation, except for the tokens that the call reports as used. */
-export function releaseReservation (ports: UnretainedPorts, owner: ReservationOwner, call: peerCalls.ReleaseCall): void {
-  if (owner.type === 'here') reserveTurn.releaseLocally(ports, owner.shard, call)
-  else void peerCalls.callPeer(ports, owner.owner.address, call, releaseTimeoutMs)
+export function releaseReservation (ports: UnretainedPorts, holder: ReservationOwner, call: peerCalls.ReleaseCall): void {
+  if (holder.type === 'here') reserveTurn.releaseLocally(ports, holder.shard, call)
+  else void peerCalls.callPeer(ports, holder.owner.address, call, releaseTimeoutMs)
 }
