A peer whose reports arrive is alive, though its host takes no connection

Callers saw: after a final fault a tenth of all turns were refused for as long as they came, among them turns of new programs that continue earlier ones (LOST).

Cause: a host that took no connection for 200 ms counted as dead. A small host that has just started takes none while its accept queue is full; it was evicted, joined again, loaded the shards that it got, and was as busy as before, as were those that got its own. Each suspicion pinged all members in rounds of 300 ms and opened connections to those that were late, which filled the queues.

Change: the load reports, which need no connection, are evidence of life. A peer that has reported within 2 s is not evicted, examined or given up; a turn whose connection to it is not established is tried again until its deadline. A process that hears from a quarter of its peers within 0.8 s does not ping them to find out whether it is isolated. Peers that were never heard are left to their lease.

Why it works: what costs a busy host time and its shards is not done on evidence that every busy host gives. A host that has lost power reports no more, and its lease (1.1 s) moves its shards.

--- a/packages/decide/track-upstreams/src/peer-loads.ts
+++ b/packages/decide/track-upstreams/src/peer-loads.ts
@@ -14,11 +14,15 @@
 
 /** A report older than this, in ms, is stale: several later reports were lost, or the process has ended. */
 const reportTtlMs = 3_000
+/** How long it is remembered when a peer reported last, in ms: a peer that was heard and is silent is told from one that was never heard. */
+const reportMemoryMs = 30_000
 
 /** Keeps the latest report of each peer and the sums over all peers. */
 export class PeerLoads {
   private readonly reports = new Map<string, PeerReport>()
   private readonly sums = new Map<types.UpstreamId, number>()
+  /** When each peer last reported, monotonic ms; kept longer than the reports. */
+  private readonly reportedAt = new Map<string, number>()
 
   /** Replaces the previous report of a peer; `now`: monotonic ms. */
   applyReport (peer: string, counts: RunningCounts, now: number): void {
@@ -26,6 +30,7 @@
     if (previous !== undefined) this.addToSums(previous.counts, -1)
     this.addToSums(counts, 1)
     this.reports.set(peer, { counts, receivedAt: now })
+    this.reportedAt.set(peer, now)
   }
 
   /** Drops reports that are too old. */
@@ -35,6 +40,12 @@
       this.addToSums(counts, -1)
       this.reports.delete(peer)
     }
+    for (const [peer, reportedAt] of this.reportedAt) if (now - reportedAt > reportMemoryMs) this.reportedAt.delete(peer)
+  }
+
+  /** Time since the last report of a peer, in ms; infinite if it has sent none lately. `now`: monotonic ms. */
+  getReportAgeMs (peer: string, now: number): number {
+    return now - (this.reportedAt.get(peer) ?? -Infinity)
   }
 
   /** Peers with a current report. */
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -19,6 +19,7 @@
 import * as meterCall from './meter-call.js'
 import * as peerCalls from './peer-calls.js'
 import * as peerListener from './peer-listener.js'
+import * as peerLiveness from './peer-liveness.js'
 import * as peerProbe from './peer-probe.js'
 import * as peerFailureDetector from './peer-failure-detector.js'
 import * as programAdmission from './program-admission.js'
@@ -97,6 +98,7 @@
   private readonly inFlightRequests: inFlightRequests.InFlightRequests
   private readonly peerCallPorts: peerCalls.PeerCallPorts
   private readonly shards: ownShards.ShardOwner
+  private readonly liveness: peerLiveness.PeerLiveness
   private readonly failureDetector: peerFailureDetector.PeerFailureDetector
   private readonly routing: currentRouting.CurrentRouting
   private readonly upstreams: upstreamView.UpstreamView
@@ -118,6 +120,7 @@
     this.peerCallPorts = { peerSender: this.peerSender, timers: ports.timers, decisions: ports.decisions }
     const log = this.createRelayedLog()
     this.shards = this.createShards(log)
+    this.liveness = new peerLiveness.PeerLiveness({ timers: ports.timers, getReportAgeMs: (address, now) => this.upstreams.peerLoads.getReportAgeMs(address, now) })
     this.failureDetector = this.createFailureDetector()
     this.routing = new currentRouting.CurrentRouting({
       ...ports,
@@ -282,6 +285,7 @@
     return new peerFailureDetector.PeerFailureDetector({
       ...this.ports,
       peers: () => this.listPeerAddresses(),
+      liveness: this.liveness,
       ping: (address) => this.ping(address, pingTimeoutMs),
       connect: (address) => sendHttp.probeConnection(address, peerConnectTimeoutMs),
       onPeerSilent: (address) => { this.onPeerSilent(address) },
@@ -305,6 +309,7 @@
       promptLocations: new promptLocations.PromptLocations(),
       peerProbe: new peerProbe.PeerProbe({
         ...this.ports,
+        liveness: this.liveness,
         ping: (address, timeoutMs) => this.ping(address, timeoutMs),
         connect: (address) => sendHttp.probeConnection(address, peerConnectTimeoutMs),
         onSuspected: (address) => { this.failureDetector.suspect(address) },
--- a/packages/programs/front/src/peer-failure-detector.test.ts
+++ b/packages/programs/front/src/peer-failure-detector.test.ts
@@ -12,8 +12,11 @@
   const isolationChanges: boolean[] = []
   const reported: string[] = []
   const pinged: string[] = []
+  /** Peers have reported before, and not lately, unless a test says otherwise. */
+  const liveness = { isAlive: () => false, hasFallenSilent: () => true, hearsEnough: () => false }
   const detector = new peerFailureDetector.PeerFailureDetector({
     peers: () => [...members],
+    liveness,
     ping: async (address) => {
       pinged.push(address)
       const isLate = silent.has(address) || busy.has(address)
@@ -29,7 +32,7 @@
     timers,
     decisions: decisionLog.createSilentDecisionLog()
   })
-  return { timers, members, silent, busy, isolationChanges, reported, pinged, detector }
+  return { timers, members, silent, busy, isolationChanges, reported, pinged, liveness, detector }
 }
 
 tap.test('a process that reaches no member for longer than a lease is isolated', async (t) => {
@@ -146,3 +149,37 @@
   }
   t.same(isolationChanges, [true])
 })
+
+// Guards against live hosts that are evicted because their accept queues are full, and against probes that fill them further.
+tap.test('a peer that reports is neither examined nor reported, though its host takes no connection', async (t) => {
+  const { timers, silent, reported, pinged, liveness, detector } = fixture(5)
+  Object.assign(liveness, { isAlive: () => true, hasFallenSilent: () => false, hearsEnough: () => true })
+  silent.add('peer-0')
+  for (let elapsedMs = 0; elapsedMs < 6_000; elapsedMs += 500) {
+    detector.suspect('peer-0')
+    await timers.advanceAsync(500)
+  }
+  t.same([reported, pinged], [[], []])
+})
+
+tap.test('a peer that was never heard is left to its lease', async (t) => {
+  const { timers, silent, reported, liveness, detector } = fixture(5)
+  liveness.hasFallenSilent = () => false
+  silent.add('peer-0')
+  detector.suspect('peer-0')
+  await timers.advanceAsync(5_000)
+  t.same(reported, [])
+})
+
+// Guards against a process that goes on owning shards behind a network partition, as it has heard its peers until just now.
+tap.test('a process that hears its peers no more is isolated, though each has reported lately', async (t) => {
+  const { timers, members, silent, isolationChanges, liveness, detector } = fixture(5)
+  Object.assign(liveness, { isAlive: () => true, hasFallenSilent: () => false })
+  for (const peer of members) silent.add(peer)
+  detector.suspect('peer-0')
+  await timers.advanceAsync(2_400)
+  t.same(isolationChanges, [true])
+  liveness.hearsEnough = () => true
+  await timers.advanceAsync(1_500)
+  t.same(isolationChanges, [true, false])
+})
--- a/packages/programs/front/src/peer-failure-detector.ts
+++ b/packages/programs/front/src/peer-failure-detector.ts
@@ -2,11 +2,13 @@
  * Distinguishes a silent peer from the isolation of this process. A process that is isolated from its peers while the
  * store still serves it keeps its lease, so no other process may serve its programs, and few can reach it: it should
  * give up its shards. A peer that can't be reached while the others can is reported, so that its shards move before its
- * lease expires. One that is late is not: moving the shards of a busy host makes the others busy, too.
+ * lease expires. One that is late is not: moving the shards of a busy host makes the others busy, too. The reports of the
+ * peers are looked at first, as asking costs those time that are busy already.
  */
 import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as sendHttp from '@eelgrasswind/send-http'
 import * as timerService from '@eelgrasswind/timer-service'
+import type * as peerLiveness from './peer-liveness.js'
 import * as peerProbe from './peer-probe.js'
 
 /** Dependencies of `PeerFailureDetector`. */
@@ -17,7 +19,9 @@
   readonly ping: (address: string) => Promise<boolean>
   /** Opens a connection to a peer. Its host accepts it whether or not the process is busy. */
   readonly connect: (address: string) => Promise<sendHttp.ConnectionProbe>
-  /** A suspected peer can't be reached, and enough others can. */
+  /** What the reports of the peers show. */
+  readonly liveness: Pick<peerLiveness.PeerLiveness, 'isAlive' | 'hasFallenSilent' | 'hearsEnough'>
+  /** A suspected peer that has reported before is silent and can't be reached, and enough others can. */
   readonly onPeerSilent: (address: string) => void
   /** This process has become isolated, or reaches its peers again. */
   readonly onIsolationChanged: (isIsolated: boolean) => void
@@ -105,10 +109,14 @@
     const suspects = [...this.suspects]
     this.suspects.clear()
     if (peers.length < minPeerCount) return true
+    const { liveness } = this.ports
+    const isConnected = liveness.hearsEnough(peers)
+    const unheard = suspects.filter((address) => !isConnected || !liveness.isAlive(address))
+    if (!this.isolated && isConnected && unheard.length === 0) return true
     const startedAt = this.ports.timers.monotonic()
-    const checks = new Map(peers.filter((address) => suspects.includes(address)).map((address) => [address, this.acceptsConnection(address)]))
+    const checks = new Map(peers.filter((address) => unheard.includes(address)).map((address) => [address, this.acceptsConnection(address)]))
     if (!this.isolated && this.contradictedSince === undefined && await this.areAlive([...checks.values()])) return true
-    const reachable = await Promise.all(peers.map((address) => checks.get(address) ?? this.isReachable(address)))
+    const reachable = await Promise.all(peers.map((address) => checks.get(address) ?? ((isConnected && liveness.isAlive(address)) || this.isReachable(address))))
     const silent = peers.filter((_, index) => reachable[index] !== true)
     const canReachPeers = peers.length - silent.length >= peers.length * minReachableShare
     this.ports.decisions.record({ event: 'peersPinged', suspects, pinged: peers.length, unreachable: silent.length, tookMs: Math.round(this.ports.timers.monotonic() - startedAt) })
@@ -146,6 +154,8 @@
   private reportSilent (silent: readonly string[]): void {
     const now = this.ports.timers.monotonic()
     for (const address of silent) {
+      // A peer that has never been heard may be one that does not report to this process; its lease tells whether it goes on.
+      if (!this.ports.liveness.hasFallenSilent(address)) continue
       if (now - (this.reportedAt.get(address) ?? -Infinity) < minReportIntervalMs) continue
       this.reportedAt.set(address, now)
       this.ports.onPeerSilent(address)
--- a/packages/programs/front/src/peer-probe.ts
+++ b/packages/programs/front/src/peer-probe.ts
@@ -3,6 +3,7 @@
 import type * as decisionLog from '@eelgrasswind/decision-log'
 import type * as sendHttp from '@eelgrasswind/send-http'
 import * as timerService from '@eelgrasswind/timer-service'
+import type * as peerLiveness from './peer-liveness.js'
 
 /** Dependencies of `PeerProbe`. */
 export interface PeerProbePorts {
@@ -10,6 +11,8 @@
   readonly ping: (address: string, timeoutMs: number) => Promise<boolean>
   /** Opens a connection to a peer. Its host accepts it whether or not the process is busy. */
   readonly connect: (address: string) => Promise<sendHttp.ConnectionProbe>
+  /** What the reports of the peers show. */
+  readonly liveness: Pick<peerLiveness.PeerLiveness, 'isAlive'>
   /** Called when a host has not accepted a connection at once. */
   readonly onSuspected: (address: string) => void
   /** Timeout of a ping, in ms: until then its connection stays usable for the answer of a busy process. */
@@ -37,9 +40,18 @@
 
   constructor (private readonly ports: PeerProbePorts) {}
 
-  /** Whether a peer can be reached. It can not if its host refuses connections, or accepts none; a process that is merely busy answers late. */
+  /** Whether the peer's reports show that it is alive, though it may take no connection just now. */
+  isHeard (address: string): boolean {
+    return this.ports.liveness.isAlive(address)
+  }
+
+  /**
+   * Whether a peer can be reached. It can not if its reports have stopped, and its host refuses connections, or accepts
+   * none; a process that is merely busy answers late.
+   */
   async isReachable (address: string): Promise<boolean> {
     const { timers } = this.ports
+    if (this.isHeard(address)) return true
     if (timers.monotonic() - (this.reachedAt.get(address) ?? -Infinity) < reachableMs) return true
     const pendingProbe = this.pendingProbes.get(address)
     if (pendingProbe !== undefined) return pendingProbe
--- a/packages/programs/front/src/route-turn.ts
+++ b/packages/programs/front/src/route-turn.ts
@@ -62,19 +62,21 @@
   const partition = shards.getPartition(turn.program)
   const startedAt = timers.monotonic()
   const denial = new OwnerDenial(ports)
-  let lastStep: unknown
+  let lastStep: RoutingStep
+  let lastLocation: ownShards.ShardLocation
   do {
     const location = shards.locate(partition)
     const step: RoutingStep = denial.isCurrent(location) ? { type: 'again', reason: 'notOwner' } : await tryLocation(ports, req, turn, partition, location)
     if (step.type === 'done') return
-    lastStep = { place: describeLocation(location), step }
+    lastStep = step
+    lastLocation = location
     if (step.type === 'later') break
-    if (step.reason === 'notOwner') denial.note(location)
+    if (step.type === 'again' && step.reason === 'notOwner') denial.note(location)
     void shards.refreshOwners()
     await timerService.sleep(timers, pollIntervalMs)
-  } while (!req.reply.over && timers.monotonic() - startedAt < shards.leaseMs)
+  } while (!req.reply.over && timers.monotonic() < (isWaitedFor(lastStep) ? req.deadlineAt : startedAt + shards.leaseMs))
   const retryAfterMs = estimateRetryMs(ports, partition)
-  ports.decisions.record({ event: 'turnRefused', reason: 'nobody serves the shard', request: req.attempt.id, program: turn.program, previous: turn.previous, detail: { partition, waitedMs: Math.round(timers.monotonic() - startedAt), ownersAgeMs: Math.round(shards.ownersAgeMs), last: lastStep } })
+  ports.decisions.record({ event: 'turnRefused', reason: 'nobody serves the shard', request: req.attempt.id, program: turn.program, previous: turn.previous, detail: { partition, waitedMs: Math.round(timers.monotonic() - startedAt), ownersAgeMs: Math.round(shards.ownersAgeMs), last: { place: describeLocation(lastLocation), step: lastStep } } })
   req.reply.refuse({ type: 'shardMoving', retryAfterMs })
 }
 
@@ -120,9 +122,16 @@
   | { readonly type: 'done' }
   /** Nothing ran; locate the owner again and retry. */
   | { readonly type: 'again', readonly reason: string }
+  /** Nothing ran: the host of the owner, which is alive, takes no connection just now; retry. */
+  | { readonly type: 'noConnection' }
   /** Nothing ran, and a retry soon would fail the same way. */
   | { readonly type: 'later', readonly reason: string }
 
+/** An owner that is alive is waited for until the deadline, however late it is. */
+function isWaitedFor (step: RoutingStep): boolean {
+  return step.type === 'noConnection'
+}
+
 async function tryLocation (ports: RouteTurnPorts, req: inbound.InboundRequest, turn: dialects.TurnFields, partition: shardLog.Partition, location: ownShards.ShardLocation): Promise<RoutingStep> {
   switch (location.type) {
     case 'unknown': return { type: 'again', reason: 'no owner known' }
@@ -149,6 +158,11 @@
   }
   const step = isRetained(req) ? await forwardToOwner(ports, req, turn, member, owner) : await tryUnretained(ports, req, turn, { type: 'peer', owner })
   if (step.type !== 'unresponsive') return step
+  if (!step.ended && ports.peerProbe.isHeard(address)) {
+    ports.failureDetector.suspect(address)
+    // A reservation may have arrived: it is not repeated at the same owner.
+    return isRetained(req) ? { type: 'noConnection' } : { type: 'later', reason: 'the owner has not answered in time' }
+  }
   suspects.add(member, timers.monotonic())
   if (step.ended) void shards.evict(member, 'ended')
   else ports.failureDetector.suspect(address)
--- a/packages/programs/front/src/test-cluster.ts
+++ b/packages/programs/front/src/test-cluster.ts
@@ -8,6 +8,7 @@
 import type * as types from '@eelgrasswind/types'
 import * as accountLimits from './account-limits.js'
 import * as memberName from './member-name.js'
+import * as peerLiveness from './peer-liveness.js'
 import * as peerFailureDetector from './peer-failure-detector.js'
 import * as testLimits from './test-limits.js'
 
@@ -281,6 +282,7 @@
     })
     const detector = new peerFailureDetector.PeerFailureDetector({
       peers: listPeers,
+      liveness: new peerLiveness.PeerLiveness({ timers, getReportAgeMs: (address, now) => now - (this.heardAt.get(`${host} ${hostOf(address)}`) ?? -Infinity) }),
       ping: async (address) => await this.call(host, address, timers, pingTimeoutMs, async () => true) === true,
       connect: async (address) => this.connect(host, hostOf(address)),
       onPeerSilent: (address) => {
