The search of a chain goes on until its timeout; a busy owner is not suspected

Cause: the search asked the owners twice and gave up, usually within 0.4 s. An owner that was opening the shard answered without it, one that took no connection not at all.

Change: the owners of the shards that have not confirmed are asked again until the timeout, which is as before; only they, not all; an owner that opens a shard answers once it is loaded. The line of a refusal names some of the shards without an answer and where they are served; it logged a found chain whole before. A turn whose owner takes no connection is tried again unless the owner has stopped to report: a process that has just started has heard from nobody yet.

--- a/packages/programs/front/src/forward-turn.test.ts
+++ b/packages/programs/front/src/forward-turn.test.ts
@@ -38,7 +38,7 @@
     timers,
     decisions: decisionLog.createSilentDecisionLog(),
     peerProbe: new peerProbe.PeerProbe({
-      liveness: { isAlive: () => false },
+      liveness: { isAlive: () => false, hasFallenSilent: () => true },
       ping: async (_address, timeoutMs) => {
         pingCount += 1
         if (pingMs > 0) await timerService.sleep(timers, Math.min(pingMs, timeoutMs))
--- a/packages/programs/front/src/forward-turn.ts
+++ b/packages/programs/front/src/forward-turn.ts
@@ -34,7 +34,7 @@
 
 /** Dependencies of `forwardTurn`. */
 export interface ForwardPorts extends dispatch.DispatchPorts, Pick<peerCalls.PeerCallPorts, 'peerSender'> {
-  readonly peerProbe: Pick<peerProbe.PeerProbe, 'isReachable' | 'isHeard'>
+  readonly peerProbe: Pick<peerProbe.PeerProbe, 'isReachable'>
 }
 
 /** Resolves when the request is over, or when it is certain that the turn has not run: without `100 Continue` its body was not sent. */
--- a/packages/programs/front/src/late-owner.ts
+++ b/packages/programs/front/src/late-owner.ts
@@ -7,7 +7,7 @@
 export interface LateOwnerPorts {
   readonly timers: timerService.TimerService
   readonly decisions: decisionLog.DecisionLog
-  readonly peerProbe: Pick<peerProbe.PeerProbe, 'isReachable' | 'isHeard'>
+  readonly peerProbe: Pick<peerProbe.PeerProbe, 'isReachable'>
 }
 
 /** The owner of a program's shard, as the process that needs it knows it. */
--- a/packages/programs/front/src/peer-listener.ts
+++ b/packages/programs/front/src/peer-listener.ts
@@ -145,7 +145,7 @@
     }
     case 'meter': return ports.limits.countReports(meterCall.completeCall(call))
     case 'crashes': return ports.crashCalls.answerCall(call)
-    case 'findChain': return findChain.findChainLocally(ports.shards, { turn: call.turn, account: call.account })
+    case 'findChain': return findChain.findChainLocally(ports, { turn: call.turn, account: call.account })
     case 'settle':
     case 'settleUnreserved': {
       const shard = await routeTurn.awaitServingShard(ports, call.request.program)
--- a/packages/programs/front/src/peer-probe.test.ts
+++ b/packages/programs/front/src/peer-probe.test.ts
@@ -16,7 +16,7 @@
   let connectionCount = 0
   const remaining = [...connections]
   const probe = new peerProbe.PeerProbe({
-    liveness: { isAlive: () => false },
+    liveness: { isAlive: () => false, hasFallenSilent: () => true },
     timers,
     pingTimeoutMs: leaseMs,
     onSuspected: (address) => { suspected.push(address) },
@@ -106,7 +106,7 @@
   const sender = sendHttp.createSender({ idleTimeoutMs: 3_500, shortIdleTimeoutMs: 250, onSinkError: () => {} })
   t.teardown(() => { sender.close() })
   const probe = new peerProbe.PeerProbe({
-    liveness: { isAlive: () => false },
+    liveness: { isAlive: () => false, hasFallenSilent: () => true },
     timers,
     pingTimeoutMs: leaseMs,
     onSuspected: () => {},
--- a/packages/programs/front/src/peer-probe.ts
+++ b/packages/programs/front/src/peer-probe.ts
@@ -12,7 +12,7 @@
   /** Opens a connection to a peer. Its host accepts it whether or not the process is busy. */
   readonly connect: (address: string) => Promise<sendHttp.ConnectionProbe>
   /** What the reports of the peers show. */
-  readonly liveness: Pick<peerLiveness.PeerLiveness, 'isAlive'>
+  readonly liveness: Pick<peerLiveness.PeerLiveness, 'isAlive' | 'hasFallenSilent'>
   /** Called when a host has not accepted a connection at once. */
   readonly onSuspected: (address: string) => void
   /** Timeout of a ping, in ms: until then its connection stays usable for the answer of a busy process. */
@@ -40,9 +40,9 @@
 
   constructor (private readonly ports: PeerProbePorts) {}
 
-  /** Whether the peer's reports show that it is alive, though it may take no connection just now. */
-  isHeard (address: string): boolean {
-    return this.ports.liveness.isAlive(address)
+  /** Whether the peer has stopped reporting. One that takes no connection, and has not, may be alive. */
+  hasFallenSilent (address: string): boolean {
+    return this.ports.liveness.hasFallenSilent(address)
   }
 
   /**
@@ -51,7 +51,7 @@
    */
   async isReachable (address: string): Promise<boolean> {
     const { timers } = this.ports
-    if (this.isHeard(address)) return true
+    if (this.ports.liveness.isAlive(address)) return true
     if (timers.monotonic() - (this.reachedAt.get(address) ?? -Infinity) < reachableMs) return true
     const pendingProbe = this.pendingProbes.get(address)
     if (pendingProbe !== undefined) return pendingProbe
--- a/packages/programs/front/src/route-turn.ts
+++ b/packages/programs/front/src/route-turn.ts
@@ -9,11 +9,13 @@
 import type * as inbound from './inbound.js'
 import * as memberName from './member-name.js'
 import type * as peerFailureDetector from './peer-failure-detector.js'
+import type * as peerProbe from './peer-probe.js'
 import * as serveTurn from './serve-turn.js'
 import * as serveUnretained from './serve-unretained.js'
 
 /** Dependencies for routing turns. */
 export interface RouteTurnPorts extends serveTurn.TurnPorts, forwardTurn.ForwardPorts {
+  readonly peerProbe: Pick<peerProbe.PeerProbe, 'isReachable' | 'hasFallenSilent'>
   /** Peers that recently failed to answer. */
   readonly suspects: SuspectedPeers
   /** Checks suspected peers, and detects whether this process itself is partitioned from its peers. */
@@ -122,12 +124,12 @@
   | { readonly type: 'done' }
   /** Nothing ran; locate the owner again and retry. */
   | { readonly type: 'again', readonly reason: string }
-  /** Nothing ran: the host of the owner, which is alive, takes no connection just now; retry. */
+  /** Nothing ran: the host of the owner, which may be alive, takes no connection just now; retry. */
   | { readonly type: 'noConnection' }
   /** Nothing ran, and a retry soon would fail the same way. */
   | { readonly type: 'later', readonly reason: string }
 
-/** An owner that is alive is waited for until the deadline, however late it is. */
+/** An owner that may be alive is waited for until the deadline, however late it is. */
 function isWaitedFor (step: RoutingStep): boolean {
   return step.type === 'noConnection'
 }
@@ -158,7 +160,7 @@
   }
   const step = isRetained(req) ? await forwardToOwner(ports, req, turn, member, owner) : await tryUnretained(ports, req, turn, { type: 'peer', owner })
   if (step.type !== 'unresponsive') return step
-  if (!step.ended && ports.peerProbe.isHeard(address)) {
+  if (!step.ended && !ports.peerProbe.hasFallenSilent(address)) {
     ports.failureDetector.suspect(address)
     // A reservation may have arrived: it is not repeated at the same owner.
     return isRetained(req) ? { type: 'noConnection' } : { type: 'later', reason: 'the owner has not answered in time' }
--- a/packages/programs/front/src/serve-turn.ts
+++ b/packages/programs/front/src/serve-turn.ts
@@ -2,7 +2,6 @@
 import * as admitProgram from '@eelgrasswind/admit-program'
 import * as identifyClient from '@eelgrasswind/identify-client'
 import type * as ownShards from '@eelgrasswind/own-shards'
-import * as timerService from '@eelgrasswind/timer-service'
 import type * as turnLedger from '@eelgrasswind/turn-ledger'
 import type * as types from '@eelgrasswind/types'
 import * as answerStream from './answer-stream.js'
@@ -76,7 +75,7 @@
 /** Handles a previous turn that this shard doesn't have: copies its chain from another program's shard, or refuses the turn. */
 async function continueFromOtherShard (ports: TurnPorts, req: inbound.InboundRequest, turn: dialects.TurnFields, request: turnLedger.TurnRequest, shard: ownShards.OwnedShard): Promise<void> {
   const previous = request.previous
-  const found = previous === undefined ? undefined : await timerService.withTimeout(ports.timers, findChain.findChainAtOwners(ports, { turn: previous, account: request.account }), findChain.getSearchTimeoutMs(ports.shards))
+  const found = previous === undefined ? undefined : await findChain.findChainAtOwners(ports, { turn: previous, account: request.account }, findChain.getSearchTimeoutMs(ports.shards))
   if (found?.type === 'found' && shard.state === 'serving') {
     const admission = shard.ledger.admitTurn(request, ports.timers.now() as types.EpochMs, found.chain)
     if (admission.type === 'admitted') {
@@ -84,7 +83,8 @@
       return
     }
   }
-  ports.decisions.record({ event: 'turnRefused', reason: 'the turn to continue from was not found', request: request.turn, program: request.program, previous, epoch: shard.epoch, detail: { found } })
+  const search = found?.type === 'found' ? { type: found.type, turns: found.chain.length } : found
+  ports.decisions.record({ event: 'turnRefused', reason: 'the turn to continue from was not found', request: request.turn, program: request.program, previous, epoch: shard.epoch, detail: { search, shard: shard.state } })
   if (found?.type === 'absent') req.reply.refuse({ type: 'unknownTurn' })
   else req.reply.refuse({ type: 'shardMoving', retryAfterMs: shardRetryMs })
 }
--- a/packages/programs/front/src/settle-turn.test.ts
+++ b/packages/programs/front/src/settle-turn.test.ts
@@ -31,7 +31,7 @@
     return { cancel () {}, discard () {}, pause () {}, resume () {} }
   }
   const shard = createShard(new turnLedger.TurnLedger(), 'committed')
-  const shards = { getPartition: () => ({ topic: 'x', part: 0 }), locate: () => ({ type: 'here', shard }) as ownShards.ShardLocation, refreshOwners: () => Promise.resolve(), listMembers: () => ['front-1@127.0.0.1:1'], isSelf: () => false, listServingShards: () => [shard, ...others], shardCount: 2 }
+  const shards = { getPartition: () => ({ topic: 'x', part: 0 }), locate: ({ part }: { readonly part: number }) => (part === 0 ? { type: 'here', shard } : { type: 'member', member: 'front-1@127.0.0.1:1' }) as ownShards.ShardLocation, listPartitions: () => [{ topic: 'x', part: 0 }, { topic: 'x', part: 1 }], listOpeningShards: () => [], refreshOwners: () => Promise.resolve(), listMembers: () => ['front-1@127.0.0.1:1'], isSelf: () => false, listServingShards: () => [shard, ...others], shardCount: 2 }
   const ports = { timers, decisions: decisionLog.createSilentDecisionLog(), peerSender: { send, close () {} }, shards } as unknown as settleTurn.SettlePorts
   return { timers, calls, shards, ports }
 }
--- a/packages/programs/front/src/settle-turn.ts
+++ b/packages/programs/front/src/settle-turn.ts
@@ -103,7 +103,7 @@
   const isReserved = type === 'settle'
   const adopted = shard.ledger.adoptTurn(request, end, now(), { isReserved })
   if (adopted.type !== 'unknown' || request.previous === undefined) return adopted
-  const found = await timerService.withTimeout(ports.timers, findChain.findChainAtOwners(ports, { turn: request.previous, account: request.account }), findChainTimeoutMs)
+  const found = await findChain.findChainAtOwners(ports, { turn: request.previous, account: request.account }, findChainTimeoutMs)
   return found?.type === 'found' ? shard.ledger.adoptTurn(request, end, now(), { isReserved, copies: found.chain }) : adopted
 }
 
--- a/packages/state/own-shards/src/shard-owner.ts
+++ b/packages/state/own-shards/src/shard-owner.ts
@@ -137,6 +137,11 @@
     return [...this.ownedShards.values()].filter((shard) => shard.state === 'serving')
   }
 
+  /** The shards that are assigned to this process and not loaded yet. */
+  listOpeningShards (): ownedShard.OwnedShard[] {
+    return [...this.ownedShards.values()].filter((shard) => shard.state === 'opening')
+  }
+
   isSelf (member: string): boolean {
     return member === this.settings.member
   }
@@ -158,6 +163,12 @@
     return this.settings.topics.length * this.settings.partitionsPerTopic
   }
 
+  /** Every shard of the group. */
+  listPartitions (): shardLog.Partition[] {
+    const { topics, partitionsPerTopic } = this.settings
+    return topics.flatMap((topic) => Array.from({ length: partitionsPerTopic }, (_, part) => ({ topic, part })))
+  }
+
   /** Every member known to own a shard. */
   listMembers (): string[] {
     return [...new Set(this.ownersByPartition.values())]
