Forwarded turns: an owner that reads a turn late gives its engine only the time that the client has left

Callers saw: engines went on working for clients that had left. An owner that handled a forwarded turn 700 ms late gave the engine 1,486 of 1,500 ms, as it counted the time from when it read the headers.

Cause: X-Deadline-Ms is the time left when the headers are sent. The owner can't tell how long they waited to be read, as the clocks of hosts differ.

Fix: the body is sent only after 100 Continue, so the forwarding process knows then what is really left. It sends that as a trailer behind the body; the owner counts it from when it has read the body, and takes the earlier of both deadlines. An earlier release ignores the trailer, and a turn without one counts as before. The body is sent in chunks for this.

--- a/packages/peers/send-http/src/send-http.test.ts
+++ b/packages/peers/send-http/src/send-http.test.ts
@@ -115,6 +115,28 @@
   t.match((await send(resetting, { continueTimeoutMs: 500 })).failure, { verdict: 'mayHaveRun' })
 })
 
+// Guards against a receiver that learns nothing that was known only when the body was sent.
+tap.test('trailers are made when the body is sent, and follow it', async (t) => {
+  let isConfirmed = false
+  let message = ''
+  const address = await startServer(t, (socket, received) => {
+    message = received
+    if (received.endsWith('\r\n\r\n') && !isConfirmed) {
+      isConfirmed = true
+      socket.write('HTTP/1.1 100 Continue\r\n\r\n')
+    } else if (received.includes('\r\n0\r\n')) socket.write(ok)
+  })
+  await new Promise<void>((resolve, reject) => {
+    sender.send({ address, method: 'POST', path: '/x', headers: ['Host', 'h'], body: Buffer.from('hello'), connectTimeoutMs: 200, continueTimeoutMs: 200, atMostOnce: false, maxAnswerBytes: 1_000, trailers: () => ['late-value', String(isConfirmed)] }, {
+      onHead: () => {},
+      onData: () => {},
+      onComplete: () => { resolve() },
+      onFailed: (failure) => { reject(new Error(failure.detail)) }
+    })
+  })
+  t.ok(message.endsWith('\r\n5\r\nhello\r\n0\r\nlate-value: true\r\n\r\n'), message)
+})
+
 tap.test('a truncated answer is not complete, with a length or with chunked encoding', async (t) => {
   const truncatedAnswers = [
     'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart',
--- a/packages/peers/send-http/src/send-http.ts
+++ b/packages/peers/send-http/src/send-http.ts
@@ -24,6 +24,11 @@
    * in ms. A request without its body cannot have run. `undefined` sends headers and body at once.
    */
   readonly continueTimeoutMs: number | undefined
+  /**
+   * Headers that follow the body, as alternating names and values, which are known only once the body is sent. The body is
+   * sent in chunks then, so `headers` must not give its length. Takes effect with `continueTimeoutMs` only.
+   */
+  readonly trailers?: () => readonly string[]
   /**
    * Whether the request must not run twice. While servers are known to drop idle connections without notice, such a request
    * uses a new connection or one that was idle for less than `shortIdleTimeoutMs`. On a dropped connection it would be
@@ -171,7 +176,8 @@
 /** Throws an error if the address, the path or a header can't be written as HTTP. */
 function createRequest (agent: http.Agent, request: OutgoingRequest): http.ClientRequest {
   const colon = request.address.lastIndexOf(':')
-  const headers = request.continueTimeoutMs === undefined ? request.headers : [...request.headers, 'Expect', '100-continue']
+  const headers = request.continueTimeoutMs === undefined ? [...request.headers] : [...request.headers, 'Expect', '100-continue']
+  if (request.trailers !== undefined) headers.push('Transfer-Encoding', 'chunked')
   return http.request({
     agent,
     host: request.address.slice(0, colon),
@@ -184,6 +190,12 @@
   })
 }
 
+function toPairs (headers: readonly string[]): [string, string][] {
+  const pairs: [string, string][] = []
+  for (let index = 0; index + 1 < headers.length; index += 2) pairs.push([headers[index]!, headers[index + 1]!])
+  return pairs
+}
+
 /** A request that was not sent; the sink learns of it after `send` has returned. */
 class FailedExchange implements Exchange {
   private isCancelled = false
@@ -290,6 +302,7 @@
     this.endPhase()
     this.hasSent = true
     this.sink.onConfirmed?.()
+    if (this.request.trailers !== undefined) this.req.addTrailers(toPairs(this.request.trailers()))
     this.req.end(this.request.body)
   }
 
--- a/packages/programs/front/src/dialect.ts
+++ b/packages/programs/front/src/dialect.ts
@@ -72,8 +72,8 @@
   readonly decodeAttempt: (headers: http.IncomingHttpHeaders) => DecodedAttempt
   /** Headers of a request to an upstream: the client's end-to-end headers without those that the system sets, and the system's own. */
   readonly upstreamHeaders: (raw: readonly string[], fields: UpstreamFields) => string[]
-  /** Headers of a request that is forwarded to a peer, which decodes them as this process did. */
-  readonly peerHeaders: (raw: readonly string[], fields: { readonly deadlineMs: number, readonly bodyBytes: number, readonly caller: identifyClient.Caller }) => string[]
+  /** Headers of a request that is forwarded to a peer, which decodes them as this process did; without the length of the body, which is sent in chunks. */
+  readonly peerHeaders: (raw: readonly string[], fields: { readonly deadlineMs: number, readonly caller: identifyClient.Caller }) => string[]
   readonly answerFacts: (head: sendHttp.AnswerHead) => AnswerFacts
   /** End-to-end headers of an answer, as alternating names and values. */
   readonly answerHeaders: (raw: readonly string[]) => string[]
--- a/packages/programs/front/src/forward-header.ts
+++ b/packages/programs/front/src/forward-header.ts
@@ -1,4 +1,4 @@
-/** Headers between front processes: the route and caller of a forwarded turn, and the mark of a refusal by a process that does not own the program. */
+/** Headers between front processes: the route and caller of a forwarded turn, the time that its client has left, and the mark of a refusal by a process that does not own the program. */
 import type * as http from 'node:http'
 import type * as identifyClient from '@eelgrasswind/identify-client'
 import type * as routeRequest from '@eelgrasswind/route-request'
@@ -6,6 +6,8 @@
 import type * as inbound from './inbound.js'
 
 const routeHeader = 'eelgrasswind-route'
+const remainingHeader = 'eelgrasswind-remaining-ms'
+const wholeNumberPattern = /^\d{1,15}$/
 const notOwnerHeader = 'eelgrasswind-not-owner'
 
 /** Decisions of the process that received the request; the owner uses them even if its own routing is older or newer. */
@@ -33,6 +35,17 @@
   }
 }
 
+/** The trailer, as name and value, that tells the owner how long the client still waits when the body is sent. An earlier release ignores it. */
+export function encodeRemaining (remainingMs: number): string[] {
+  return [remainingHeader, String(Math.max(0, Math.floor(remainingMs)))]
+}
+
+/** Time that the client had left when the body was sent, in ms; `undefined` if the forwarding process does not say, as in an earlier release. */
+export function decodeRemaining (trailers: NodeJS.Dict<string>): number | undefined {
+  const text = trailers[remainingHeader]
+  return text !== undefined && wholeNumberPattern.test(text) ? Number(text) : undefined
+}
+
 /** Header that marks a refusal by a process that does not own the program. */
 export const notOwnerHeaders: readonly string[] = [notOwnerHeader, '1']
 
--- a/packages/programs/front/src/forward-turn.ts
+++ b/packages/programs/front/src/forward-turn.ts
@@ -73,10 +73,12 @@
       address: owner.address,
       method: req.method,
       path: req.path,
-      headers: [...dialect.peerHeaders(req.rawHeaders, { deadlineMs: remainingMs, bodyBytes: req.body.length, caller: req.caller }), ...forwardHeader.encode(req)],
+      headers: [...dialect.peerHeaders(req.rawHeaders, { deadlineMs: remainingMs, caller: req.caller }), ...forwardHeader.encode(req)],
       body: req.body,
       connectTimeoutMs,
       continueTimeoutMs: owner.answerTimeoutMs,
+      // An owner that reads the turn late can't tell how late: clocks of hosts differ.
+      trailers: () => forwardHeader.encodeRemaining(req.deadlineAt - timers.monotonic()),
       // The owner's `100 Continue` shows that the connection is alive.
       atMostOnce: false,
       maxAnswerBytes: ports.maxAnswerBytes
--- a/packages/programs/front/src/peer-listener.ts
+++ b/packages/programs/front/src/peer-listener.ts
@@ -92,7 +92,7 @@
       path: req.url ?? '/',
       rawHeaders: req.rawHeaders,
       body,
-      deadlineAt: arrivedAt + (attempt.deadlineMs ?? forwarded.route.timeoutMs),
+      deadlineAt: computeDeadline(ports, req, arrivedAt, attempt.deadlineMs ?? forwarded.route.timeoutMs),
       reply
     }, turn, shard).catch((err: unknown) => {
       ports.decisions.record({ event: 'unexpected', err, request: attempt.id })
@@ -101,6 +101,16 @@
   })
 }
 
+/**
+ * When the client leaves, in monotonic ms. The time that it had left as the forwarding process sent the headers counts from
+ * when they were read, which may have been late; the time that it had left as the body was sent counts from when that was
+ * read.
+ */
+function computeDeadline (ports: PeerListenerPorts, req: http.IncomingMessage, arrivedAt: number, leftAtArrivalMs: number): number {
+  const leftMs = forwardHeader.decodeRemaining(req.trailers) ?? Infinity
+  return Math.min(arrivedAt + leftAtArrivalMs, ports.timers.monotonic() + leftMs)
+}
+
 function handleCall (ports: PeerListenerPorts, req: http.IncomingMessage, res: http.ServerResponse): void {
   const reply = new inbound.Reply(res, (err) => { ports.decisions.record({ event: 'unexpected', err }) })
   if (!peerCalls.isPeerCall(req)) {
