Stored turns: a late answer of an owner counts, and a call waits for the next owner of its shard

Callers saw: a turn that ran whole was cut at its deadline, 200 without an end. Its shard moved while it ran, the next owner handled each call 1,500 ms late, and was not the owner in just those moments: it answered notOwner, was asked again at once, and that call was again handled 1,500 ms later.

Fix: a process that is asked to store a turn while it knows no owner of the shard waits for one, a lease at most, and stores the turn if it is the one itself. A former owner that is no longer waited for, as the shard has moved on, may still confirm: its answer counts, as the turn is in the store then. An answer of the next owner is not waited for longer.

Open: a member whose joins take longer than its lease still moves shards.

--- a/packages/programs/front/src/peer-listener.ts
+++ b/packages/programs/front/src/peer-listener.ts
@@ -6,6 +6,7 @@
 import type * as types from '@eelgrasswind/types'
 import type * as accountLimits from './account-limits.js'
 import * as accountScope from './account-scope.js'
+import * as awaitOwner from './await-owner.js'
 import type * as dialects from './dialect.js'
 import * as findChain from './find-chain.js'
 import * as forwardHeader from './forward-header.js'
@@ -158,7 +159,8 @@
     case 'findChain': return findChain.findChainLocally(ports.shards, { turn: call.turn, account: call.account })
     case 'settle':
     case 'settleUnreserved': {
-      const shard = await routeTurn.awaitServingShard(ports, call.request.program)
+      // Its sender asks again at once, and a process that handles each call late may never be asked while it owns the shard.
+      const shard = await awaitOwner.awaitKnownOwner(ports, ports.shards.getPartition(call.request.program))
       if (shard === undefined) return { type: 'notOwner' }
       return settleTurn.settleLocally(ports, shard, call)
     }
--- a/packages/programs/front/src/settle-turn.test.ts
+++ b/packages/programs/front/src/settle-turn.test.ts
@@ -69,3 +69,27 @@
   t.equal(await stored, false)
   t.ok(calls.length <= 12, `${calls.length} calls`)
 })
+
+// Guards against a whole answer that is cut although the turn is stored: its owner confirmed it after the shard had moved on.
+tap.test('a turn is stored once an owner that is no longer waited for confirms it', async (t) => {
+  const { timers, ports, shards } = fixture([], () => ({ type: 'notOwner' }))
+  const members = ['front-1@127.0.0.1:1', 'front-2@127.0.0.1:2']
+  let owner = members[0]!
+  shards.locate = () => ({ type: 'member', member: owner })
+  const confirmsAfterMs: Record<string, number> = { '127.0.0.1:1': 1_500, '127.0.0.1:2': 9_000 }
+  const send: sendHttp.Sender['send'] = ({ address }, sink) => {
+    timers.after(confirmsAfterMs[address]!, () => {
+      sink.onHead({ status: 200, headers: {}, rawHeaders: [] })
+      sink.onData(Buffer.from(msgpack.encode({ type: 'kept' })))
+      sink.onComplete({ framing: 'length', connection: 'open', bodyBytes: 1 })
+    })
+    return { cancel () {}, discard () {}, pause () {}, resume () {} }
+  }
+  let outcome: boolean | undefined
+  const lost = createShard(new turnLedger.TurnLedger(), 'lost')
+  const movingPorts = { ...ports, peerSender: { send, close () {} }, peerProbe: { isReachable: () => Promise.resolve(true) } }
+  void settleTurn.settleCompletedTurn(movingPorts, lost, { type: 'settle', request, end }, timers.monotonic() + 3_000).then((stored) => { outcome = stored })
+  timers.after(600, () => { owner = members[1]! })
+  await timers.advanceAsync(2_000)
+  t.equal(outcome, true)
+})
--- a/packages/programs/front/src/settle-turn.ts
+++ b/packages/programs/front/src/settle-turn.ts
@@ -30,8 +30,9 @@
   const localOutcome = await settleLocally(ports, shard, call)
   if (localOutcome.type === 'kept') return true
   const partition = ports.shards.getPartition(request.program)
+  const late = new LateAnswers()
   while (ports.timers.monotonic() < deadlineAt) {
-    const outcome = await settleAtOwner(ports, partition, call, deadlineAt)
+    const outcome = await Promise.race([settleAtOwner(ports, partition, call, deadlineAt, late), late.kept])
     if (outcome.type === 'kept') {
       ports.decisions.record({ event: 'turnSettledElsewhere', request: request.turn, program: request.program })
       return true
@@ -44,13 +45,24 @@
   return false
 }
 
-async function settleAtOwner (ports: SettlePorts, partition: shardLog.Partition, call: SettleCall, deadlineAt: number): Promise<peerCalls.SettleAnswer> {
+/** Answers of owners that were no longer waited for: a turn that one of them has stored is stored. */
+class LateAnswers {
+  private settleKept = (_answer: peerCalls.SettleAnswer): void => {}
+  /** Resolves once one of them has stored the turn. */
+  readonly kept = new Promise<peerCalls.SettleAnswer>((resolve) => { this.settleKept = resolve })
+
+  add (answer: peerCalls.SettleAnswer | null | undefined): void {
+    if (answer?.type === 'kept') this.settleKept(answer)
+  }
+}
+
+async function settleAtOwner (ports: SettlePorts, partition: shardLog.Partition, call: SettleCall, deadlineAt: number, late: LateAnswers): Promise<peerCalls.SettleAnswer> {
   const location = ports.shards.locate(partition)
   switch (location.type) {
     case 'unknown': return { type: 'notOwner' }
     case 'here': return settleLocally(ports, location.shard, call)
     case 'member': {
-      const answer = await callOwner(ports, partition, location.member, call, deadlineAt)
+      const answer = await callOwner(ports, partition, location.member, call, deadlineAt, late)
       // An earlier release does not know a turn without a reservation, and answers null.
       if (answer === null) return { type: 'unknown' }
       return answer ?? { type: 'notOwner' }
@@ -59,7 +71,7 @@
 }
 
 /** Waits for an owner that is late while it can be reached and owns the shard; it appends to the store before it answers. */
-function callOwner (ports: SettlePorts, partition: shardLog.Partition, member: string, call: SettleCall, deadlineAt: number): Promise<peerCalls.SettleAnswer | null | undefined> {
+function callOwner (ports: SettlePorts, partition: shardLog.Partition, member: string, call: SettleCall, deadlineAt: number, late: LateAnswers): Promise<peerCalls.SettleAnswer | null | undefined> {
   const { shards, timers } = ports
   const address = memberName.parsePeerAddress(member)
   const answerTimeoutMs = Math.max(0, deadlineAt - timers.monotonic())
@@ -71,6 +83,7 @@
     const watch = lateOwner.watchOwner(ports, call.request.turn, { address, isOwner, refreshOwners: () => { void shards.refreshOwners() }, answerTimeoutMs }, () => { resolve(undefined) })
     peerCalls.callPeer<peerCalls.SettleAnswer | null>(ports, address, call, answerTimeoutMs).then((answer) => {
       watch.cancel()
+      late.add(answer)
       resolve(answer)
     }, reject)
   })
