--- a/packages/programs/front/src/peer-listener.ts
+++ b/packages/programs/front/src/peer-listener.ts
@@ -6,6 +6,7 @@
 import type * as types from '@eelgrasswind/types'
 import type * as accountLimits from './account-limits.js'
 import * as accountScope from './account-scope.js'
+import * as awaitOwner from './await-owner.js'
 import type * as dialects from './dialect.js'
 import * as findChain from './find-chain.js'
 import * as forwardHeader from './forward-header.js'
@@ -92,7 +93,7 @@
       path: req.url ?? '/',
       rawHeaders: req.rawHeaders,
       body,
-      deadlineAt: arrivedAt + (attempt.deadlineMs ?? forwarded.route.timeoutMs),
+      deadlineAt: computeDeadline(ports, req, arrivedAt, attempt.deadlineMs ?? forwarded.route.timeoutMs),
       reply
     }, turn, shard).catch((err: unknown) => {
       ports.decisions.record({ event: 'unexpected', err, request: attempt.id })
@@ -101,6 +102,16 @@
   })
 }
 
+/**
+ * When the client leaves, in monotonic ms. The time that it had left as the forwarding process sent the headers counts from
+ * when they were read, which may have been late; the time that it had left as the body was sent counts from when that was
+ * read.
+ */
+function computeDeadline (ports: PeerListenerPorts, req: http.IncomingMessage, arrivedAt: number, leftAtArrivalMs: number): number {
+  const leftMs = forwardHeader.decodeRemaining(req.trailers) ?? Infinity
+  return Math.min(arrivedAt + leftAtArrivalMs, ports.timers.monotonic() + leftMs)
+}
+
 function handleCall (ports: PeerListenerPorts, req: http.IncomingMessage, res: http.ServerResponse): void {
   const reply = new inbound.Reply(res, (err) => { ports.decisions.record({ event: 'unexpected', err }) })
   if (!peerCalls.isPeerCall(req)) {
@@ -148,7 +159,8 @@
     case 'findChain': return findChain.findChainLocally(ports, { turn: call.turn, account: call.account })
     case 'settle':
     case 'settleUnreserved': {
-      const shard = await routeTurn.awaitServingShard(ports, call.request.program)
+      // Its sender asks again at once, and a process that handles each call late may never be asked while it owns the shard.
+      const shard = await awaitOwner.awaitKnownOwner(ports, ports.shards.getPartition(call.request.program))
       if (shard === undefined) return { type: 'notOwner' }
       return settleTurn.settleLocally(ports, shard, call)
     }
