Dispatch: a read is not given up at a silent upstream while no other can take it

Callers saw 502 "answerLost, no eligible upstream" after 0.6 s for an idempotent read of 1.2 s with a deadline of 2 s, at a service with one upstream.

Cause: Dispatch.onSilenceTimeout cancelled the send as soon as a retry was permitted; only the next send found that no upstream was left.

Evidence: dispatch.test "an idempotent request keeps waiting at a silent upstream while no other upstream can take it", on the unchanged code: cancelled ['a'] in place of [], result answerLost in place of undefined.

Now the send is given up only if another upstream can take the request at that time.

--- a/packages/programs/front/src/dispatch.test.ts
+++ b/packages/programs/front/src/dispatch.test.ts
@@ -14,7 +14,7 @@
 import * as upstreamHealth from './upstream-health.js'
 
 /** How an upstream handles a request. */
-type Behaviour = 'unresponsive' | 'stalls' | 'truncates' | 'answers' | 'full' | 'refusesConnections' | 'resets' | 'wrongRequest' | 'errors'
+type Behaviour = 'unresponsive' | 'stalls' | 'truncates' | 'answers' | 'answersLate' | 'full' | 'refusesConnections' | 'resets' | 'wrongRequest' | 'errors'
 
 const id = 'request-1' as turnLedger.TurnId
 const service = 'orders' as types.ServiceId
@@ -23,6 +23,9 @@
   return { name: 'r', host: 'h', pathPrefix: '/', repeatability, targets: [{ service, weight: 1 }], timeoutMs: 2_000, objectiveMs: 400, rank: 2, maxAttempts: 3, stream: undefined, retain: undefined, isPublic: false }
 }
 
+/** Time after which an upstream answers late, in ms: above the silence timeout. */
+const lateAnswerMs = 1_200
+
 const facts: Record<'answers' | 'full' | 'wrongRequest' | 'errors', dialects.AnswerFacts> = {
   answers: { requestId: id, signed: true, notRun: false, wrongIncarnation: false },
   errors: { requestId: id, signed: true, notRun: false, wrongIncarnation: false },
@@ -43,7 +46,7 @@
   const send: sendHttp.Sender['send'] = (request, sink) => {
     sentTo.push(request.address)
     const behaviour = behaviours[request.address]!
-    timers.after(10, () => {
+    timers.after(behaviour === 'answersLate' ? lateAnswerMs : 10, () => {
       switch (behaviour) {
         case 'unresponsive': return
         case 'refusesConnections':
@@ -60,9 +63,9 @@
           if (behaviour === 'truncates') sink.onFailed({ verdict: 'mayHaveRun', cause: 'truncated', reused: false, detail: '' })
           return
         default:
-          nextFacts = facts[behaviour]
+          nextFacts = facts[behaviour === 'answersLate' ? 'answers' : behaviour]
           sink.onHead({ status: behaviour === 'errors' ? 500 : 200, headers: {}, rawHeaders: [] })
-          if (behaviour === 'answers' || behaviour === 'errors') sink.onComplete({ framing: 'length', connection: 'open', bodyBytes: 0 })
+          if (behaviour === 'answers' || behaviour === 'answersLate' || behaviour === 'errors') sink.onComplete({ framing: 'length', connection: 'open', bodyBytes: 0 })
       }
     })
     return { cancel: () => { cancelled.push(request.address) }, discard: () => { cancelled.push(request.address) }, pause: () => {}, resume: () => {} }
@@ -359,3 +362,31 @@
   t.same([ended, getAnsweredCount()], [['a'], 1], 'a refused connection shows that an upstream has ended')
   t.end()
 })
+
+// Guards against a read that is given up at a slow upstream, and refused, although no other upstream could take it.
+tap.test('an idempotent request keeps waiting at a silent upstream while no other upstream can take it', (t) => {
+  const { timers, sentTo, cancelled, run, getResult, upstreams } = fixture({ a: 'answersLate' }, 'idempotent')
+  run('a')
+  timers.advance(1_000)
+  t.same(sentTo, ['a'])
+  t.same(cancelled, [])
+  t.equal(getResult(), undefined)
+  t.ok(upstreams.get('a' as types.UpstreamId)!.avoidUntil > timers.monotonic(), 'new requests avoid the upstream')
+  timers.advance(500)
+  t.equal(getResult(), 'whole')
+  t.end()
+})
+
+// Guards against a request that stays at a silent upstream although one that can take it is back.
+tap.test('an idempotent request that waits at a silent upstream fails over once another upstream can take it', (t) => {
+  const { timers, sentTo, cancelled, run, getResult, upstreams } = fixture({ a: 'unresponsive', b: 'answers' }, 'idempotent')
+  upstreams.get('b' as types.UpstreamId)!.blockedUntil = timers.monotonic() + 800
+  run('a')
+  timers.advance(790)
+  t.same(sentTo, ['a'])
+  timers.advance(1_000)
+  t.same(sentTo, ['a', 'b'])
+  t.same(cancelled, ['a'])
+  t.equal(getResult(), 'whole')
+  t.end()
+})
--- a/packages/programs/front/src/dispatch.ts
+++ b/packages/programs/front/src/dispatch.ts
@@ -172,13 +172,24 @@
   }
 
   private chooseAndSend (): void {
-    const { timers, upstreams, peerLoads } = this.ports
-    const remainingMs = this.req.deadlineAt - timers.monotonic()
+    const remainingMs = this.req.deadlineAt - this.ports.timers.monotonic()
     if (remainingMs < minRemainingMs) {
       this.fail({ tag: 'timeout', verdict: this.mayHaveStarted ? 'mayHaveRun' : 'notRun', message: 'deadline is too close for another attempt', afterMs: 0 })
       return
     }
-    const upstream = trackUpstreams.chooseUpstream({
+    const upstream = this.chooseUntried()
+    if (upstream === undefined) {
+      const retryAfterMs = this.triedUpstreams.size > 0 ? queueFullRetryMs : noUpstreamRetryMs
+      this.fail({ tag: 'overloaded', verdict: 'notRun', message: 'no eligible upstream', retryAfterMs })
+      return
+    }
+    this.sendTo(upstream, remainingMs)
+  }
+
+  /** An upstream that this request was not sent to and that can take it; `undefined` if there is none. */
+  private chooseUntried (): trackUpstreams.Upstream | undefined {
+    const { timers, upstreams, peerLoads } = this.ports
+    return trackUpstreams.chooseUpstream({
       candidates: upstreams.getByService(this.req.service),
       tried: this.triedUpstreams,
       affinity: this.options.affinity,
@@ -186,12 +197,6 @@
       now: timers.monotonic(),
       random: Math.random
     })
-    if (upstream === undefined) {
-      const retryAfterMs = this.triedUpstreams.size > 0 ? queueFullRetryMs : noUpstreamRetryMs
-      this.fail({ tag: 'overloaded', verdict: 'notRun', message: 'no eligible upstream', retryAfterMs })
-      return
-    }
-    this.sendTo(upstream, remainingMs)
   }
 
   private sendTo (upstream: trackUpstreams.Upstream, remainingMs: number): void {
@@ -370,23 +375,29 @@
 
   /**
    * No data arrived within the silence timeout. If the upstream has sent data for other requests, this one may just be
-   * slow: it fails over only if that is allowed and the retry budget permits, so that retries don't add load to an
-   * overloaded service.
+   * slow: it fails over only if the retry budget permits, so that retries don't add load to an overloaded service.
+   * Without another upstream that can take the request, its answer may still come from this one.
    */
   private onSilenceTimeout (upstream: trackUpstreams.Upstream, waitStartedAt: number, timeoutMs: number): void {
     if (this.isFinished) return
     const { health, retryBudget: budget, timers } = this.ports
-    const isFailoverAllowed = this.canFailOver()
-    if (upstream.lastActivityAt <= waitStartedAt) health.noteUnresponsive(upstream)
-    else if (isFailoverAllowed && this.req.route.stream === undefined && budget.trySpend()) health.noteFailedRequest(upstream)
+    const isRetryAllowed = this.canFailOver()
+    const canMove = isRetryAllowed && this.chooseUntried() !== undefined
+    if (upstream.lastActivityAt <= waitStartedAt) {
+      if (!this.isSilent) health.noteUnresponsive(upstream)
+    } else if (canMove && this.req.route.stream === undefined && budget.trySpend()) health.noteFailedRequest(upstream)
     else {
       // A stream keeps its place in the upstream's queue; elsewhere it would start at the end of another queue. The upstream may still stop responding, so keep watching.
       this.restartSilenceTimer(upstream, timers.monotonic(), timeoutMs)
       return
     }
-    this.ports.decisions.record({ event: 'upstreamSilent', request: this.req.attempt.id, upstream: upstream.listed.id, afterMs: Math.round(timers.monotonic() - waitStartedAt) })
+    if (!this.isSilent) this.ports.decisions.record({ event: 'upstreamSilent', request: this.req.attempt.id, upstream: upstream.listed.id, afterMs: Math.round(timers.monotonic() - waitStartedAt) })
     this.isSilent = true
-    if (!isFailoverAllowed) return
+    if (!canMove) {
+      // Another upstream may become able to take the request.
+      if (isRetryAllowed) this.restartSilenceTimer(upstream, timers.monotonic(), timeoutMs)
+      return
+    }
     this.exchange?.cancel()
     this.noteBroken()
     this.onAttemptFailed(upstream, { tag: 'upstreamUnavailable', verdict: 'mayHaveRun', message: 'no data within the silence timeout', retryAfterMs: 0 })
