limit-crashes: a report that is late does not count a crash twice

Callers saw 503 "crashLimit" for a popular call without a program, half of whose clients leave, while one upstream ended after the other.

Cause: reports tell their times as so long ago. The time from the making of a report to its arrival (its call is made by a timer, and both processes may stand still) moved the send behind the end that the receiver had seen itself. A send on a new connection, 12 ms before the crash, reported 20 ms late, became `orders-extra-4#2`. Then the open sends of the clients that had left, reserved as possible third ends, had all others refused.

Now a report and a count say how long ago their ends were when they are sent, also when they are told again, and the receiver counts from their arrival. What is left of the way, up to 100 ms, is allowed for where several clients can make the request, or it was given up. Requests of one client are counted as before: their next send follows the report of the last end, and an upstream may start again at once.

Not covered: an upstream that starts again and ends again within 100 ms under a request without a program, reported by another process, counts once.

--- a/packages/decide/limit-crashes/src/crash-records.test.ts
+++ b/packages/decide/limit-crashes/src/crash-records.test.ts
@@ -54,6 +54,18 @@
   t.same(records.get(request, 300)?.ends, ['a', 'd', 'e'])
 })
 
+// Guards against one crash that counts twice: another process reports it late, as the end of a send that seems to come after it.
+tap.test('a report that was under way for a while does not tell a further end of a request that several clients can make', async (t) => {
+  for (const [delayMs, ends] of [[0, ['a', 'a#2']], [100, ['a']]] as const) {
+    const records = new limitCrashes.CrashRecords(limits)
+    records.noteEnd(createReport('a', { isExclusive: false, sentAgoMs: 30, endedAgoMs: 0 }), 100)
+    records.noteEnd(createReport('a', { isExclusive: false, sentAgoMs: 12, endedAgoMs: 0 }), 125, delayMs)
+    t.same(records.get(request, 125)?.ends, ends)
+    records.noteEnd(createReport('b', { isExclusive: false, sentAgoMs: 12, endedAgoMs: 0 }), 400, delayMs)
+    t.same(records.get(request, 400)?.ends, [...ends, 'b'])
+  }
+})
+
 // Guards against a rack crash that gets a popular request refused: each process saw it at another upstream.
 tap.test('ends that processes have counted apart are not added up for a request that several clients can make', async (t) => {
   const processes = ['a', 'b', 'c'].map((upstream) => {
--- a/packages/decide/limit-crashes/src/crash-records.ts
+++ b/packages/decide/limit-crashes/src/crash-records.ts
@@ -41,6 +41,16 @@
   return createReservation(request, `${attempt} to ${upstream}`)
 }
 
+/** The report as it reads some time later, in ms. */
+export function ageReport (report: CrashReport, elapsedMs: number): CrashReport {
+  return { ...report, sentAgoMs: report.sentAgoMs + elapsedMs, endedAgoMs: report.endedAgoMs + elapsedMs }
+}
+
+/** The count as it reads some time later, in ms. */
+export function ageCount (count: CrashCount, elapsedMs: number): CrashCount {
+  return { ...count, lastEndedAgoMs: count.lastEndedAgoMs + elapsedMs }
+}
+
 /** The ends of upstreams under a request, reserved ones included. */
 export interface CrashCount {
   readonly request: types.RequestFingerprint
@@ -116,15 +126,18 @@
   /**
    * Counts an end. Requests that several clients can make, and requests that were given up, run at several upstreams at
    * the same time, which a crash of a rack ends together: then an end counts only if the one before was not the same crash.
-   * A request that was answered after this send is not what ended its upstream.
+   * A request that was answered after this send is not what ended its upstream. `delayMs`: time that the report may have
+   * been under way, by which its times then seem later than they are.
    */
-  noteEnd (report: CrashReport, now: number): void {
+  noteEnd (report: CrashReport, now: number, delayMs = 0): void {
     const known = this.find(report.request, now)
     const sentAt = now - report.sentAgoMs
     if (sentAt <= (this.answeredAt.get(report.request) ?? -Infinity)) return
     const mayShareCrash = !report.isExclusive || report.wasGivenUp === true
-    if (known !== undefined && mayShareCrash && !isLaterCrash(report, known, now)) return
-    this.add(report, [createEndId(report, known, now)], now - report.endedAgoMs, now)
+    // A request of one client follows the reports of its earlier ends, and may find an upstream that has started again at once.
+    const earliestNow = mayShareCrash ? now - delayMs : now
+    if (known !== undefined && mayShareCrash && !isLaterCrash(report, known, earliestNow)) return
+    this.add(report, [createEndId(report, known, earliestNow)], now - report.endedAgoMs, now)
   }
 
   /**
--- a/packages/programs/front/src/crash-reports.ts
+++ b/packages/programs/front/src/crash-reports.ts
@@ -45,7 +45,8 @@
 const emptyCall: CrashCall = { type: 'crashes', reports: [], counts: [], withdrawn: [], answered: [], isRelayed: false }
 
 interface PendingCall {
-  readonly reports: limitCrashes.CrashReport[]
+  /** Each with the time at which it was made, in monotonic ms. */
+  readonly reports: (readonly [limitCrashes.CrashReport, number])[]
   readonly answer: Promise<CrashCallAnswer | undefined>
 }
 
@@ -70,15 +71,17 @@
   async announce (addresses: readonly string[], news: News, isRelayed: boolean): Promise<limitCrashes.CrashCount[]> {
     const call: CrashCall = { ...emptyCall, ...news, isRelayed }
     const delaysMs = call.counts.some(limitCrashes.hasReservedEnds) ? [] : retryDelaysMs
-    const counts = await Promise.all(addresses.map((address) => this.tell(address, call, delaysMs)))
+    const madeAt = this.ports.timers.monotonic()
+    const counts = await Promise.all(addresses.map((address) => this.tell(address, call, madeAt, delaysMs)))
     return counts.flat()
   }
 
-  private async tell (address: string, call: CrashCall, delaysMs: readonly number[]): Promise<readonly limitCrashes.CrashCount[]> {
+  private async tell (address: string, call: CrashCall, madeAt: number, delaysMs: readonly number[]): Promise<readonly limitCrashes.CrashCount[]> {
+    const elapsedMs = this.ports.timers.monotonic() - madeAt
     const timeoutMs = call.isRelayed ? 2 * callTimeoutMs : callTimeoutMs
-    const answer = await this.ports.callPeer(address, call, timeoutMs)
+    const answer = await this.ports.callPeer(address, { ...call, counts: call.counts.map((count) => limitCrashes.ageCount(count, elapsedMs)) }, timeoutMs)
     const [delayMs, ...laterDelaysMs] = delaysMs
-    if (answer === undefined && delayMs !== undefined) this.ports.timers.after(delayMs, () => { void this.tell(address, call, laterDelaysMs) })
+    if (answer === undefined && delayMs !== undefined) this.ports.timers.after(delayMs, () => { void this.tell(address, call, madeAt, laterDelaysMs) })
     return answer?.counts ?? []
   }
 
@@ -94,16 +97,20 @@
   }
 
   private joinCall (address: string, report: limitCrashes.CrashReport): Promise<CrashCallAnswer | undefined> {
+    const { timers } = this.ports
+    const made = [report, timers.monotonic()] as const
     const pending = this.pendingCalls.get(address)
     if (pending !== undefined) {
-      pending.reports.push(report)
+      pending.reports.push(made)
       return pending.answer
     }
-    const reports = [report]
+    const reports = [made]
     const answer = new Promise<CrashCallAnswer | undefined>((resolve) => {
-      this.ports.timers.after(0, () => {
+      timers.after(0, () => {
         this.pendingCalls.delete(address)
-        resolve(this.ports.callPeer(address, { ...emptyCall, reports }, callTimeoutMs))
+        // A process that stands still for a moment sends late what it has reported in time.
+        const aged = reports.map(([each, madeAt]) => limitCrashes.ageReport(each, timers.monotonic() - madeAt))
+        resolve(this.ports.callPeer(address, { ...emptyCall, reports: aged }, callTimeoutMs))
       })
     })
     this.pendingCalls.set(address, { reports, answer })
--- a/packages/programs/front/src/upstream-crashes.test.ts
+++ b/packages/programs/front/src/upstream-crashes.test.ts
@@ -300,3 +300,19 @@
   await end('a', early, 'u3')
   t.same(await listRefusing(() => createAttempt('/x')), [])
 })
+
+// Guards against one crash that counts twice: the report of another process was under way while a process stood still.
+tap.test('a report that arrives late does not tell a further end of a request without a program', async (t) => {
+  const { get } = fixture(names, members)
+  const { crashes } = get('a')
+  const reportEnd = async (sentAgoMs: number): Promise<readonly string[]> => {
+    const report = { request: 'r' as types.RequestFingerprint, upstream: 'u1' as types.UpstreamId, isExclusive: false, sentAgoMs, endedAgoMs: 0, wasAlive: true }
+    const { counts } = await crashes.answerCall({ type: 'crashes', reports: [report], counts: [], withdrawn: [], answered: [], isRelayed: false })
+    return counts.flatMap(({ ends }) => ends)
+  }
+  t.same(await reportEnd(30), ['u1'])
+  await new Promise((resolve) => { setTimeout(resolve, 30) })
+  t.same(await reportEnd(12), ['u1'])
+  await new Promise((resolve) => { setTimeout(resolve, 200) })
+  t.same(await reportEnd(12), ['u1', 'u1#2'])
+})
--- a/packages/programs/front/src/upstream-crashes.ts
+++ b/packages/programs/front/src/upstream-crashes.ts
@@ -43,6 +43,8 @@
   readonly retryAfterMs: number
 }
 
+/** Time that a report of another process may have been under way, in ms: both may stand still for a moment. */
+const maxReportDelayMs = 100
 /** After its start a process polls for the owners of shards at this interval, and for no longer than the timeout, in ms. */
 const memberPollMs = 20
 const memberTimeoutMs = 1_000
@@ -198,13 +200,14 @@
 
   /** Answers a call of a peer. */
   async answerCall (call: crashReports.CrashCall): Promise<crashReports.CrashCallAnswer> {
+    const arrivedAt = this.ports.timers.monotonic()
     // A peer that is about to send one of these requests wants to know the ends that are just being found out, too.
     await Promise.all(call.counts.flatMap(({ request }) => this.sends.listExaminations(request)))
     const now = this.ports.timers.monotonic()
-    for (const report of call.reports) this.records.noteEnd(report, now)
+    for (const report of call.reports) this.records.noteEnd(limitCrashes.ageReport(report, now - arrivedAt), now, maxReportDelayMs)
     for (const request of call.answered) this.records.forget(request, now)
     for (const reservation of call.withdrawn) this.records.withdraw(reservation, now)
-    for (const count of call.counts) this.mergeCount(count)
+    for (const count of call.counts) this.mergeCount(limitCrashes.ageCount(count, now - arrivedAt))
     if (call.isRelayed) await this.relay(call)
     if (call.newPeer !== undefined) {
       this.startedPeers.set(call.newPeer, now + startedMemoryMs)
