meter-channel: requests wait for the next owner as long as their deadline allows

Cause: one wait for all, from the start of the absence, shorter than a takeover; and waiting requests were offered the share of their host only at its end.

Now a request waits until 200 ms before its deadline, and for 2.5 s of absence at most, longer than the takeover from an owner that was killed; it is offered the share at each look for the next owner. Nothing more is admitted without an owner than before: the share is the same, and what waits is granted by the next owner out of what is left.

A flood holds its refused requests up to 2.5 s in place of 1 s.

Tests changed: `acquire` takes the time until which a request may wait; the clients of the account tests pass their own timeout, and no bound is changed.

--- a/packages/programs/front/src/account-count.ts
+++ b/packages/programs/front/src/account-count.ts
@@ -1,5 +1,6 @@
 /** What one host knows of an account: its requests, its allowance and its share. */
 import * as meterAccount from '@eelgrasswind/meter-account'
+import type * as timerService from '@eelgrasswind/timer-service'
 import * as accountUsage from './account-usage.js'
 
 /** Whether a request is admitted. */
@@ -24,9 +25,28 @@
 }
 
 /** A request that waits for the owner's answer. */
-export interface PendingRequest {
-  readonly position: meterAccount.RequestPosition
-  readonly onDecided: (result: AcquireResult) => void
+export class PendingRequest {
+  private waitTimer: timerService.Subscription | undefined
+  private hasResult = false
+
+  /** `latestAt`: until then it may wait for the next owner, monotonic ms. */
+  constructor (readonly position: meterAccount.RequestPosition, readonly latestAt: number, private readonly onDecided: (result: AcquireResult) => void) {}
+
+  get isDecided (): boolean {
+    return this.hasResult
+  }
+
+  decide (result: AcquireResult): void {
+    this.hasResult = true
+    this.waitTimer?.cancel()
+    this.onDecided(result)
+  }
+
+  /** Calls `onEnd` after a time, in ms, if the request is not decided by then. */
+  limitWait (timers: timerService.TimerService, waitMs: number, onEnd: () => void): void {
+    this.waitTimer?.cancel()
+    this.waitTimer = timers.after(Math.max(0, waitMs), onEnd)
+  }
 }
 
 /** A host wants as many requests in advance as it has sent in one period of this length, in ms: about the time between two reports. It returns them after as long without a request. */
@@ -97,6 +117,12 @@
     return { counter: this.counter, total: this.total, kept: this.allowance, allowanceTerm: this.allowanceTerm, wanted, asked }
   }
 
+  /** Forgets requests that wait no longer. */
+  removeDecided (): void {
+    const waiting = this.pending.filter(({ isDecided }) => !isDecided)
+    this.pending.splice(0, this.pending.length, ...waiting)
+  }
+
   /** Notes that a report was not answered. */
   restoreReport (): void {
     this.hasUnreported = true
--- a/packages/programs/front/src/account-limits.test.ts
+++ b/packages/programs/front/src/account-limits.test.ts
@@ -62,7 +62,7 @@
     const limits = cluster.get(pickHost())?.limits
     if (limits === undefined) return false
     let hasClientLeft = false
-    const decision = Promise.resolve(limits.acquire(testCluster.account, position)).then((result) => {
+    const decision = Promise.resolve(limits.acquire(testCluster.account, position, timers.monotonic() + clientTimeoutMs)).then((result) => {
       if (hasClientLeft && result.type === 'admitted') limits.refund(testCluster.account, position, result.term)
       return result
     })
--- a/packages/programs/front/src/account-limits.ts
+++ b/packages/programs/front/src/account-limits.ts
@@ -91,9 +91,9 @@
     this.pruneTimer = timers.every(pruneIntervalMs, () => { this.prune() })
   }
 
-  /** Counts a request of the account if its limit allows it now. */
-  acquire (account: types.AccountId, position: meterAccount.RequestPosition): accountCount.AcquireResult | Promise<accountCount.AcquireResult> {
-    return this.getChannel(account).acquire(account, position)
+  /** Counts a request of the account if its limit allows it now. While nobody counts, it waits for the next owner until `latestAt`, in monotonic ms. */
+  acquire (account: types.AccountId, position: meterAccount.RequestPosition, latestAt: number): accountCount.AcquireResult | Promise<accountCount.AcquireResult> {
+    return this.getChannel(account).acquire(account, position, latestAt)
   }
 
   /** Undoes the count of a request that has not run and will not; `term`: as `acquire` gave it. */
--- a/packages/programs/front/src/client-listener.ts
+++ b/packages/programs/front/src/client-listener.ts
@@ -122,7 +122,7 @@
     reply
   }
   decisions.record({ event: 'routed', request: attempt.id, route: route.name, service, kind, account: identifyClient.getAccount(caller), version, leftMs: Math.round(request.deadlineAt - arrivedAt) })
-  if (!await limitGate.enforceAccountLimit(ports, head, reply)) return
+  if (!await limitGate.enforceAccountLimit(ports, head, reply, deadlineAt)) return
   if (kind === 'turn' && attempt.turn !== undefined) await routeTurn.routeTurn(ports, request, attempt.turn)
   else if (kind === 'stream') serveCall.serveStream(ports, request)
   else serveCall.serveCall(ports, request)
--- a/packages/programs/front/src/limit-gate.test.ts
+++ b/packages/programs/front/src/limit-gate.test.ts
@@ -35,7 +35,7 @@
   }
   const reply = new inbound.Reply(new NullResponse() as unknown as http.ServerResponse, (err) => { throw err })
   const head = { attempt: { id: 'r1' }, caller: { type: 'account', account }, kind, route: { name: 'roster' }, version: 1 } as unknown as checkHead.CheckedHead
-  await limitGate.enforceAccountLimit(ports, head, reply)
+  await limitGate.enforceAccountLimit(ports, head, reply, Infinity)
   answer(reply)
   return refunds
 }
--- a/packages/programs/front/src/limit-gate.ts
+++ b/packages/programs/front/src/limit-gate.ts
@@ -11,14 +11,17 @@
   readonly decisions: decisionLog.DecisionLog
 }
 
-/** Counts a request against the limit of its account and returns true, or refuses it. A request that turns out not to have run is refunded. */
-export async function enforceAccountLimit (ports: LimitGatePorts, head: checkHead.CheckedHead, reply: inbound.Reply): Promise<boolean> {
+/** Time that a request needs to run once it is admitted, in ms: about the duration of one to a plain service. */
+const minRunMs = 200
+
+/** Counts a request against the limit of its account and returns true, or refuses it. A request that turns out not to have run is refunded. `deadlineAt`: monotonic ms. */
+export async function enforceAccountLimit (ports: LimitGatePorts, head: checkHead.CheckedHead, reply: inbound.Reply, deadlineAt: number): Promise<boolean> {
   const { decisions, limits } = ports
   const { attempt, caller, route, version } = head
   if (caller.type !== 'account') return true
   const { account } = caller
   const position = getRequestPosition(head)
-  const pendingResult = limits.acquire(account, position)
+  const pendingResult = limits.acquire(account, position, deadlineAt - minRunMs)
   const result = pendingResult instanceof Promise ? await pendingResult : pendingResult
   if (result.type === 'limited') {
     const { by, requestsLeft, retryAfterMs } = result
--- a/packages/programs/front/src/meter-channel.test.ts
+++ b/packages/programs/front/src/meter-channel.test.ts
@@ -14,6 +14,8 @@
 /** Default number of requests of a program after its first, and the mean pause between two of them, in ms. */
 const furtherRequests = 11
 const pauseMs = 150
+/** Time for which a request may wait for an owner, in ms: a deadline of 2 s, less the time that it needs to run. */
+const waitMs = 1_800
 
 /** Load of one account, and faults of the hosts and the owner. Times are ms since the start. */
 interface Scenario {
@@ -26,6 +28,8 @@
   readonly isPartitioned: (host: number, now: number) => boolean
   /** Number of requests of a program after its first. */
   readonly further?: number
+  /** Whether a client sends a refused request once more; otherwise it gives up. */
+  readonly retries?: boolean
   /** Whether an owner stores what is left when it ends; otherwise it is killed. */
   readonly handsOver?: boolean
   /** Host that owns the account group, by time; `undefined` if there is none. */
@@ -101,9 +105,8 @@
   }))
   const result: SimulationResult = { sentAt: [], started: 0, admitted: 0, completed: 0, refused: { first: 0, further: 0 } }
   const send = async (position: meterAccount.RequestPosition): Promise<boolean> => {
-    // A refused client retries once.
-    for (let attempt = 0; attempt < 2; attempt += 1) {
-      const decision = await channels[Math.floor(random() * scenario.hosts)]!.acquire(account, position)
+    for (let attempt = scenario.retries === false ? 1 : 0; attempt < 2; attempt += 1) {
+      const decision = await channels[Math.floor(random() * scenario.hosts)]!.acquire(account, position, timers.monotonic() + waitMs)
       if (decision.type === 'admitted') {
         result.sentAt.push(elapsed())
         return true
@@ -201,6 +204,22 @@
   }
 })
 
+/** Nobody counts for as long as the takeover from an owner that was killed lasts, beside a busy store. */
+const awayForLong = (now: number): number | undefined => now % 5_000 >= 1_500 && now % 5_000 < 3_200 ? undefined : Math.floor((now + 3_500) / 5_000) % 4
+
+// Guards against an account far below its limit that is refused because its host can ask nobody for more than a second.
+tap.test('an account far below its limit is refused nothing while owners change, although nobody counts for 1.7 s', async (t) => {
+  for (const limit of [{ requestsPerSecond: 5, burst: 100 }, { requestsPerSecond: 20, burst: 40 }, { requestsPerSecond: 60, burst: 60 }]) {
+    for (const handsOver of [true, false]) {
+      for (const seed of seeds) {
+        const result = await simulate({ ...steadyScenario, handsOver, retries: false, getOwner: awayForLong, limit, hosts: 4, further: 3, programsPerSecond: () => programsWithin(limit.requestsPerSecond, 3) * 0.25 }, seed)
+        const { first, further } = result.refused
+        t.equal(first + further, 0, `${limit.requestsPerSecond} requests/s, ${handsOver ? 'handed over' : 'killed'}, seed ${seed}: ${first} and ${further} refused, ${result.sentAt.length} admitted`)
+      }
+    }
+  }
+})
+
 tap.test('changes of owner do not let an account exceed its limit', async (t) => {
   for (const limit of allLimits) {
     for (const seed of seeds) {
@@ -265,7 +284,7 @@
   })
   t.teardown(() => { channel.close() })
   const acquire = async (): Promise<number | undefined> => {
-    const result = await channel.acquire(account, 'further')
+    const result = await channel.acquire(account, 'further', timers.monotonic() + waitMs)
     return result.type === 'admitted' ? result.term : undefined
   }
   const early = [await acquire(), await acquire()]
@@ -279,3 +298,56 @@
   await timers.advanceAsync(800)
   t.equal(levels.at(-1), 99)
 })
+
+// Guards against a request that waits for the next owner beyond its deadline, and against one that its limit is charged for although it was refused.
+tap.test('a request waits for the next owner until its time is up, and what is granted to it after that is taken back', async (t) => {
+  const timers = timerService.createManualTimers()
+  const limit: meterAccount.MeterLimit = { requestsPerSecond: 5, burst: 200, slack: 20 }
+  const meter = new meterAccount.GroupMeter({ term: 1, startsAt: timers.monotonic(), restedMs: Infinity, stored: new Map() })
+  const levels: number[] = []
+  let isAway = false
+  let answerMs = roundTripMs
+  const channel = new meterChannel.MeterChannel(0, {
+    timers,
+    decisions: decisionLog.createSilentDecisionLog(),
+    host: 'host-0',
+    incarnation: 'first',
+    isLimiting: () => true,
+    callOwner: async (call) => {
+      await timerService.sleep(timers, answerMs)
+      if (isAway) return { type: 'notOwner', reason: 'opening' }
+      const context = { reporter: call.host, configVersion: 1, share: 1, now: timers.monotonic(), reportTtlMs: 1_200 }
+      meter.advance(context.now, 1)
+      for (const report of call.reports) meter.charge(report, context)
+      const answers = call.reports.map((report) => meter.decide(report, context))
+      levels.push(...answers.map(({ state }) => state.level))
+      await timerService.sleep(timers, answerMs)
+      return { type: 'metered', term: meter.term, hosts: 1, answers }
+    },
+    getLimit: () => limit,
+    getVersion: () => 1,
+    countHosts: () => 1,
+    random: () => 0
+  })
+  t.teardown(() => { channel.close() })
+  const acquire = async (allowedMs: number): Promise<readonly [string, number]> => {
+    const startedAt = timers.monotonic()
+    const { type } = await channel.acquire(account, 'first', startedAt + allowedMs)
+    return [type, timers.monotonic() - startedAt]
+  }
+  const advance = async (ms: number): Promise<void> => { for (let at = 0; at < ms; at += 10) await timers.advanceAsync(10) }
+  const known = acquire(waitMs)
+  await advance(20)
+  t.equal((await known)[0], 'admitted')
+  isAway = true
+  const [short, long] = [acquire(600), acquire(900)]
+  await advance(650)
+  t.same(await short, ['limited', 600], 'not longer than it may')
+  isAway = false
+  answerMs = 200
+  await advance(700)
+  t.same(await long, ['limited', 900], 'the answer came too late')
+  answerMs = roundTripMs
+  await advance(2_000)
+  t.equal(levels.at(-1), meterAccount.computeCapacity(limit), 'as if it had not been granted')
+})
--- a/packages/programs/front/src/meter-channel.ts
+++ b/packages/programs/front/src/meter-channel.ts
@@ -37,9 +37,10 @@
 const ownerRetryMs = 150
 /**
  * While the owner is unreachable, each host admits what its share of the limit allows, and other requests wait for the
- * next owner. After this time, in ms, they are refused. It is longer than the takeover from an owner that has exited.
+ * next owner. After this time, in ms, they are refused. It is longer than the takeover from an owner that was killed:
+ * its lease of 1.1 s, and three calls of a slow store, of 300 ms each.
  */
-const maxOwnerWaitMs = 1_000
+const maxOwnerWaitMs = 2_500
 /** Retry-after time of a process without a share, in ms. */
 const noShareRetryMs = 500
 /** An account without requests for this long, in ms, is removed. */
@@ -87,8 +88,8 @@
     this.scheduleReport()
   }
 
-  /** Admits or refuses a request. Without an allowance it waits for the owner's answer. */
-  acquire (account: types.AccountId, position: meterAccount.RequestPosition): accountCount.AcquireResult | Promise<accountCount.AcquireResult> {
+  /** Admits or refuses a request. Without an allowance it waits for the owner's answer, for the next owner until `latestAt`, in monotonic ms. */
+  acquire (account: types.AccountId, position: meterAccount.RequestPosition, latestAt: number): accountCount.AcquireResult | Promise<accountCount.AcquireResult> {
     const limit = this.ports.getLimit(account)
     if (limit === undefined) return { type: 'admitted', term: undefined }
     const count = this.getOrCreateCount(account)
@@ -103,10 +104,12 @@
     if (this.unreachableSince !== undefined) {
       const result = this.acquireFromShare(account, count, limit, position)
       if (result.type === 'admitted') return result
-      if (this.unreachableMs >= maxOwnerWaitMs) return this.refuse(count, result)
+      if (!this.mayWait(latestAt)) return this.refuse(count, result)
     }
     return new Promise((resolve) => {
-      count.pending.push({ position, onDecided: resolve })
+      const pending = new accountCount.PendingRequest(position, latestAt, resolve)
+      count.pending.push(pending)
+      if (this.unreachableSince !== undefined) this.limitWait(account, count, pending, limit)
       // While the owner is unreachable, the request waits for the next scheduled report.
       if (this.unreachableSince === undefined) void this.sendReports()
       else this.scheduleReport()
@@ -137,9 +140,13 @@
     this.usageTimer?.cancel()
   }
 
-  /** How long the owner has been unreachable, in ms; 0 while it is reachable. */
-  private get unreachableMs (): number {
-    return this.unreachableSince === undefined ? 0 : this.ports.timers.monotonic() - this.unreachableSince
+  /** Whether a request may go on to wait for the next owner. */
+  private mayWait (latestAt: number): boolean {
+    return this.ports.timers.monotonic() < this.computeWaitEnd(latestAt)
+  }
+
+  private computeWaitEnd (latestAt: number): number {
+    return Math.min(latestAt, (this.unreachableSince ?? Infinity) + maxOwnerWaitMs)
   }
 
   /** When no owner counts this host as reporting any more, monotonic ms: its allowances end, and its share of the limits begins. */
@@ -244,7 +251,7 @@
       const limit = this.ports.getLimit(account)
       if (limit === undefined) {
         this.counts.delete(account)
-        for (const { onDecided } of count.pending) onDecided({ type: 'admitted', term: undefined })
+        for (const request of count.pending) request.decide({ type: 'admitted', term: undefined })
         continue
       }
       // Owners of an earlier release charge what is reported as spent.
@@ -267,11 +274,15 @@
       }
       count.addAllowance(answer.allowance, term)
       const remaining = { ...answer.granted }
-      for (const { position, onDecided } of pending) {
+      const waiting = pending.filter(({ isDecided }) => !isDecided)
+      // The owner takes back what it granted to the others once a report shows that it was not sent.
+      if (waiting.length < pending.length) count.restoreReport()
+      for (const request of waiting) {
+        const { position } = request
         const isGranted = remaining[position] > 0
         this.countUsage(count, isGranted ? 'owner' : 'refused')
-        if (isGranted) onDecided(count.grant(position, term))
-        else onDecided({ type: 'limited', retryAfterMs: answer.waitMs[position], by: 'owner', requestsLeft: answer.state.level })
+        if (isGranted) request.decide(count.grant(position, term))
+        else request.decide({ type: 'limited', retryAfterMs: answer.waitMs[position], by: 'owner', requestsLeft: answer.state.level })
         remaining[position] -= 1
       }
     }
@@ -323,16 +334,28 @@
     }
   }
 
-  /** Requeues pending requests for the next owner, or decides them by the host's share if the owner has been unreachable for too long. */
+  /** While the owner is unreachable, admits pending requests by the host's share of the limit. The others wait for the next owner if they may, and are refused if not. */
   private requeueOrDecide (account: types.AccountId, count: accountCount.AccountCount, pending: readonly accountCount.PendingRequest[], limit: meterAccount.MeterLimit): void {
-    if (this.unreachableMs < maxOwnerWaitMs) {
-      count.pending.unshift(...pending)
-      return
-    }
-    for (const { position, onDecided } of pending) {
-      const result = this.acquireFromShare(account, count, limit, position)
-      onDecided(result.type === 'admitted' ? result : this.refuse(count, result))
-    }
+    const isAway = this.unreachableSince !== undefined
+    const waiting = pending.filter((request) => !request.isDecided && !(isAway && this.decideByShare(account, count, request, limit)))
+    count.pending.unshift(...waiting)
+    if (isAway) for (const request of waiting) this.limitWait(account, count, request, limit)
+  }
+
+  /** Returns whether the request is decided: it is not while it may wait for the next owner. */
+  private decideByShare (account: types.AccountId, count: accountCount.AccountCount, request: accountCount.PendingRequest, limit: meterAccount.MeterLimit): boolean {
+    const result = this.acquireFromShare(account, count, limit, request.position)
+    if (result.type === 'limited' && this.mayWait(request.latestAt)) return false
+    request.decide(result.type === 'admitted' ? result : this.refuse(count, result))
+    return true
+  }
+
+  /** Decides a request once it may wait no longer, unless an owner is reachable again by then. */
+  private limitWait (account: types.AccountId, count: accountCount.AccountCount, request: accountCount.PendingRequest, limit: meterAccount.MeterLimit): void {
+    const { timers } = this.ports
+    request.limitWait(timers, this.computeWaitEnd(request.latestAt) - timers.monotonic(), () => {
+      if (this.unreachableSince !== undefined && this.decideByShare(account, count, request, limit)) count.removeDecided()
+    })
   }
 }
 
--- a/packages/programs/front/src/test-schedules.ts
+++ b/packages/programs/front/src/test-schedules.ts
@@ -142,7 +142,7 @@
 
 async function acquire (limits: accountLimits.AccountLimits, timers: timerService.TimerService): Promise<'admitted' | 'limited' | 'given up'> {
   let hasClientLeft = false
-  const decision = Promise.resolve(limits.acquire(testCluster.account, 'further')).then((result) => {
+  const decision = Promise.resolve(limits.acquire(testCluster.account, 'further', timers.monotonic() + clientTimeoutMs)).then((result) => {
     if (hasClientLeft && result.type === 'admitted') limits.refund(testCluster.account, 'further', result.term)
     return result.type
   })
