Front: a request that waits in a process is refused as the process is told to end, and none ends without an answer

Callers saw, while one front was stopped in calm, requests cut without an answer at the end of its grace period: orders whose body came slowly, turns that waited for their owner, and orders that waited for the limit of their account. The last two had been passed on during the grace period although their deadline lay behind its end, and were run: an order that may not be repeated was lost.

Whether a request fits into the grace period was decided once, when its body was whole. A request whose body never came was never asked, and one that was asked just before the signal was passed on after it, however long it had waited meanwhile. At the end of the grace period whatever was open was closed, whether or not it had run.

The shutdown knows every open request from its head on, with its deadline. As it begins, those that may outlast it and have certainly not run are refused with 503 and Retry-After 0: they wait in this process, or for the 100 Continue of an owner, which has not got the turn's body. A request that arrives later is refused at its head. At the end of the grace period each open request is answered: 503 if it has not run, 504 otherwise; answers get 250 ms of the 700 that are kept back to be sent. A turn whose client left while its chain was looked for is not run any more.

--- a/packages/programs/front/src/answer-stream.ts
+++ b/packages/programs/front/src/answer-stream.ts
@@ -119,6 +119,7 @@
     const { req, ports } = this
     this.deadlineTimer = ports.timers.after(req.deadlineAt - ports.timers.monotonic(), () => { this.abort({ type: 'timeout' }) })
     req.reply.onGone(() => { this.abort(undefined) })
+    req.reply.setWork({ mayHaveRun: () => this.mayHaveRun, end: (refusal) => { this.abort(refusal) } })
     this.dispatch.start()
   }
 
--- a/packages/programs/front/src/client-listener.ts
+++ b/packages/programs/front/src/client-listener.ts
@@ -21,7 +21,7 @@
   readonly inFlightRequests: inFlightRequests.InFlightRequests
   /** Requests are refused once the store has not confirmed the routing for this long, in ms; `undefined` sets no limit. */
   readonly maxRoutingAgeMs: number | undefined
-  readonly shutdown: Pick<shutdowns.Shutdown, 'canFinish'>
+  readonly shutdown: Pick<shutdowns.Shutdown, 'admit'>
   readonly heldAnswers: heldAnswers.HeldAnswers
 }
 
@@ -30,8 +30,6 @@
 /** Idle client connections are kept open for the published timeout times this factor, so that raising the timeout disconnects no client. */
 const keepAliveFactor = 1.5
 
-/** Retry-after during a shutdown, in ms: another process can serve the request now. */
-const shutdownRetryMs = 0
 /** Retry-after of a request whose deadline has passed, in ms: another attempt, with time of its own, can be served now. */
 const lateRetryMs = 0
 
@@ -71,13 +69,15 @@
     reply.refuse(checked.refusal)
     return
   }
+  const request: ArrivedRequest = { head: checked, req, res, reply, arrivedAt, deadlineAt: arrivedAt + Math.min(checked.route.timeoutMs, checked.attempt.deadlineMs ?? Infinity) }
+  if (!admitRequest(ports, request)) return
   readRequest.readBody(req, routing.bounds.maxBodyBytes, (body) => {
     if (body === undefined) {
       reply.refuse({ type: 'bodyTooLarge', limitBytes: routing.bounds.maxBodyBytes }, ['Connection', 'close'])
       return
     }
     const serve = (): void => {
-      serveRequest(ports, checked, req, res, reply, body, arrivedAt).catch((err: unknown) => {
+      serveRequest(ports, request, body).catch((err: unknown) => {
         ports.decisions.record({ event: 'unexpected', err, request: checked.attempt.id })
         reply.fail()
       })
@@ -93,21 +93,39 @@
   else res.once('finish', listener)
 }
 
-async function serveRequest (ports: ClientListenerPorts, head: checkHead.CheckedHead, req: http.IncomingMessage, res: http.ServerResponse, reply: inbound.Reply, body: Buffer, arrivedAt: number): Promise<void> {
+/** A request whose head has passed all checks. */
+interface ArrivedRequest {
+  readonly head: checkHead.CheckedHead
+  readonly req: http.IncomingMessage
+  readonly res: http.ServerResponse
+  readonly reply: inbound.Reply
+  /** Monotonic ms. */
+  readonly arrivedAt: number
+  readonly deadlineAt: number
+}
+
+/** Refuses a request that may outlast a shutdown and returns false, whether or not its body has arrived. */
+function admitRequest (ports: ClientListenerPorts, { head, res, reply, arrivedAt, deadlineAt }: ArrivedRequest): boolean {
+  const { attempt, kind, route } = head
+  ports.inFlightRequests.add(res, reply, attempt, kind, arrivedAt)
+  const noteRefusal = ({ reason }: inbound.ReplyEnd): void => {
+    if (reason !== 'shuttingDown') return
+    ports.decisions.record({ event: 'refusedAtShutdown', request: attempt.id, route: route.name, neededMs: Math.round(deadlineAt - arrivedAt) })
+  }
+  reply.onEnd(noteRefusal)
+  return ports.shutdown.admit(reply, deadlineAt)
+}
+
+async function serveRequest (ports: ClientListenerPorts, { head, req, reply, arrivedAt, deadlineAt }: ArrivedRequest, body: Buffer): Promise<void> {
+  // It was refused while its body arrived.
+  if (reply.over) return
   const { decisions } = ports
   const { attempt, caller, kind, path, route, service, tokensPerEvent, version } = head
-  const deadlineAt = arrivedAt + Math.min(route.timeoutMs, attempt.deadlineMs ?? Infinity)
-  ports.inFlightRequests.add(res, reply, attempt, kind, arrivedAt)
   // Its body was late, or the answer before it on its connection.
   if (ports.timers.monotonic() >= deadlineAt) {
     reply.refuse({ type: 'deadlinePassed', retryAfterMs: lateRetryMs })
     return
   }
-  if (!ports.shutdown.canFinish(deadlineAt)) {
-    decisions.record({ event: 'refusedAtShutdown', request: attempt.id, route: route.name, neededMs: Math.round(deadlineAt - arrivedAt) })
-    reply.refuse({ type: 'shuttingDown', retryAfterMs: shutdownRetryMs })
-    return
-  }
   const request: inbound.InboundRequest = {
     attempt,
     method: req.method ?? 'GET',
--- a/packages/programs/front/src/forward-turn.test.ts
+++ b/packages/programs/front/src/forward-turn.test.ts
@@ -29,6 +29,7 @@
     abort: () => { replyEvents.push('abort') },
     refuse: ({ type }: inbound.Refusal) => { replyEvents.push(type) },
     onGone: () => {},
+    setWork: () => {},
     onDrain: () => {}
   }
   const req = { attempt: { id: 'r1' }, method: 'POST', path: '/', rawHeaders: [], body: Buffer.alloc(0), deadlineAt: timers.monotonic() + 4_000, reply } as unknown as inbound.InboundRequest
--- a/packages/programs/front/src/forward-turn.ts
+++ b/packages/programs/front/src/forward-turn.ts
@@ -69,6 +69,7 @@
     this.deadlineTimer = timers.after(remainingMs, () => { this.onDeadline() })
     this.ownerWatch = lateOwner.watchOwner(ports, req.attempt.id, owner, (reason) => { this.giveUpOwner(reason) })
     req.reply.onGone(() => { this.cancel({ type: 'answered' }) })
+    req.reply.setWork({ mayHaveRun: () => this.isConfirmed || this.isRelaying, end: (refusal) => { this.end(refusal) } })
     this.exchange = peerSender.send({
       address: owner.address,
       method: req.method,
@@ -151,13 +152,14 @@
   }
 
   private onDeadline (): void {
-    if (!this.isConfirmed) {
-      this.cancel({ type: 'late' })
-      return
-    }
+    if (this.isConfirmed) this.end({ type: 'timeout' })
+    else this.cancel({ type: 'late' })
+  }
+
+  private end (refusal: inbound.Refusal): void {
     this.exchange?.cancel()
     if (this.isRelaying) this.req.reply.abort()
-    else this.req.reply.refuse({ type: 'timeout' })
+    else this.req.reply.refuse(refusal)
     this.finish({ type: 'answered' })
   }
 
@@ -168,6 +170,7 @@
 
   private finish (outcome: ForwardOutcome): void {
     this.isFinished = true
+    this.req.reply.setWork(undefined)
     this.deadlineTimer?.cancel()
     this.silenceTimer?.cancel()
     this.ownerWatch?.cancel()
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -68,6 +68,8 @@
 const drainDelayShare = 0.5
 /** The process stops waiting for requests this long before it would be killed, in ms. */
 const shutdownMarginMs = 700
+/** Time for the last answers to be sent, in ms, within that margin. */
+const lastAnswersMs = 250
 /** Poll interval for the number of in-flight requests during shutdown, in ms: well below the time that shutdown takes. */
 const drainPollMs = 20
 /** Timeout of a store call that is relayed through a peer, in ms: the peer's own timeout plus the network time. */
@@ -105,7 +107,7 @@
   private readonly clientServer: drainServer.DrainServer
   private readonly peerServer: http.Server
   private readonly readyServer: http.Server
-  private readonly shutdown = new shutdowns.Shutdown()
+  private readonly shutdown: shutdowns.Shutdown
   private pendingStop: Promise<void> | undefined
   private loadWatch: timerService.Subscription | undefined
 
@@ -115,6 +117,7 @@
     this.sender = sendHttp.createSender({ idleTimeoutMs: idleConnectionMs, shortIdleTimeoutMs: freshConnectionMs, onSinkError })
     this.peerSender = sendHttp.createSender({ idleTimeoutMs: peerIdleConnectionMs, shortIdleTimeoutMs: peerIdleConnectionMs, onSinkError })
     this.inFlightRequests = new inFlightRequests.InFlightRequests(ports)
+    this.shutdown = new shutdowns.Shutdown(ports)
     this.peerCallPorts = { peerSender: this.peerSender, timers: ports.timers, decisions: ports.decisions }
     const log = this.createRelayedLog()
     this.shards = this.createShards(log)
@@ -159,7 +162,7 @@
       shutdown: this.shutdown,
       heldAnswers: new heldAnswers.HeldAnswers()
     })
-    this.peerServer = peerListener.createPeerServer({ ...turnPorts, directLog: ports.log, inFlightRequests: this.inFlightRequests, limits: this.limits, crashCalls: this.crashes }, peerKeepAliveMs)
+    this.peerServer = peerListener.createPeerServer({ ...turnPorts, directLog: ports.log, inFlightRequests: this.inFlightRequests, limits: this.limits, shutdown: this.shutdown, crashCalls: this.crashes }, peerKeepAliveMs)
     this.readyServer = http.createServer((_req, res) => {
       res.writeHead(this.isReady ? 200 : 503)
       res.end()
@@ -218,14 +221,16 @@
     const stopStartedAt = timers.monotonic()
     const shutdownTimeoutMs = this.cfg.graceMs - shutdownMarginMs
     const drainDeadlineAt = stopStartedAt + shutdownTimeoutMs
-    this.shutdown.begin(drainDeadlineAt)
     this.clientServer.startDraining()
+    this.shutdown.begin(drainDeadlineAt)
     decisions.record({ event: 'stopping', underWay: this.inFlightRequests.count })
     await this.shards.leave()
     const acceptUntil = stopStartedAt + Math.min(drainDelayMs, shutdownTimeoutMs * drainDelayShare)
     await timerService.sleep(timers, Math.max(0, acceptUntil - timers.monotonic()))
     this.clientServer.server.close()
     await this.drainRequests(drainDeadlineAt)
+    this.shutdown.expire()
+    await this.awaitAnswersSent(timers.monotonic() + lastAnswersMs)
     // A request that is read after this point would run and be cut off when the process exits.
     closeServers([this.clientServer.server, this.peerServer])
     decisions.record({ event: 'stopped', underWay: this.inFlightRequests.count, tookMs: Math.round(timers.monotonic() - stopStartedAt) })
@@ -241,6 +246,12 @@
     }
   }
 
+  /** Resolves once the answers of all requests have been sent, or at the deadline, in monotonic ms. */
+  private async awaitAnswersSent (deadlineAt: number): Promise<void> {
+    const { timers } = this.ports
+    while (timers.monotonic() < deadlineAt && (this.inFlightRequests.count > 0 || this.clientServer.openRequestCount > 0)) await timerService.sleep(timers, drainPollMs)
+  }
+
   /** Stops at once without handing over shards, as tests need it. */
   close (): void {
     this.loadWatch?.cancel()
--- a/packages/programs/front/src/inbound.ts
+++ b/packages/programs/front/src/inbound.ts
@@ -97,12 +97,21 @@
   readonly chunks: Uint8Array[]
 }
 
+/** What works on a request that was passed on. */
+export interface RequestWork {
+  /** False guarantees that the request has not run, and will not once it is ended. */
+  readonly mayHaveRun: () => boolean
+  /** Gives the request up, and refuses it unless a part of its answer was sent. */
+  readonly end: (refusal: Refusal) => void
+}
+
 /** The reply to one request. Nothing is written after the client has disconnected. */
 export class Reply {
   private held: HeldAnswer | undefined
   private goneListener: (() => void) | undefined
   private readonly endListeners: ((end: ReplyEnd) => void)[] = []
   private headListener: (() => void) | undefined
+  private work: RequestWork | undefined
   private isFinished = false
   private source: AnswerSource = 'front'
 
@@ -142,6 +151,28 @@
     this.goneListener = listener
   }
 
+  /** Sets what works on the request from now on; `undefined` if it has not run and waits in this process again. */
+  setWork (work: RequestWork | undefined): void {
+    this.work = work
+  }
+
+  /** Refuses the request if it has certainly not run, and never will. Returns whether the reply has ended. */
+  refuseIfNotRun (refusal: Refusal, extraHeaders: readonly string[]): boolean {
+    if (this.isFinished) return true
+    if (this.headSent || this.held !== undefined || this.work?.mayHaveRun() === true) return false
+    this.work?.end(refusal)
+    this.refuse(refusal, extraHeaders)
+    return true
+  }
+
+  /** Ends a request that may have run: it gets no more time. */
+  expire (): void {
+    if (this.isFinished) return
+    this.work?.end({ type: 'timeout' })
+    if (this.headSent || this.held !== undefined) this.abort()
+    else this.refuse({ type: 'timeout' })
+  }
+
   refuse (refusal: Refusal, extraHeaders: readonly string[] = []): void {
     if (this.isFinished) return
     const { type, ...details } = refusal
--- a/packages/programs/front/src/peer-listener.ts
+++ b/packages/programs/front/src/peer-listener.ts
@@ -18,6 +18,7 @@
 import * as routeTurn from './route-turn.js'
 import * as serveTurn from './serve-turn.js'
 import * as settleTurn from './settle-turn.js'
+import type * as shutdowns from './shutdown.js'
 import type * as upstreamCrashes from './upstream-crashes.js'
 
 /** Dependencies of the peer listener. */
@@ -26,6 +27,7 @@
   readonly directLog: shardLog.ShardLog
   readonly inFlightRequests: inFlightRequests.InFlightRequests
   readonly limits: Pick<accountLimits.AccountLimits, 'countReports'>
+  readonly shutdown: Pick<shutdowns.Shutdown, 'admit'>
   readonly crashCalls: Pick<upstreamCrashes.UpstreamCrashes, 'answerCall'>
 }
 
@@ -78,6 +80,8 @@
 }
 
 function acceptTurn (ports: PeerListenerPorts, req: http.IncomingMessage, res: http.ServerResponse, { forwarded, attempt, turn, shard, reply, arrivedAt }: AcceptedTurn): void {
+  const deadlineAt = arrivedAt + (attempt.deadlineMs ?? forwarded.route.timeoutMs)
+  if (!ports.shutdown.admit(reply, deadlineAt, [...forwardHeader.notOwnerHeaders, 'Connection', 'close'])) return
   res.writeContinue()
   ports.inFlightRequests.add(res, reply, attempt, 'passedOnTurn', arrivedAt)
   readRequest.readBody(req, peerCalls.maxCallBytes, (body) => {
@@ -85,6 +89,8 @@
       reply.refuse({ type: 'bodyTooLarge', limitBytes: peerCalls.maxCallBytes }, ['Connection', 'close'])
       return
     }
+    // This process may be about to end.
+    if (reply.over) return
     serveTurn.serveTurn(ports, {
       ...forwarded,
       attempt,
@@ -92,7 +98,7 @@
       path: req.url ?? '/',
       rawHeaders: req.rawHeaders,
       body,
-      deadlineAt: arrivedAt + (attempt.deadlineMs ?? forwarded.route.timeoutMs),
+      deadlineAt,
       reply
     }, turn, shard).catch((err: unknown) => {
       ports.decisions.record({ event: 'unexpected', err, request: attempt.id })
--- a/packages/programs/front/src/serve-call.ts
+++ b/packages/programs/front/src/serve-call.ts
@@ -56,5 +56,13 @@
     deadlineTimer.cancel()
     dispatched.cancel('clientGone')
   })
+  reply.setWork({
+    mayHaveRun: () => dispatched.mayHaveRun,
+    end: (refusal) => {
+      deadlineTimer.cancel()
+      dispatched.cancel('deadline')
+      reply.refuse(refusal)
+    }
+  })
   dispatched.start()
 }
--- a/packages/programs/front/src/serve-turn.test.ts
+++ b/packages/programs/front/src/serve-turn.test.ts
@@ -60,7 +60,8 @@
       refuse: ({ type }: inbound.Refusal) => { events.push(type) },
       head: () => { events.push('head') },
       data: () => { events.push('event'); return true },
-      onGone: (run: () => void) => { disconnect = run }
+      onGone: (run: () => void) => { disconnect = run },
+      setWork: () => {}
     }
     const route = { repeatability: 'atMostOnce', objectiveMs: 200, maxAttempts: 2, stream: { resumable: false }, retain: { keepsTurns: true, retainMs: 60_000 } }
     const turn = { program, previous: undefined, promptTokens: 100, maxTokens: 20, budgetTokens, finishMs: undefined, promptParts: [] } as unknown as dialects.TurnFields
@@ -150,6 +151,7 @@
     end: () => { events.push('end') },
     abort: () => { events.push(`abort at ${timers.monotonic() - startedAt}`) },
     onGone: () => {},
+    setWork: () => {},
     onDrain: () => {}
   }
   const startedAt = timers.monotonic()
--- a/packages/programs/front/src/serve-turn.ts
+++ b/packages/programs/front/src/serve-turn.ts
@@ -77,6 +77,8 @@
 async function continueFromOtherShard (ports: TurnPorts, req: inbound.InboundRequest, turn: dialects.TurnFields, request: turnLedger.TurnRequest, shard: ownShards.OwnedShard): Promise<void> {
   const previous = request.previous
   const found = previous === undefined ? undefined : await timerService.withTimeout(ports.timers, findChain.findChainAtOwners(ports, { turn: previous, account: request.account }), findChain.getSearchTimeoutMs(ports.shards))
+  // The client may have left meanwhile, or this process may be about to end.
+  if (req.reply.over) return
   if (found?.type === 'found' && shard.state === 'serving') {
     const admission = shard.ledger.admitTurn(request, ports.timers.now() as types.EpochMs, found.chain)
     if (admission.type === 'admitted') {
