drain-server: bytes without end from a client are cut off, and pipelined requests are served a few at a time

Callers saw: one client that pipelines requests without reading their answers took the process away from all others: on the unchanged code a single read brought 2 MB of requests, which were served in one turn of the event loop. Blank lines before a request and the digits of a chunk size were read for as long as the client sent them.

Cause: nothing bounded the requests of a connection that are open at a time; Node.js pauses a connection by the bytes of answers that wait, not by requests that have none yet. Its limits cover heads and trailers, not blank lines or the digits of a chunk size; `requestTimeout` is 0 at a front, as the deadline of the route holds there.

Why it works: a connection with 16 open requests is not read, whoever resumes it; those that came with the same read wait and are handed over one by one as others end, the event loop serving others in between. Every 100 ms the bytes since the last head are compared with those of the body (256 KiB and 8 times the body); beyond that nothing more is read, and the connection ends behind the answers that are due.

--- a/packages/base/drain-server/src/drain-server.ts
+++ b/packages/base/drain-server/src/drain-server.ts
@@ -1,6 +1,8 @@
 /** HTTP/1.1 server that ends its connections during a graceful shutdown without cutting off a request. */
 import * as http from 'node:http'
 import type * as net from 'node:net'
+import * as limitReading from './limit-reading.js'
+import * as readGate from './read-gate.js'
 
 /** A server that can be drained. */
 export interface DrainServer {
@@ -22,15 +24,23 @@
 /** How long a connection that has ended is read on, in ms: several network round trips. */
 const lingerMs = 250
 
+/** Requests of one connection that are served at a time. While there are more, nothing is read from it. */
+const maxServedRequests = 16
+
 /** The requests of one connection. */
 class Connection {
   /** Responses that have not ended, oldest first; they are sent in this order. */
   private readonly openResponses = new Set<http.ServerResponse>()
   private newestResponse: http.ServerResponse | undefined
+  /** Requests that wait until there are fewer open ones, oldest first. */
+  private readonly waiting: (() => void)[] = []
+  private readonly gate: readGate.ReadGate
+  private hasStoppedReading = false
   /** An answer has announced the end of the connection, or its bytes can't be read further: no request after that is answered. */
   isEnding = false
 
-  constructor (socket: net.Socket) {
+  constructor (private readonly socket: net.Socket) {
+    this.gate = new readGate.ReadGate(socket)
     // Node.js emits 'close' only for the response that is being sent, not for those of pipelined requests behind it.
     socket.once('close', () => { for (const res of this.openResponses) res.emit('close') })
   }
@@ -38,12 +48,39 @@
   add (res: http.ServerResponse, onClose: () => void): void {
     this.newestResponse = res
     this.openResponses.add(res)
+    if (this.openResponses.size >= maxServedRequests) this.gate.close()
     res.once('close', () => {
       this.openResponses.delete(res)
       onClose()
+      this.serveWaiting()
     })
   }
 
+  /** Serves the newest request, or lets it wait: one read may bring thousands. */
+  serve (run: () => void): void {
+    if (this.openResponses.size > maxServedRequests) this.waiting.push(run)
+    else run()
+  }
+
+  private serveWaiting (): void {
+    const next = this.waiting.shift()
+    // The event loop serves other connections first. Behind the last answer of its connection a request does not run.
+    if (next !== undefined) setImmediate(() => { if (this.socket.writable) next() })
+    else if (!this.isEnding && this.openResponses.size < maxServedRequests) this.gate.open()
+  }
+
+  /** Reads nothing more. */
+  stopReading (): void {
+    this.hasStoppedReading = true
+    this.gate.close()
+  }
+
+  /** The last answer was sent. */
+  end (): void {
+    this.isEnding = true
+    if (!this.hasStoppedReading) this.gate.open()
+  }
+
   /** Whether all answers have been sent. */
   get isIdle (): boolean {
     return this.openResponses.size === 0
@@ -98,6 +135,13 @@
   socket.destroySoon()
 }
 
+/** Ends a connection whose bytes can't be read further, behind the answers to the requests that have arrived whole. */
+function endUnread (socket: net.Socket, connection: Connection, err: Error): void {
+  if (connection.isEnding) return
+  connection.isEnding = true
+  connection.whenAnswered(() => { refuseUnread(socket, err, connection) })
+}
+
 /** Creates a server, which does not listen yet. Requests that arrive after the last answer of their connection are not passed to the listener. */
 export function createDrainServer (options: http.ServerOptions, onRequest: http.RequestListener): DrainServer {
   const connections = new WeakMap<net.Socket, Connection>()
@@ -123,7 +167,7 @@
     return connection
   }
 
-  const server = http.createServer({ ...options, ServerResponse: DrainResponse }, (req, res) => {
+  const server = http.createServer({ ...options, ServerResponse: DrainResponse, IncomingMessage: limitReading.CountedRequest }, (req, res) => {
     const connection = getConnection(req.socket)
     if (connection.isEnding) {
       req.resume()
@@ -133,7 +177,13 @@
     connection.add(res, () => { openRequestCount -= 1 })
     // Ends the idle timeout that closeIdleConnections may have set.
     req.socket.setTimeout(server.timeout)
-    onRequest(req, res)
+    connection.serve(() => { onRequest(req, res) })
+  })
+
+  limitReading.limitReading(server, (socket) => {
+    const connection = getConnection(socket)
+    connection.stopReading()
+    endUnread(socket, connection, new Error('too many bytes that are no request'))
   })
 
   // Without a listener Node.js ends the connection at once, also under the requests before the one that can't be read.
@@ -141,16 +191,13 @@
     const socket = stream as net.Socket
     const connection = getConnection(socket)
     if (socket.readableEnded || !socket.writable) socket.destroy(err)
-    else if (!connection.isEnding) {
-      connection.isEnding = true
-      connection.whenAnswered(() => { refuseUnread(socket, err, connection) })
-    }
+    else endUnread(socket, connection, err)
   })
 
   server.on('connection', (socket) => {
     // Called after the last answer of a connection.
     socket.destroySoon = () => {
-      getConnection(socket).isEnding = true
+      getConnection(socket).end()
       closeLingering(socket)
     }
     openSockets.add(socket)
--- /dev/null
+++ b/packages/base/drain-server/src/limit-reading.ts
@@ -0,0 +1,65 @@
+/** Notices connections on which bytes arrive that are neither a request nor its body. */
+import * as http from 'node:http'
+import type * as net from 'node:net'
+
+/**
+ * Limits of the bytes between the head of a request and the next one that are not its body: a fixed number, plus a
+ * multiple of the body, as each chunk of it may have only one byte. The limits of Node.js cover heads and trailers, not
+ * blank lines or the digits of a chunk size, and the extension of each chunk for itself.
+ */
+const maxFramingBytes = 262_144
+const maxFramingFactor = 8
+/** Time between two checks, in ms. */
+const checkIntervalMs = 100
+
+/** Counts the bytes of its body. */
+export class CountedRequest extends http.IncomingMessage {
+  bodyBytes = 0
+
+  override push (chunk: Buffer | null, encoding?: BufferEncoding): boolean {
+    this.bodyBytes += chunk?.length ?? 0
+    return super.push(chunk, encoding)
+  }
+}
+
+/** The newest request of a connection. */
+interface NewestRequest {
+  readonly req: CountedRequest
+  /** Bytes that the connection had received with its head. */
+  readonly receivedBytes: number
+}
+
+/** Calls `onExcess` once for each connection that goes beyond the limits. The server must be created with `CountedRequest`. */
+export function limitReading (server: http.Server, onExcess: (socket: net.Socket) => void): void {
+  const newestRequests = new Map<net.Socket, NewestRequest | undefined>()
+  const check = (): void => {
+    for (const [socket, newest] of newestRequests) {
+      if (!isBeyondLimits(socket, newest)) continue
+      newestRequests.delete(socket)
+      onExcess(socket)
+    }
+  }
+  const noteRequest = (req: http.IncomingMessage): void => {
+    const { socket } = req
+    if (newestRequests.has(socket)) newestRequests.set(socket, { req: req as CountedRequest, receivedBytes: socket.bytesRead })
+  }
+  let checks: NodeJS.Timeout | undefined
+  server.on('connection', (socket) => {
+    newestRequests.set(socket, undefined)
+    checks ??= setInterval(check, checkIntervalMs).unref()
+    socket.once('close', () => {
+      newestRequests.delete(socket)
+      if (newestRequests.size > 0) return
+      clearInterval(checks)
+      checks = undefined
+    })
+  })
+  // Before the listeners that serve the request.
+  server.prependListener('request', noteRequest)
+  server.prependListener('checkContinue', noteRequest)
+}
+
+function isBeyondLimits (socket: net.Socket, newest: NewestRequest | undefined): boolean {
+  const framingBytes = socket.bytesRead - (newest?.receivedBytes ?? 0)
+  return framingBytes > maxFramingBytes + (1 + maxFramingFactor) * (newest?.req.bodyBytes ?? 0)
+}
