Entry, sidecar and their peers: bytes around an answer that do not end are cut off

Callers saw: an engine, a service, the log, the host list or the weight store that sends bytes without end which are no answer kept a connection and a processor busy until the time limit of the call, and behind a whole answer for ever.

Cause: undici counts the bytes of headers and trailers, but not those of a status line, blank lines, interim answers, or the size and extension of a chunk; its users see only the bytes of bodies. A body was kept as the chunks it came in: one object, and the buffer that it was read into, for each byte.

More than 16 interim answers end the exchange. Small chunks are joined as they come.

--- a/packages/base/errors/src/http-exchange.ts
+++ b/packages/base/errors/src/http-exchange.ts
@@ -2,9 +2,11 @@
  * Tracks one HTTP request to a peer and reports its outcome, including whether the peer may have run the request.
  * It is driven by the callbacks of undici's `dispatch` and does no I/O itself.
  */
+import type * as net from 'node:net'
 import * as messageFraming from '@eelgrasswind/message-framing'
 import type * as types from '@eelgrasswind/types'
 import * as httpStatus from './http-status.js'
+import * as limitReading from './limit-reading.js'
 
 /** Header names and values alternating, as received. */
 export type RawHeaders = readonly Buffer[]
@@ -43,18 +45,33 @@
   readonly onData?: (chunk: Buffer) => boolean
 }
 
+/** Connect timeout, in milliseconds. */
+const connectTimeoutMs = 2000
+
+/** Connects for undici. */
+type Connector<Options> = (options: Options, callback: (...args: [null, net.Socket] | [Error, null]) => void) => void
+
 /**
  * Options of an undici pool whose requests go through `runExchange`. A connection carries one request at a time, so that
  * undici does not resend a request when the one before it fails. Timeouts of undici are off: the exchange has its own.
+ * Connections whose bytes do not end are closed. `buildConnector`: the function of undici.
  */
-export const poolOptions = {
-  pipelining: 1,
-  headersTimeout: 0,
-  bodyTimeout: 0,
-  /** Time after which an idle connection is closed, in milliseconds. */
-  keepAliveTimeout: 30_000,
-  /** Connect timeout, in milliseconds. */
-  connect: { timeout: 2000 }
+export function createPoolOptions<Options> (buildConnector: (settings: { timeout: number }) => Connector<Options>) {
+  const connectSocket = buildConnector({ timeout: connectTimeoutMs })
+  const connect: Connector<Options> = (options, callback) => {
+    connectSocket(options, (...args) => {
+      callback(...args)
+      if (args[0] === null) limitReading.limitReading(args[1])
+    })
+  }
+  return {
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    /** Time after which an idle connection is closed, in milliseconds. */
+    keepAliveTimeout: 30_000,
+    connect
+  }
 }
 
 /** The callbacks that undici's `dispatch` takes. */
@@ -66,7 +83,8 @@
   onError: (err: Error) => void
 }
 
-const emptyBody = Buffer.alloc(0)
+/** Limit of the interim answers (status 1xx) to one request: more than any server sends. */
+const maxInterimAnswers = 16
 
 /** Returns the first value of a header, or undefined; `name` is in lower case. */
 export function getHeader (headers: RawHeaders, name: string): string | undefined {
@@ -95,8 +113,9 @@
   private hasEnded = false
   private status: number | undefined
   private headers: RawHeaders = []
-  private chunks: Buffer[] = []
+  private readonly chunks = new messageFraming.ByteList()
   private bodyBytes = 0
+  private interimAnswers = 0
   private abortConnection: ((err?: Error) => void) | undefined
   private timer: { cancel: () => void } | undefined
 
@@ -120,6 +139,8 @@
   }
 
   onHeaders (status: number, headers: Buffer[]): boolean {
+    if (status < 200) this.onInterimAnswer()
+    else limitReading.noteHead()
     if (this.hasEnded || status < 200) return true
     if (getHeader(headers, 'x-request-id') !== this.req.requestId) {
       this.settle({ type: 'foreign', status })
@@ -131,7 +152,15 @@
     return true
   }
 
+  private onInterimAnswer (): void {
+    this.interimAnswers += 1
+    if (this.interimAnswers <= maxInterimAnswers) return
+    this.settle({ type: 'lost', sent: this.isSent, status: undefined, message: `more than ${maxInterimAnswers} interim answers` })
+    this.closeConnection()
+  }
+
   onData (chunk: Buffer): boolean {
+    limitReading.noteBody(chunk.length)
     // After data beyond the end of an answer the connection can't be reused for another request.
     if (this.hasEnded) this.closeConnection()
     else this.collectChunk(chunk)
@@ -162,12 +191,7 @@
     })
     if (framing !== 'connection' || httpStatus.isRefusal(status) || status >= 500) return true
     if (this.req.onData !== undefined && status === 200) return true
-    return messageFraming.isSelfDelimitingJson(this.concatBody().toString('utf8'))
-  }
-
-  private concatBody (): Buffer {
-    if (this.chunks.length === 0) return emptyBody
-    return this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks)
+    return messageFraming.isSelfDelimitingJson(this.chunks.concat().toString('utf8'))
   }
 
   private collectChunk (chunk: Buffer): void {
@@ -197,7 +221,7 @@
   }
 
   private completeAnswer (): void {
-    this.settle({ type: 'answered', status: this.status ?? 0, headers: this.headers, body: this.concatBody() })
+    this.settle({ type: 'answered', status: this.status ?? 0, headers: this.headers, body: this.chunks.concat() })
   }
 
   private settle (outcome: ExchangeOutcome): void {
--- a/packages/base/errors/src/truncated-heads.test.ts
+++ b/packages/base/errors/src/truncated-heads.test.ts
@@ -32,7 +32,7 @@
     })
   })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
-  const pool = new undici.Pool(`http://127.0.0.1:${(server.address() as net.AddressInfo).port}`, { ...httpExchange.poolOptions, connections: 1 })
+  const pool = new undici.Pool(`http://127.0.0.1:${(server.address() as net.AddressInfo).port}`, { ...httpExchange.createPoolOptions(undici.buildConnector), connections: 1 })
   t.teardown(async () => {
     server.close()
     await pool.destroy()
--- a/packages/base/message-framing/src/index.ts
+++ b/packages/base/message-framing/src/index.ts
@@ -1,2 +1,3 @@
 /** How the end of an HTTP answer is marked, and whether it has arrived whole. */
 export * from './message-framing.js'
+export * from './byte-list.js'
--- a/packages/peers/engine-client/src/create-engine-client.ts
+++ b/packages/peers/engine-client/src/create-engine-client.ts
@@ -57,7 +57,7 @@
   const timers = settings.timers ?? timerService.createRealTimers()
   const timeout = { after: timers.after, ms: settings.timeoutMs }
   const maxBytes = settings.maxAnswerBytes ?? defaultMaxAnswerBytes
-  const pool = new undici.Pool(settings.address, { ...errors.poolOptions, connections: maxConnections })
+  const pool = new undici.Pool(settings.address, { ...errors.createPoolOptions(undici.buildConnector), connections: maxConnections })
 
   async function complete (req: engineClient.EngineRequest, options: engineClient.CallOptions): Promise<errors.Result<engineClient.EngineAnswer>> {
     const { requestId } = req
--- a/packages/peers/host-list-client/src/create-host-list-client.ts
+++ b/packages/peers/host-list-client/src/create-host-list-client.ts
@@ -50,7 +50,7 @@
 export function createHostListClient (settings: hostListClient.HostListSettings): hostListClient.HostListClient {
   const timers = settings.timers ?? timerService.createRealTimers()
   const timeout = { after: timers.after, ms: settings.timeoutMs }
-  const pool = new undici.Pool(settings.address, { ...errors.poolOptions, connections: 1 })
+  const pool = new undici.Pool(settings.address, { ...errors.createPoolOptions(undici.buildConnector), connections: 1 })
 
   let lastUnreadable = 0
   function noteUnreadable (count: number): void {
--- a/packages/peers/log-client/src/create-log-client.ts
+++ b/packages/peers/log-client/src/create-log-client.ts
@@ -36,7 +36,7 @@
   const timers = settings.timers ?? timerService.createRealTimers()
   const timeout = { after: timers.after, ms: settings.timeoutMs }
   const requestIdPrefix = crypto.randomUUID()
-  const pool = new undici.Pool(settings.address, { ...errors.poolOptions, connections: maxConnections })
+  const pool = new undici.Pool(settings.address, { ...errors.createPoolOptions(undici.buildConnector), connections: maxConnections })
   let requestCount = 0
 
   function createRequestId (): string {
--- a/packages/peers/service-client/src/create-service-client.ts
+++ b/packages/peers/service-client/src/create-service-client.ts
@@ -33,7 +33,7 @@
 
 /** Creates a service client. It connects on the first call, reuses connections, and never sends a request twice. */
 export function createServiceClient (settings: serviceClient.ServiceSettings): serviceClient.ServiceClient {
-  const pool = new undici.Pool(settings.address, { ...errors.poolOptions, connections: maxConnections })
+  const pool = new undici.Pool(settings.address, { ...errors.createPoolOptions(undici.buildConnector), connections: maxConnections })
 
   async function call (req: serviceClient.ServiceRequest, options: serviceClient.CallOptions): Promise<errors.Result<serviceClient.ServiceAnswer>> {
     const { requestId } = req
--- a/packages/peers/weight-store-client/src/create-weight-store-client.ts
+++ b/packages/peers/weight-store-client/src/create-weight-store-client.ts
@@ -32,7 +32,7 @@
   const random = settings.random ?? Math.random
   const timeout = { after: timers.after, ms: settings.timeoutMs }
   const pacer = pacing.createPacer(timers, settings.requestsPerSecond * settings.share)
-  const pool = new undici.Pool(settings.address, { ...errors.poolOptions, connections: maxConnections })
+  const pool = new undici.Pool(settings.address, { ...errors.createPoolOptions(undici.buildConnector), connections: maxConnections })
 
   async function tryFetch (path: string, options: weightStoreClient.FetchOptions): Promise<errors.Result<weightStoreClient.Weights>> {
     const requestId = crypto.randomUUID()
