Engine client: an event without end, and an event with many fields, no longer stop the sidecar

Callers saw: one engine's stream kept the sidecar from serving anything else, or took its memory.

Cause: the parser joined and searched an incomplete event anew with each chunk, up to the 64 MiB of an answer. The fields of a message were copied with each new field, so that an event of 229 kB with 20,000 of them cost their square. The index of a tool call set the length of a list.

--- a/packages/peers/engine-client/src/assemble-answer.ts
+++ b/packages/peers/engine-client/src/assemble-answer.ts
@@ -4,8 +4,11 @@
 
 type JsonObject = Readonly<Record<string, unknown>>
 
-/** Why an answer is unusable: an event is not a JSON object, belongs to another request, or the end or the token usage is missing. */
-export type AnswerFault = 'notJson' | 'otherRequest' | 'noEnd' | 'noUsage'
+/** Why an answer is unusable: an event is not a JSON object, belongs to another request, or has a tool call out of range, or the end or the token usage is missing. */
+export type AnswerFault = 'notJson' | 'otherRequest' | 'toolCallIndex' | 'noEnd' | 'noUsage'
+
+/** Limit of the tool calls of an answer: an index determines the length of their list. */
+const maxToolCalls = 1_024
 
 export type AssemblyResult =
   | { readonly type: 'whole', readonly answer: engineClient.EngineAnswer }
@@ -61,7 +64,7 @@
   const toolCalls: ToolCall[] = []
   let role = 'assistant'
   let content = ''
-  let otherFields: JsonObject = {}
+  const otherFields = new Map<string, unknown>()
   let finishReason: string | undefined
   let tokens: types.TokenCount | undefined
   let isDone = false
@@ -69,6 +72,10 @@
 
   function addToolCall (toolCallDelta: JsonObject): void {
     const index = toCount(toolCallDelta['index'])
+    if (!Number.isInteger(index) || index >= maxToolCalls) {
+      fault = 'toolCallIndex'
+      return
+    }
     const functionDelta = toObject(toolCallDelta['function'])
     const call = toolCalls[index] ?? { id: undefined, type: undefined, name: '', arguments: '' }
     toolCalls[index] = call
@@ -90,8 +97,8 @@
 
   /** Other text fields, such as reasoning, are streamed in pieces too and concatenated. */
   function appendField (name: string, value: unknown): void {
-    const previous = otherFields[name]
-    otherFields = { ...otherFields, [name]: typeof previous === 'string' && typeof value === 'string' ? previous + value : value }
+    const previous = otherFields.get(name)
+    otherFields.set(name, typeof previous === 'string' && typeof value === 'string' ? previous + value : value)
   }
 
   function addChoice (choice: JsonObject): void {
@@ -123,7 +130,7 @@
   function buildMessage (): types.ChatMessage {
     const calls = toolCalls.map((call) => ({ id: call.id, type: call.type ?? 'function', function: { name: call.name, arguments: call.arguments } }))
     const text = content === '' && calls.length > 0 ? null : content
-    return { ...otherFields, role, content: text, ...(calls.length > 0 ? { tool_calls: calls } : {}) }
+    return { ...Object.fromEntries(otherFields), role, content: text, ...(calls.length > 0 ? { tool_calls: calls } : {}) }
   }
 
   function getResult (): AssemblyResult {
--- a/packages/peers/engine-client/src/create-engine-client.ts
+++ b/packages/peers/engine-client/src/create-engine-client.ts
@@ -63,13 +63,14 @@
     const { requestId } = req
     const streamParser = eventStream.createEventStreamParser()
     const assembler = assembleAnswer.createAnswerAssembler(requestId, options.onDelta)
-    const onData = (chunk: Buffer): boolean => streamParser.push(chunk).some(assembler.addEvent)
+    const onData = (chunk: Buffer): boolean => streamParser.push(chunk).some(assembler.addEvent) || streamParser.isEndless
     const outcome = await errors.runExchange({ requestId, maxBytes, signal: options.signal, onData }, (handler) => {
       pool.dispatch({ path: '/v1/chat/completions', method: 'POST', headers: buildChatHeaders(req, options), body: buildChatBody(req) }, handler)
     })
     if (outcome.type !== 'answered') return errors.fail(errors.toUpstreamFailure(outcome))
     if (outcome.status !== 200) return errors.fail(toStatusFailure(outcome.status, outcome.headers))
     const assembled = assembler.getResult()
+    if (assembled.type === 'broken' && streamParser.isEndless) return errors.fail(createBrokenAnswerFailure('endless'))
     return assembled.type === 'whole' ? errors.ok(assembled.answer) : errors.fail(toAssemblyFailure(assembled.fault))
   }
 
