--- a/packages/programs/front/src/find-chain.ts
+++ b/packages/programs/front/src/find-chain.ts
@@ -48,9 +48,9 @@
   return new Promise((resolve, reject) => { new ChainSearch(ports, query, timeoutMs, resolve).run().catch(reject) })
 }
 
-/** The longest time that a turn waits for a search, in ms. */
-export function getSearchTimeoutMs (shards: ownShards.ShardOwner): number {
-  return lateAfterMs + shards.leaseMs
+/** How long a turn waits for a search, in ms: until a dead owner's shards have moved, or longer, as long as a lease remains for the turn to run. */
+export function getSearchTimeoutMs (shards: ownShards.ShardOwner, remainingMs: number): number {
+  return Math.max(lateAfterMs + shards.leaseMs, remainingMs - shards.leaseMs)
 }
 
 /** One search; its turn was stored before, so that what an owner has confirmed stays true. */
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -123,7 +123,11 @@
     this.peerCallPorts = { peerSender: this.peerSender, timers: ports.timers, decisions: ports.decisions }
     const log = this.createRelayedLog()
     this.shards = this.createShards(log)
-    this.liveness = new peerLiveness.PeerLiveness({ timers: ports.timers, getReportAgeMs: (address, now) => this.upstreams.peerLoads.getReportAgeMs(address, now) })
+    this.liveness = new peerLiveness.PeerLiveness({
+      timers: ports.timers,
+      getReportAgeMs: (address, now) => this.upstreams.peerLoads.getReportAgeMs(address, now),
+      isMember: (address) => this.listPeerAddresses().includes(address)
+    })
     this.failureDetector = this.createFailureDetector()
     this.routing = new currentRouting.CurrentRouting({
       ...ports,
--- a/packages/programs/front/src/peer-failure-detector.test.ts
+++ b/packages/programs/front/src/peer-failure-detector.test.ts
@@ -151,7 +151,7 @@
 })
 
 // Guards against live hosts that are evicted because their accept queues are full, and against probes that fill them further.
-tap.test('a peer that reports is neither examined nor reported, though its host takes no connection', async (t) => {
+tap.test('a peer that reports is neither pinged nor reported, though its host takes no connection, and the others are pinged two at a time', async (t) => {
   const { timers, silent, reported, pinged, liveness, detector } = fixture(5)
   Object.assign(liveness, { isAlive: () => true, hasFallenSilent: () => false, hearsEnough: () => true })
   silent.add('peer-0')
@@ -159,7 +159,19 @@
     detector.suspect('peer-0')
     await timers.advanceAsync(500)
   }
-  t.same([reported, pinged], [[], []])
+  t.same(reported, [])
+  t.same(pinged.slice(0, 4), ['peer-1', 'peer-2', 'peer-3', 'peer-4'])
+  t.notOk(pinged.includes('peer-0'))
+})
+
+// Guards against a process that keeps its shards behind a network partition of one direction: it hears its peers, and reaches none of them.
+tap.test('a process that hears its peers and reaches none is isolated', async (t) => {
+  const { timers, members, silent, isolationChanges, liveness, detector } = fixture(5)
+  Object.assign(liveness, { isAlive: () => true, hasFallenSilent: () => false, hearsEnough: () => true })
+  for (const peer of members) silent.add(peer)
+  detector.suspect('peer-0')
+  await timers.advanceAsync(5_000)
+  t.same(isolationChanges, [true])
 })
 
 tap.test('a peer that was never heard is left to its lease', async (t) => {
@@ -180,6 +192,7 @@
   await timers.advanceAsync(2_400)
   t.same(isolationChanges, [true])
   liveness.hearsEnough = () => true
+  silent.clear()
   await timers.advanceAsync(1_500)
   t.same(isolationChanges, [true, false])
 })
--- a/packages/programs/front/src/peer-failure-detector.ts
+++ b/packages/programs/front/src/peer-failure-detector.ts
@@ -47,12 +47,15 @@
 const minReportIntervalMs = 3_000
 /** If a suspected peer has not proved to be alive after this time, in ms, all others are pinged as well. */
 const suspectCheckMs = 100
+/** Number of peers that are pinged in a round while the reports show that all suspects are alive. */
+const sampleSize = 2
 /** With fewer peers, the detector can't determine which process is isolated. */
 const minPeerCount = 2
 
 /** Sends no pings in normal operation; a suspected peer whose host accepts no connection makes it ping all peers in rounds. */
 export class PeerFailureDetector {
   private isProbing = false
+  private nextSample = 0
   private isClosed = false
   private isolated = false
   /** Since when the rounds have contradicted `isolated`, in monotonic ms. */
@@ -110,13 +113,14 @@
     this.suspects.clear()
     if (peers.length < minPeerCount) return true
     const { liveness } = this.ports
-    const isConnected = liveness.hearsEnough(peers)
-    const unheard = suspects.filter((address) => !isConnected || !liveness.isAlive(address))
-    if (!this.isolated && isConnected && unheard.length === 0) return true
     const startedAt = this.ports.timers.monotonic()
-    const checks = new Map(peers.filter((address) => unheard.includes(address)).map((address) => [address, this.acceptsConnection(address)]))
+    const trustsReports = liveness.hearsEnough(peers) && await this.reachesSome(peers, suspects)
+    const isProven = (address: string): boolean => trustsReports && liveness.isAlive(address)
+    const unproven = suspects.filter((address) => !isProven(address))
+    if (!this.isolated && trustsReports && unproven.length === 0) return true
+    const checks = new Map(peers.filter((address) => unproven.includes(address)).map((address) => [address, this.acceptsConnection(address)]))
     if (!this.isolated && this.contradictedSince === undefined && await this.areAlive([...checks.values()])) return true
-    const reachable = await Promise.all(peers.map((address) => checks.get(address) ?? ((isConnected && liveness.isAlive(address)) || this.isReachable(address))))
+    const reachable = await Promise.all(peers.map((address) => checks.get(address) ?? (isProven(address) || this.isReachable(address))))
     const silent = peers.filter((_, index) => reachable[index] !== true)
     const canReachPeers = peers.length - silent.length >= peers.length * minReachableShare
     this.ports.decisions.record({ event: 'peersPinged', suspects, pinged: peers.length, unreachable: silent.length, tookMs: Math.round(this.ports.timers.monotonic() - startedAt) })
@@ -124,6 +128,17 @@
     return canReachPeers
   }
 
+  /** Whether one of a few peers can be reached, other than the suspects if there are any: behind a network partition of one direction a process hears peers that it can't reach. */
+  private async reachesSome (peers: readonly string[], suspects: readonly string[]): Promise<boolean> {
+    const others = peers.filter((address) => !suspects.includes(address))
+    const candidates = others.length > 0 ? others : peers
+    const first = this.nextSample
+    this.nextSample += sampleSize
+    const sample = Array.from({ length: Math.min(sampleSize, candidates.length) }, (_, index) => candidates[(first + index) % candidates.length]!)
+    const reachable = await Promise.all(sample.map((address) => this.isReachable(address)))
+    return reachable.includes(true)
+  }
+
   /** Asks a suspect for a connection only: a ping that is not answered in time would also cost it the connection that carries the ping. */
   private async acceptsConnection (address: string): Promise<boolean> {
     const connection = await this.ports.connect(address)
--- a/packages/programs/front/src/peer-liveness.ts
+++ b/packages/programs/front/src/peer-liveness.ts
@@ -8,29 +8,33 @@
 export interface PeerLivenessPorts {
   /** Time since the last report of a peer, in ms; infinite if it has sent none lately. */
   readonly getReportAgeMs: (address: string, now: number) => number
+  /** Whether the peer owns shards, as far as this process knows, so that it renews its lease. */
+  readonly isMember: (address: string) => boolean
   readonly timers: Pick<timerService.TimerService, 'monotonic'>
 }
 
-/** A peer that has reported within this time, in ms, is alive: reports are up to 1.2 s apart, and a busy process sends them late. */
-const aliveMs = 2_000
-/** Within this time, in ms, a process that is connected to its peers hears from more than half of them. */
+/** A member is alive for this long after its last report, in ms: reports are up to 1.2 s apart, and one of them may be lost. */
+const memberAliveMs = 2_500
+/** The same for a peer that owns no shard, in ms: its lease may have run out since. */
+const otherAliveMs = 1_400
+/** Within this time, in ms, a process that is connected to its peers hears from at least the share of them below. */
 const connectedMs = 800
-/** Share of the reporting peers that a process which is connected to most of them hears from within that time. */
 const minHeardShare = 0.25
 
 /** Passive evidence on peers, which costs them nothing. */
 export class PeerLiveness {
   constructor (private readonly ports: PeerLivenessPorts) {}
 
-  /** Whether the peer has reported lately. */
+  /** Whether the peer has reported lately. One that has never reported to this process goes by its lease. */
   isAlive (address: string): boolean {
-    return this.getReportAgeMs(address) < aliveMs
+    const ageMs = this.getReportAgeMs(address)
+    if (ageMs === Infinity) return this.ports.isMember(address)
+    return ageMs < (this.ports.isMember(address) ? memberAliveMs : otherAliveMs)
   }
 
   /** Whether the peer has reported before, and does not any more. */
   hasFallenSilent (address: string): boolean {
-    const ageMs = this.getReportAgeMs(address)
-    return ageMs >= aliveMs && ageMs < Infinity
+    return this.getReportAgeMs(address) < Infinity && !this.isAlive(address)
   }
 
   /** Whether enough of these peers, of those that report to this process, were heard just now. */
--- a/packages/programs/front/src/route-turn.ts
+++ b/packages/programs/front/src/route-turn.ts
@@ -63,6 +63,7 @@
   }
   const partition = shards.getPartition(turn.program)
   const startedAt = timers.monotonic()
+  let unownedSince = startedAt
   const denial = new OwnerDenial(ports)
   let lastStep: RoutingStep
   let lastLocation: ownShards.ShardLocation
@@ -74,9 +75,10 @@
     lastLocation = location
     if (step.type === 'later') break
     if (step.type === 'again' && step.reason === 'notOwner') denial.note(location)
+    if (hasOwner(step)) unownedSince = timers.monotonic()
     void shards.refreshOwners()
     await timerService.sleep(timers, pollIntervalMs)
-  } while (!req.reply.over && timers.monotonic() < (isWaitedFor(lastStep) ? req.deadlineAt : startedAt + shards.leaseMs))
+  } while (!req.reply.over && timers.monotonic() < Math.min(req.deadlineAt, unownedSince + shards.leaseMs))
   const retryAfterMs = estimateRetryMs(ports, partition)
   ports.decisions.record({ event: 'turnRefused', reason: 'nobody serves the shard', request: req.attempt.id, program: turn.program, previous: turn.previous, detail: { partition, waitedMs: Math.round(timers.monotonic() - startedAt), ownersAgeMs: Math.round(shards.ownersAgeMs), last: { place: describeLocation(lastLocation), step: lastStep } } })
   req.reply.refuse({ type: 'shardMoving', retryAfterMs })
@@ -129,9 +131,9 @@
   /** Nothing ran, and a retry soon would fail the same way. */
   | { readonly type: 'later', readonly reason: string }
 
-/** An owner that may be alive is waited for until the deadline, however late it is. */
-function isWaitedFor (step: RoutingStep): boolean {
-  return step.type === 'noConnection'
+/** Whether the shard had an owner until the step ended: one that may be alive is waited for until the deadline, and then the next one. */
+function hasOwner (step: RoutingStep): boolean {
+  return step.type === 'noConnection' || (step.type === 'again' && step.reason === 'moved')
 }
 
 async function tryLocation (ports: RouteTurnPorts, req: inbound.InboundRequest, turn: dialects.TurnFields, partition: shardLog.Partition, location: ownShards.ShardLocation): Promise<RoutingStep> {
--- a/packages/programs/front/src/serve-turn.ts
+++ b/packages/programs/front/src/serve-turn.ts
@@ -75,7 +75,7 @@
 /** Handles a previous turn that this shard doesn't have: copies its chain from another program's shard, or refuses the turn. */
 async function continueFromOtherShard (ports: TurnPorts, req: inbound.InboundRequest, turn: dialects.TurnFields, request: turnLedger.TurnRequest, shard: ownShards.OwnedShard): Promise<void> {
   const previous = request.previous
-  const found = previous === undefined ? undefined : await findChain.findChainAtOwners(ports, { turn: previous, account: request.account }, findChain.getSearchTimeoutMs(ports.shards))
+  const found = previous === undefined ? undefined : await findChain.findChainAtOwners(ports, { turn: previous, account: request.account }, findChain.getSearchTimeoutMs(ports.shards, req.deadlineAt - ports.timers.monotonic()))
   // The client may have left meanwhile, or this process may be about to end.
   if (req.reply.over) return
   if (found?.type === 'found' && shard.state === 'serving') {
--- a/packages/programs/front/src/test-cluster.ts
+++ b/packages/programs/front/src/test-cluster.ts
@@ -282,7 +282,7 @@
     })
     const detector = new peerFailureDetector.PeerFailureDetector({
       peers: listPeers,
-      liveness: new peerLiveness.PeerLiveness({ timers, getReportAgeMs: (address, now) => now - (this.heardAt.get(`${host} ${hostOf(address)}`) ?? -Infinity) }),
+      liveness: new peerLiveness.PeerLiveness({ timers, getReportAgeMs: (address, now) => now - (this.heardAt.get(`${host} ${hostOf(address)}`) ?? -Infinity), isMember: (address) => listPeers().includes(address) }),
       ping: async (address) => await this.call(host, address, timers, pingTimeoutMs, async () => true) === true,
       connect: async (address) => this.connect(host, hostOf(address)),
       onPeerSilent: (address) => {
--- a/packages/state/own-shards/src/owned-shard.ts
+++ b/packages/state/own-shards/src/owned-shard.ts
@@ -127,16 +127,17 @@
   }
 
   /**
-   * Loads all records and returns their number. Returns `undefined` if one can't be decoded: serving without it could deny
-   * an acknowledged turn.
+   * Loads all records and returns their number. Returns `undefined` if the shard is not wanted any more, or if one can't be
+   * decoded: serving without it could deny an acknowledged turn.
    */
   private async loadLedger (): Promise<number | undefined> {
     try {
       let recordCount = 0
-      await newestRecords.readNewestRecords(this.partition, { ...this.ports, isWanted: () => this.currentState === 'opening' }, ({ key, value }) => {
+      const isWhole = await newestRecords.readNewestRecords(this.partition, { ...this.ports, isWanted: () => this.currentState === 'opening' }, ({ key, value }) => {
         this.ledger.loadRecord(key, value)
         recordCount += 1
       })
+      if (!isWhole) return undefined
       const incomplete = this.ledger.extendLoadedChains()
       if (incomplete.length > 0) this.ports.decisions.record({ event: 'chainsIncomplete', partition: this.partition, epoch: this.epoch, turns: incomplete.length, first: incomplete[0]! })
       return recordCount
--- a/packages/state/share-load/src/load-sharer.ts
+++ b/packages/state/share-load/src/load-sharer.ts
@@ -23,7 +23,7 @@
  * quarter more processor time than without reports.
  */
 const tickIntervalMs = 400
-/** Ticks after which an unchanged report is repeated, well before receivers discard it as stale. */
+/** An unchanged report is repeated within this many ticks: receivers take a peer that does not report for silent, and discard its report. */
 const repeatTicks = 3
 /** Peers served in one tick; larger sets are served round-robin, so that a process sends at most 35 datagrams per second. */
 const peersPerTick = 14
@@ -89,7 +89,7 @@
     const marks = mergeMarks(this.marksByTick.flat())
     const bytes = Buffer.from(loadMessage.encodeLoad({ running: this.countRunning(), marks }))
     const report: Report = { bytes, text: bytes.toString('latin1'), hasMarks: marks.length > 0 }
-    for (let index = this.tickCount % groupCount; index < peers.length; index += groupCount) this.sendReport(peers[index]!, report)
+    for (let index = this.tickCount % groupCount; index < peers.length; index += groupCount) this.sendReport(peers[index]!, report, this.tickCount + groupCount)
     this.dropDeparted(peers)
     this.tickCount += 1
     this.marksByTick.push([])
@@ -112,9 +112,10 @@
     return Array.from({ length: maxPeers }, (_, index) => addresses[(firstIndex + index + addresses.length) % addresses.length]!)
   }
 
-  private sendReport (peer: string, { bytes, text, hasMarks }: Report): void {
+  /** `nextTick`: when the next report may be sent to this peer. */
+  private sendReport (peer: string, { bytes, text, hasMarks }: Report, nextTick: number): void {
     const lastReport = this.lastSent.get(peer)
-    if (!hasMarks && lastReport?.text === text && this.tickCount - lastReport.tick < repeatTicks) return
+    if (!hasMarks && lastReport?.text === text && nextTick - lastReport.tick <= repeatTicks) return
     this.lastSent.set(peer, { text, tick: this.tickCount })
     this.send(bytes, peer)
   }
