Peer calls: the connection of a call that has timed out is kept for its late answer

Cause: a call without an answer in time closed its connection, so that the next call opened another. A process accepts one connection in each round of its event loop, also those that are closed already: a late process got later with each call.

Change: the connection is kept for as long as idle ones are, and used again after the late answer, which is dropped.

send-http.test 'the connection of a call whose answer is late ...': red without the change (two connections), green with it.

--- a/packages/peers/send-http/src/send-buffered.ts
+++ b/packages/peers/send-http/src/send-buffered.ts
@@ -11,25 +11,30 @@
 /**
  * Sends a request and resolves with its buffered answer. Resolves after `timeoutMs` at the latest, whatever the state of
  * the connection: one still being established, such as to a host behind a network partition, is closed with the request.
+ * With `lateAnswerMs` an established connection is kept for that much longer, so that it can be used again after a late
+ * answer: a server that is late because it is busy is not made busier by new connections.
  */
-export function sendBuffered (sender: sendHttp.Sender, timers: timerService.TimerService, request: sendHttp.OutgoingRequest, timeoutMs: number): Promise<BufferedOutcome> {
+export function sendBuffered (sender: sendHttp.Sender, timers: timerService.TimerService, request: sendHttp.OutgoingRequest, timeoutMs: number, lateAnswerMs = 0): Promise<BufferedOutcome> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = []
     let status = 0
     let isOver = false
+    let lateTimer: timerService.Subscription | undefined
     const exchange = sender.send(request, {
       onHead: (head) => { status = head.status },
-      onData: (chunk) => { chunks.push(chunk) },
+      onData: (chunk) => { if (!isOver) chunks.push(chunk) },
       onComplete: () => { finish({ type: 'answer', status, body: Buffer.concat(chunks) }) },
       onFailed: (failure) => { finish({ type: 'failed', failure }) }
     })
     const timer = timers.after(timeoutMs, () => { pendingEvents.afterPendingEvents(onTimeout) })
     const onTimeout = (): void => {
       if (isOver) return
-      exchange.cancel()
+      if (lateAnswerMs === 0) exchange.cancel()
       finish({ type: 'failed', failure: { verdict: 'mayHaveRun', cause: 'cancelled', detail: `no answer within ${timeoutMs} ms`, reused: false } })
+      if (lateAnswerMs > 0) lateTimer = timers.after(lateAnswerMs, () => { exchange.cancel() })
     }
     const finish = (outcome: BufferedOutcome): void => {
+      lateTimer?.cancel()
       isOver = true
       timer.cancel()
       resolve(outcome)
--- a/packages/peers/send-http/src/send-http.test.ts
+++ b/packages/peers/send-http/src/send-http.test.ts
@@ -1,5 +1,8 @@
+import * as http from 'node:http'
 import * as net from 'node:net'
 import tap from 'tap'
+import * as timerService from '@eelgrasswind/timer-service'
+import * as sendBuffered from './send-buffered.js'
 import * as sendHttp from './send-http.js'
 
 interface SendResult {
@@ -353,3 +356,20 @@
     t.match(failure, { cause: 'invalid', verdict: 'notRun' }, JSON.stringify(change))
   }
 })
+
+// Guards against a busy server that gets a new connection for each call that it has answered late, and so stays busy.
+tap.test('the connection of a call whose answer is late serves the next one', async (t) => {
+  let connectionCount = 0
+  let answerMs = 150
+  const server = http.createServer((_req, res) => { setTimeout(() => { res.end('ok') }, answerMs) })
+  server.on('connection', () => { connectionCount += 1 })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  t.teardown(() => { server.closeAllConnections(); server.close() })
+  const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`
+  const call = (timeoutMs: number) => sendBuffered.sendBuffered(sender, timerService.createRealTimers(), { address, method: 'PUT', path: '/', headers: ['Host', 'h', 'Content-Length', '0'], body: Buffer.alloc(0), connectTimeoutMs: 200, continueTimeoutMs: undefined, atMostOnce: false, maxAnswerBytes: 1_000 }, timeoutMs, 1_000)
+  t.match(await call(50), { type: 'failed', failure: { cause: 'cancelled' } })
+  await new Promise((resolve) => { setTimeout(resolve, 200) })
+  answerMs = 0
+  t.match(await call(500), { type: 'answer', status: 200, body: Buffer.from('ok') })
+  t.equal(connectionCount, 1)
+})
--- a/packages/programs/front/src/peer-calls.ts
+++ b/packages/programs/front/src/peer-calls.ts
@@ -104,6 +104,8 @@
 const peerCallPath = '/peer-call'
 const connectTimeoutMs = 200
 const okStatus = 200
+/** How long the connection of a call without an answer is kept for a late one, in ms: the idle timeout of connections to peers. */
+const lateAnswerMs = 10_000
 
 /** Whether a request is a peer call. */
 export function isPeerCall (req: http.IncomingMessage): boolean {
@@ -156,7 +158,7 @@
     continueTimeoutMs: undefined,
     atMostOnce: false,
     maxAnswerBytes: maxCallBytes
-  }, timeoutMs)
+  }, timeoutMs, lateAnswerMs)
   if (outcome.type === 'failed') return { type: 'none', ended: outcome.failure.cause === 'refused' }
   const answer = outcome.status === okStatus ? decodeAnswer<Answer>(ports, outcome.body) : undefined
   return answer === undefined ? { type: 'none', ended: false } : { type: 'answer', answer }
