--- a/packages/testing/stand-ins/src/memory-shard-log.ts
+++ b/packages/testing/stand-ins/src/memory-shard-log.ts
@@ -37,6 +37,11 @@
   private readonly members = new Map<string, StoredMember>()
   private readonly held = new Map<shardLog.PartitionName, string>()
   private generation = 0
+  /** Position of the member that gets the first partition; changes when all are assigned anew. */
+  private rotation = 0
+  /** Since when leases stand still, and for how long they have stood still before, in ms. */
+  private pausedSince: number | undefined
+  private pausedMs = 0
   private topics: readonly string[] = []
 
   constructor (private readonly timers: timerService.TimerService, private readonly parts: number) {}
@@ -67,6 +72,27 @@
     this.deal()
   }
 
+  /** Assigns all partitions anew without any request. */
+  reassignAll (): void {
+    this.rotation += 1
+    this.generation += 1
+  }
+
+  /** Leases stand still until `resumeLeases`. */
+  pauseLeases (): void {
+    this.pausedSince ??= this.timers.monotonic()
+  }
+
+  resumeLeases (): void {
+    this.pausedMs = this.timers.monotonic() - this.leaseNow()
+    this.pausedSince = undefined
+  }
+
+  /** Time by which leases expire, in ms. */
+  private leaseNow (): number {
+    return (this.pausedSince ?? this.timers.monotonic()) - this.pausedMs
+  }
+
   private async noAnswer (): Promise<shardLog.StoreFailure> {
     await timerService.sleep(this.timers, patienceMs)
     return { type: 'noAnswer', detail: 'stand-in' }
@@ -120,7 +146,7 @@
 
   private join (request: shardLog.JoinRequest): shardLog.Assignment {
     this.topics = request.topics
-    const now = this.timers.monotonic()
+    const now = this.leaseNow()
     for (const [member, { expiresAt }] of this.members) {
       if (expiresAt < now) this.members.delete(member)
     }
@@ -144,7 +170,7 @@
   private dealt (): [shardLog.Partition, string][] {
     const members = [...this.members.keys()].sort()
     const all = this.topics.flatMap((topic) => Array.from({ length: this.parts }, (_, part): shardLog.Partition => ({ topic, part })))
-    return members.length === 0 ? [] : all.map((partition, index) => [partition, members[index % members.length]!])
+    return members.length === 0 ? [] : all.map((partition, index) => [partition, members[(index + this.rotation) % members.length]!])
   }
 
   /** A former holder has joined with this generation, or is gone. */
