Entry: a request whose body arrives after the entry was told to end is refused as not run

Callers would have seen a call without an answer: an entry that drains refused requests that began afterwards, but passed on one whose head had come before the signal, whenever its body came (up to 30 s later), with its whole timeout; the process exits after `drainMs`.

Whether the entry drains was asked when the head arrived only.

It is asked again once the body has arrived, before anything is passed on; the refusal names the same time to retry.

--- a/packages/peers/caller-server/src/caller-server.test.ts
+++ b/packages/peers/caller-server/src/caller-server.test.ts
@@ -214,6 +214,37 @@
   await drained
 })
 
+// Guards against calls that are passed on during a shutdown with little time left: their body arrived after it had begun.
+for (const { path, body } of [
+  { path: 'chat/completions', body: completion },
+  { path: 'services/kits/order', body: { body: {}, eelgrasswind: metadata } },
+  { path: 'finish', body: { result: 'done' } }
+]) {
+  tap.test(`a request whose body arrives after the server began to drain is refused as notRun, ${path}`, async (t) => {
+    const passedOn: string[] = []
+    const { url, server } = await startServer(t, {
+      call: async () => { passedOn.push('call'); return { ok: true, value: callEnd } },
+      finish: async () => { passedOn.push('finish'); return { ok: true, value: { summary, history: null } } }
+    })
+    const text = JSON.stringify(body)
+    const answered = new Promise<{ status: number | undefined, text: string }>((resolve, reject) => {
+      const req = http.request(`${url}/v1/programs/p1/${path}`, { method: 'POST', headers: { ...headers, 'content-length': text.length } }, (res) => {
+        let received = ''
+        res.setEncoding('utf8').on('data', (piece: string) => { received += piece }).on('end', () => { resolve({ status: res.statusCode, text: received }) })
+      })
+      req.on('error', reject).write(text.slice(0, 5))
+      setTimeout(() => {
+        void server.drain()
+        setTimeout(() => { req.end(text.slice(5)) }, 50)
+      }, 50)
+    })
+    const answer = await answered
+    t.equal(answer.status, 503)
+    t.match(JSON.parse(answer.text), { error: { code: 'shuttingDown', verdict: 'notRun' } })
+    t.same(passedOn, [])
+  })
+}
+
 tap.test('failures are mapped to an HTTP status and a Retry-After value', async (t) => {
   t.equal(errorBody.toHttpStatus({ tag: 'sealed', verdict: 'notRun', message: '' }), 409)
   t.equal(errorBody.toRetryAfterSeconds({ tag: 'internal', verdict: 'mayHaveRun', message: '' }), undefined)
--- a/packages/peers/caller-server/src/caller-server.ts
+++ b/packages/peers/caller-server/src/caller-server.ts
@@ -43,6 +43,7 @@
 /** Retry-after time of a request refused during shutdown, in milliseconds; the retry should go to another entry. */
 const shutdownRetryAfterMs = 500
 
+const shuttingDownFailure: errors.Failure = { tag: 'shuttingDown', verdict: 'notRun', message: 'this entry is shutting down', retryAfterMs: shutdownRetryAfterMs }
 const notFound: errors.Failure = { tag: 'unknownTarget', verdict: 'notRun', message: 'no such path or method', field: 'path' }
 
 function parseRoute (method: string, url: string): errors.Result<Route> {
@@ -104,7 +105,7 @@
   async function serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const route = parseRoute(req.method ?? '', req.url ?? '')
     if (!route.ok) return refuse(req, res, route.failure)
-    if (isDraining) return refuse(req, res, { tag: 'shuttingDown', verdict: 'notRun', message: 'this entry is shutting down', retryAfterMs: shutdownRetryAfterMs })
+    if (isDraining) return refuse(req, res, shuttingDownFailure)
     if (route.value.type === 'health') return answers.writeJson(res, 200, { state: 'live' })
     const client = callerHandlers.authorize(parseBearerToken(req))
     if (!client.ok) return refuse(req, res, client.failure)
@@ -121,6 +122,8 @@
     if (route.type === 'read') return writeProgram(res, await callerHandlers.read(programRef.program, client, route.history), 200)
     const body = await readBody.readJson(req, callerHandlers.getMaxBodyBytes())
     if (!body.ok) return answers.writeFailure(res, body.failure)
+    // The time that is left may be too short by now.
+    if (isDraining) return answers.writeFailure(res, shuttingDownFailure)
     switch (route.type) {
       case 'start': return await serveStart(programRef, body.value, req, res)
       case 'finish': return await serveFinish(programRef, body.value, req, res)
