send-http: an idle connection that only watches is closed when bytes come on it without end

Callers saw: a processor kept busy for as long as an upstream is watched and writes on the watching connection.

Cause: the connection was read on, and what came was dropped, without a bound.

Why it works: after 16 KiB it is closed by this side, which does not count as an end of the upstream; some servers write why they close a connection, and such bytes change nothing.

--- a/packages/peers/send-http/src/open-connections.test.ts
+++ b/packages/peers/send-http/src/open-connections.test.ts
@@ -169,6 +169,24 @@
   t.equal(await sendHttp.examineBreak(timers, address, connections), 'ended')
 })
 
+// Guards against an upstream that writes without end on a connection that only shows whether it has ended.
+tap.test('an idle connection on which bytes come without end is closed; one with a few bytes is not', async (t) => {
+  const { address, sockets } = await startServer(t)
+  const connections = new sendHttp.OpenConnections()
+  const closings: boolean[] = []
+  t.teardown(connections.onClose(address, (byPeer) => { closings.push(byPeer) }))
+  const quiet = await openPair(address, sockets, connections)
+  quiet.write('HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n')
+  const endless = await openPair(address, sockets, connections)
+  const bytes = Buffer.alloc(65_536, 'x')
+  const writeMore = (): void => { if (!endless.destroyed) endless.write(bytes, () => { setImmediate(writeMore) }) }
+  writeMore()
+  await Promise.race([waitForOpen(address, connections, 1), timerService.sleep(timers, 1_000)])
+  t.same([closings, connections.list(address).length], [[false], 1])
+  endless.destroy()
+  quiet.destroy()
+})
+
 tap.test('an address that can not be is never connected to', async (t) => {
   for (const address of ['127.0.0.1:0', '127.0.0.1:99999', '127.0.0.1:', '127.0.0.1:x']) {
     t.same(await sendHttp.openIdleConnection(address, timeoutMs, new sendHttp.OpenConnections()), { outcome: 'noAnswer' }, address)
--- a/packages/peers/send-http/src/probe-connection.ts
+++ b/packages/peers/send-http/src/probe-connection.ts
@@ -26,6 +26,9 @@
 
 const maxPort = 65_535
 
+/** Limit of what may arrive on an idle connection, in bytes: some servers write why they close one. */
+const maxIdleBytes = 16_384
+
 /**
  * Examines whether the process at an address has ended, after a connection to it broke just now. One that takes a new
  * connection has ended if it closed all others at that moment: then another process has taken its place.
@@ -62,7 +65,7 @@
   return connect(address, timeoutMs, (socket) => {
     socket.on('error', () => {})
     // Without a reader the end of the connection is not noticed.
-    socket.resume()
+    socket.on('data', () => { if (socket.bytesRead > maxIdleBytes) socket.destroy() })
     connections.add(address, socket)
     return { outcome: 'accepted', close: () => { socket.destroy() } }
   })
