Front, entry, sidecar: a body in chunks of one byte no longer takes the memory and time of others

Callers saw: an upstream whose answer comes in chunks of one byte took the front from all others, or its memory; the machine's other requests ended with it.

Cause: a chunk costs a call of the parser and an object that keeps the buffer it was read into; both were bounded by the bytes of the body only, 4 MiB, with chunk framing of 8 times that.

Why it works: an answer may come in 4,096 chunks and one more for each 16 bytes, checked as they are parsed, and the bytes around a body may be as many as its own (clients' requests and answers to entry and sidecar, too). Small chunks are joined.

--- a/packages/base/drain-server/src/limit-reading.ts
+++ b/packages/base/drain-server/src/limit-reading.ts
@@ -3,12 +3,11 @@
 import type * as net from 'node:net'
 
 /**
- * Limits of the bytes between the head of a request and the next one that are not its body: a fixed number, plus a
- * multiple of the body, as each chunk of it may have only one byte. The limits of Node.js cover heads and trailers, not
+ * Limits of the bytes between the head of a request and the next one that are not its body: a fixed number, plus
+ * as much as the body has. The limits of Node.js cover heads and trailers, not
  * blank lines or the digits of a chunk size, and the extension of each chunk for itself.
  */
 const maxFramingBytes = 262_144
-const maxFramingFactor = 8
 /** Time between two checks, in ms. */
 const checkIntervalMs = 100
 
@@ -61,5 +60,5 @@
 
 function isBeyondLimits (socket: net.Socket, newest: NewestRequest | undefined): boolean {
   const framingBytes = socket.bytesRead - (newest?.receivedBytes ?? 0)
-  return framingBytes > maxFramingBytes + (1 + maxFramingFactor) * (newest?.req.bodyBytes ?? 0)
+  return framingBytes > maxFramingBytes + 2 * (newest?.req.bodyBytes ?? 0)
 }
--- a/packages/base/errors/src/limit-reading.ts
+++ b/packages/base/errors/src/limit-reading.ts
@@ -3,11 +3,9 @@
 
 /**
  * Limits of the bytes between the head of an answer and the next one that are not its body: a fixed number, for heads,
- * interim answers and what was read but not delivered yet, plus a multiple of the body, as each chunk of it may have only
- * one byte. undici covers headers and trailers, but not the status line, blank lines, or the size and extension of a chunk.
+ * interim answers and what was read but not delivered yet, plus as much as the body has. undici covers headers and trailers, but not the status line, blank lines, or the size and extension of a chunk.
  */
 const maxFramingBytes = 262_144
-const maxFramingFactor = 8
 
 /** Bytes of one connection since the last head of an answer. */
 interface Reading {
@@ -24,7 +22,7 @@
   socket.on('data', (bytes: Buffer) => {
     current = reading
     reading.receivedBytes += bytes.length
-    if (reading.receivedBytes > maxFramingBytes + (1 + maxFramingFactor) * reading.bodyBytes) socket.destroy(new Error('too many bytes around the body of an answer'))
+    if (reading.receivedBytes > maxFramingBytes + 2 * reading.bodyBytes) socket.destroy(new Error('too many bytes around the body of an answer'))
   })
 }
 
--- a/packages/peers/send-http/src/send-buffered.ts
+++ b/packages/peers/send-http/src/send-buffered.ts
@@ -1,4 +1,5 @@
 /** Sends a request and buffers its whole answer, within a time limit. */
+import * as messageFraming from '@eelgrasswind/message-framing'
 import type * as timerService from '@eelgrasswind/timer-service'
 import * as pendingEvents from './pending-events.js'
 import type * as sendHttp from './send-http.js'
@@ -14,13 +15,13 @@
  */
 export function sendBuffered (sender: sendHttp.Sender, timers: timerService.TimerService, request: sendHttp.OutgoingRequest, timeoutMs: number): Promise<BufferedOutcome> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = []
+    const chunks = new messageFraming.ByteList()
     let status = 0
     let isOver = false
     const exchange = sender.send(request, {
       onHead: (head) => { status = head.status },
       onData: (chunk) => { chunks.push(chunk) },
-      onComplete: () => { finish({ type: 'answer', status, body: Buffer.concat(chunks) }) },
+      onComplete: () => { finish({ type: 'answer', status, body: chunks.concat() }) },
       onFailed: (failure) => { finish({ type: 'failed', failure }) }
     })
     const timer = timers.after(timeoutMs, () => { pendingEvents.afterPendingEvents(onTimeout) })
--- a/packages/peers/send-http/src/send-http.ts
+++ b/packages/peers/send-http/src/send-http.ts
@@ -209,10 +209,15 @@
 const maxInterimAnswers = 16
 /**
  * Limits of the bytes of an answer that are not its body: a fixed number, for heads, interim answers and what was read
- * but not delivered yet, plus a multiple of the body, as each chunk of it may have only one byte.
+ * but not delivered yet, plus as much as the body has.
  */
 const maxFramingBytes = 262_144
-const maxFramingFactor = 8
+/**
+ * Limits of the chunks of a body: a fixed number, plus one for each of these bytes. Each chunk costs a call of the parser,
+ * so that a body in chunks of one byte takes a hundred times the time of another one.
+ */
+const maxSmallChunks = 4_096
+const minMeanChunkBytes = 16
 /** After this many bytes of a body the event loop serves other connections first, in bytes: a single read may deliver 2 MB. */
 const maxBytesPerTurn = 131_072
 
@@ -237,6 +242,7 @@
   private res: http.IncomingMessage | undefined
   private framing: messageFraming.BodyFraming = 'none'
   private bodyBytes = 0
+  private bodyChunks = 0
   /** All bytes received, with those of heads and chunk framing. */
   private receivedBytes = 0
   private interimAnswers = 0
@@ -325,7 +331,7 @@
 
   private onBytes (bytes: number): void {
     this.receivedBytes += bytes
-    if (this.receivedBytes > maxFramingBytes + (1 + maxFramingFactor) * this.bodyBytes) this.failWith('endless', 'too many bytes around the body of the answer')
+    if (this.receivedBytes > maxFramingBytes + 2 * this.bodyBytes) this.failWith('endless', 'too many bytes around the body of the answer')
   }
 
   private onInterimAnswer (): void {
@@ -335,12 +341,17 @@
 
   private onBody (res: http.IncomingMessage, chunk: Buffer): void {
     this.bodyBytes += chunk.length
+    this.bodyChunks += 1
     if (this.isDone) return
     const { maxAnswerBytes } = this.request
     if (this.bodyBytes > maxAnswerBytes) {
       this.failWith('endless', `the answer exceeds ${maxAnswerBytes} bytes`)
       return
     }
+    if (this.bodyChunks > maxSmallChunks + this.bodyBytes / minMeanChunkBytes) {
+      this.failWith('endless', `a body in ${this.bodyChunks} chunks`)
+      return
+    }
     this.yieldIfBusy(res, chunk.length)
     this.notify(() => { this.sink.onData(chunk) })
   }
--- a/packages/programs/front/src/read-request.ts
+++ b/packages/programs/front/src/read-request.ts
@@ -1,5 +1,6 @@
 /** Checks the headers and reads the body of a request within size limits. */
 import type * as http from 'node:http'
+import * as messageFraming from '@eelgrasswind/message-framing'
 import type * as routeRequest from '@eelgrasswind/route-request'
 import type * as inbound from './inbound.js'
 
@@ -21,7 +22,7 @@
     onBody(emptyBody)
     return
   }
-  const chunks: Buffer[] = []
+  const chunks = new messageFraming.ByteList()
   let receivedBytes = 0
   let isTooLarge = false
   req.on('data', (chunk: Buffer) => {
@@ -34,6 +35,6 @@
     isTooLarge = true
   })
   req.on('end', () => {
-    if (!isTooLarge) onBody(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))
+    if (!isTooLarge) onBody(chunks.concat())
   })
 }
--- a/packages/programs/front/src/serve-call.ts
+++ b/packages/programs/front/src/serve-call.ts
@@ -1,4 +1,5 @@
 /** Serves requests that belong to no turn chain; any front process can send them to an upstream without the owner of a program. */
+import * as messageFraming from '@eelgrasswind/message-framing'
 import type * as sendHttp from '@eelgrasswind/send-http'
 import * as answerStream from './answer-stream.js'
 import * as dispatch from './dispatch.js'
@@ -23,13 +24,13 @@
   const { reply } = req
   const { timers } = ports
   let head: sendHttp.AnswerHead | undefined
-  let chunks: Buffer[] = []
+  let chunks = new messageFraming.ByteList()
   const held = ports.heldAnswers.hold()
   reply.onEnd(held.release)
   const dispatched = new dispatch.Dispatch(ports, req, { body: req.body, affinity: undefined, isBuffered: true }, {
     head: (answer) => {
       head = answer
-      chunks = []
+      chunks = new messageFraming.ByteList()
       held.release()
     },
     data: (chunk) => {
@@ -39,7 +40,7 @@
     },
     end: () => {
       deadlineTimer.cancel()
-      if (head !== undefined) reply.send(head.status, ports.dialect.answerHeaders(head.rawHeaders), Buffer.concat(chunks))
+      if (head !== undefined) reply.send(head.status, ports.dialect.answerHeaders(head.rawHeaders), chunks.concat())
     },
     fail: (failure) => {
       deadlineTimer.cancel()
