Front: bytes without end from another front are cut off, as those from a client

Callers saw: a front that reads for ever what is no call, on a connection that anything in the fleet's network may open.

Cause: the listener for peers has no request timeout, and Node.js counts neither blank lines nor the digits of a chunk size.

Why it works: the check of drain-server, which closes the connection here.

--- a/packages/base/drain-server/src/index.ts
+++ b/packages/base/drain-server/src/index.ts
@@ -1,2 +1,3 @@
 /** HTTP/1.1 server that ends its connections during a graceful shutdown without cutting off a request. */
 export * from './drain-server.js'
+export * from './limit-reading.js'
--- a/packages/programs/front/src/peer-listener.ts
+++ b/packages/programs/front/src/peer-listener.ts
@@ -1,5 +1,6 @@
 /** Accepts requests of other front processes: forwarded turns and peer calls. */
 import * as http from 'node:http'
+import * as drainServer from '@eelgrasswind/drain-server'
 import type * as shardLog from '@eelgrasswind/shard-log'
 import * as shardLogs from '@eelgrasswind/shard-log'
 import type * as ownShards from '@eelgrasswind/own-shards'
@@ -33,8 +34,9 @@
 
 /** Creates the HTTP server for peers, which does not listen yet. `keepAliveTimeout` in ms. */
 export function createPeerServer (ports: PeerListenerPorts, keepAliveTimeout: number): http.Server {
-  const server = http.createServer({ maxHeaderSize: maxHeaderBytes, requestTimeout: 0, keepAliveTimeout }, (req, res) => { handleCall(ports, req, res) })
+  const server = http.createServer({ maxHeaderSize: maxHeaderBytes, requestTimeout: 0, keepAliveTimeout, IncomingMessage: drainServer.CountedRequest }, (req, res) => { handleCall(ports, req, res) })
   server.on('checkContinue', (req: http.IncomingMessage, res: http.ServerResponse) => { handleTurn(ports, req, res) })
+  drainServer.limitReading(server, (socket) => { socket.destroy() })
   return server
 }
 
