meter-channel: a process that has heard no owner yet waits longer for the first

Cause: the wait for an owner is counted from the first look, and a process that has never heard an owner has no share to offer meanwhile.

Now such a process waits for 6 s; each request until 200 ms before its deadline, as before. Nothing is admitted without an owner.

--- a/packages/programs/front/src/meter-channel.test.ts
+++ b/packages/programs/front/src/meter-channel.test.ts
@@ -220,6 +220,18 @@
   }
 })
 
+// Guards against an account that is refused since a fleet has started: no process has a share before it has heard an owner, and the first one is late.
+tap.test('requests wait for the first owner that a process hears of, although nobody counts for 4 s', async (t) => {
+  for (const limit of [{ requestsPerSecond: 5, burst: 100 }, { requestsPerSecond: 60, burst: 60 }]) {
+    for (const seed of seeds) {
+      const programsPerSecond = (now: number): number => now < 2_700 ? 0 : programsWithin(limit.requestsPerSecond, 3) * 0.25
+      const result = await simulate({ ...steadyScenario, lengthMs: 8_000, handsOver: true, retries: false, getOwner: (now) => now < 4_000 ? undefined : 0, limit, hosts: 4, further: 3, programsPerSecond }, seed)
+      const { first, further } = result.refused
+      t.equal(first + further, 0, `${limit.requestsPerSecond} requests/s, seed ${seed}: ${first} and ${further} refused, ${result.sentAt.length} admitted`)
+    }
+  }
+})
+
 tap.test('changes of owner do not let an account exceed its limit', async (t) => {
   for (const limit of allLimits) {
     for (const seed of seeds) {
--- a/packages/programs/front/src/meter-channel.ts
+++ b/packages/programs/front/src/meter-channel.ts
@@ -41,6 +41,8 @@
  * its lease of 1.1 s, and three calls of a slow store, of 300 ms each.
  */
 const maxOwnerWaitMs = 2_500
+/** The same for a process that has just started and has heard no owner yet, in ms: it has no share, and the first owners open their groups while all processes start. */
+const maxFirstOwnerWaitMs = 6_000
 /** Retry-after time of a process without a share, in ms. */
 const noShareRetryMs = 500
 /** An account without requests for this long, in ms, is removed. */
@@ -146,7 +148,8 @@
   }
 
   private computeWaitEnd (latestAt: number): number {
-    return Math.min(latestAt, (this.unreachableSince ?? Infinity) + maxOwnerWaitMs)
+    const longestMs = this.term === noTerm ? maxFirstOwnerWaitMs : maxOwnerWaitMs
+    return Math.min(latestAt, (this.unreachableSince ?? Infinity) + longestMs)
   }
 
   /** When no owner counts this host as reporting any more, monotonic ms: its allowances end, and its share of the limits begins. */
