--- a/packages/peers/send-http/src/probe-connection.ts
+++ b/packages/peers/send-http/src/probe-connection.ts
@@ -21,7 +21,7 @@
 
 /** Delay before the examination, in ms: a process that ends closes its connections and its listener one after the other. */
 const probeDelayMs = 5
-/** Timeout of the connection attempt, in ms: a host that is up answers within one round trip, whatever its process does. */
+/** Timeout of the connection attempt, in ms: a host that is up answers within one round trip, unless the accept queue of its process is full. */
 const probeTimeoutMs = 60
 
 const maxPort = 65_535
--- a/packages/programs/front/src/forward-turn.ts
+++ b/packages/programs/front/src/forward-turn.ts
@@ -27,8 +27,9 @@
 const connectTimeoutMs = 200
 /**
  * The owner is probed if nothing has arrived from it for this long, in ms. A host that has lost power closes no
- * connection: without the probe, each turn there waits for its full timeout, and so does its client. An owner whose
- * host accepts connections is waited for, however late it is: giving it up would cut off an answer that it may complete.
+ * connection: without the probe, each turn there waits for its full timeout, and so does its client. An owner that
+ * reports, or whose host accepts connections, is waited for, however late it is: giving it up would cut off an answer that
+ * it may complete.
  */
 const silenceThresholdMs = 400
 
--- a/packages/programs/front/src/front.ts
+++ b/packages/programs/front/src/front.ts
@@ -77,7 +77,7 @@
 const relayTimeoutMs = 1_600
 /** Ping timeout of the failure detector, in ms; a peer that misses it is asked for a connection. */
 const pingTimeoutMs = 200
-/** Timeout for opening a connection to a peer that does not answer pings, in ms: a host that is up accepts it within a round trip. */
+/** Timeout for opening a connection to a peer that does not answer pings, in ms: a host that is up accepts it within a round trip, unless its accept queue is full. */
 const peerConnectTimeoutMs = 200
 /** Time for in-flight turns to end before an isolated process gives up its shards, in ms. */
 const suspendGraceMs = 600
--- a/packages/programs/front/src/peer-failure-detector.ts
+++ b/packages/programs/front/src/peer-failure-detector.ts
@@ -17,7 +17,7 @@
   readonly peers: () => readonly string[]
   /** Whether a peer answers; resolves within the time that one round may take. */
   readonly ping: (address: string) => Promise<boolean>
-  /** Opens a connection to a peer. Its host accepts it whether or not the process is busy. */
+  /** Opens a connection to a peer. Its host accepts it although the process is busy, unless its accept queue is full. */
   readonly connect: (address: string) => Promise<sendHttp.ConnectionProbe>
   /** What the reports of the peers show. */
   readonly liveness: Pick<peerLiveness.PeerLiveness, 'isAlive' | 'hasFallenSilent' | 'hearsEnough'>
--- a/packages/programs/front/src/peer-probe.ts
+++ b/packages/programs/front/src/peer-probe.ts
@@ -9,7 +9,7 @@
 export interface PeerProbePorts {
   /** Whether a peer answers within the timeout, in ms. */
   readonly ping: (address: string, timeoutMs: number) => Promise<boolean>
-  /** Opens a connection to a peer. Its host accepts it whether or not the process is busy. */
+  /** Opens a connection to a peer. Its host accepts it although the process is busy, unless its accept queue is full. */
   readonly connect: (address: string) => Promise<sendHttp.ConnectionProbe>
   /** What the reports of the peers show. */
   readonly liveness: Pick<peerLiveness.PeerLiveness, 'isAlive' | 'hasFallenSilent'>
--- a/packages/programs/front/src/route-turn.ts
+++ b/packages/programs/front/src/route-turn.ts
@@ -85,9 +85,8 @@
 }
 
 /**
- * Estimates when the shard will be served again, in ms from now. A handover is almost complete, and an unresponsive
- * owner is normally detected and evicted within half a second; an owner that wasn't evicted by then keeps the shard
- * until its lease expires.
+ * Estimates when the shard will be served again, in ms from now. A handover is almost complete; an owner that
+ * reports no more is evicted within half a second, and one that wasn't by then keeps the shard until its lease expires.
  */
 function estimateRetryMs (ports: RouteTurnPorts, partition: shardLog.Partition): number {
   const location = ports.shards.locate(partition)
