--- a/review/stand-ins-2/fronts.cjs
+++ b/review/stand-ins-2/fronts.cjs
@@ -7,7 +7,8 @@
 const path = require('node:path')
 
 const repository = path.join(__dirname, '..', '..')
-const command = ['--max-old-space-size=94', 'target/eelgrasswind-front.mjs']
+/** The program and its arguments, as the deploy file names them. */
+const command = /^run = "([^"]+)"$/m.exec(fs.readFileSync(path.join(repository, 'deploy', 'system.toml'), 'utf8'))[1].split(' ')
 const sleep = (ms) => new Promise((resolve) => { setTimeout(resolve, ms) })
 
 /** Free loopback ports, all different. */
@@ -37,7 +38,7 @@
   start () {
     this.isWanted = true
     const log = fs.openSync(this.logFile, 'a')
-    const child = childProcess.spawn(process.execPath, command, { cwd: repository, stdio: ['ignore', log, log], env: { PATH: process.env.PATH, HOME: process.env.HOME, LANG: 'C', EELGRASSWIND_NODE_FILE: this.file } })
+    const child = childProcess.spawn(command[0], command.slice(1), { cwd: repository, stdio: ['ignore', log, log], env: { PATH: process.env.PATH, HOME: process.env.HOME, LANG: 'C', EELGRASSWIND_NODE_FILE: this.file } })
     fs.closeSync(log)
     this.child = child
     this.exited = new Promise((resolve) => {
